Lay down the skeleton: build, base types and the cores' interfaces

The design asks for pure deciding parts behind typed events and effects. This commit fixes those types first (ids, time, ledger operations, router, HTTP seams), so that the parts can be built side by side.

Peer messages are plain structs described with Boost.Describe: one generic codec in wire/ will write them in protobuf's wire format, so no message is declared twice and no generated code has to be kept.

--- /dev/null
+++ b/cmake/Tests.cmake
@@ -0,0 +1,47 @@
+# One test program for each folder below test/, one ctest for each file in it.
+#
+# A test file's first line names the promises that it proves:
+#   // ctest-labels: promise-at-most-once promise-state-survives
+# Files that prove a part rather than a promise use the label `unit`.
+add_library(test_main STATIC test/TestMain.cpp)
+target_compile_definitions(test_main PUBLIC CATCH_CONFIG_ENABLE_BENCHMARKING=0)
+
+file(
+  GLOB TEST_FOLDERS
+  LIST_DIRECTORIES true
+  CONFIGURE_DEPENDS test/*)
+foreach(folder ${TEST_FOLDERS})
+  get_filename_component(folder_name ${folder} NAME)
+  file(GLOB test_files CONFIGURE_DEPENDS ${folder}/*Test.cpp)
+  if(NOT test_files)
+    continue()
+  endif()
+  # Helpers of a folder's tests (no Test suffix) are linked beside them.
+  file(GLOB all_files CONFIGURE_DEPENDS ${folder}/*.cpp)
+  set(program test_${folder_name})
+  add_executable(${program} ${all_files})
+  target_link_libraries(${program} PRIVATE test_main peridotspool rapidcheck)
+  target_include_directories(${program} PRIVATE test)
+  target_compile_definitions(
+    ${program}
+    PRIVATE PERIDOTSPOOL_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
+            PERIDOTSPOOL_BINARY_DIR="${CMAKE_BINARY_DIR}")
+  foreach(test_file ${test_files})
+    get_filename_component(unit ${test_file} NAME_WE)
+    file(STRINGS ${test_file} label_line LIMIT_COUNT 1
+         REGEX "^// ctest-labels: ")
+    if(NOT label_line)
+      message(FATAL_ERROR "${test_file}: the first line must be "
+                          "'// ctest-labels: LABEL...'")
+    endif()
+    string(REPLACE "// ctest-labels: " "" labels "${label_line}")
+    string(REPLACE " " ";" labels "${labels}")
+    set(test_name ${folder_name}/${unit})
+    add_test(NAME ${test_name} COMMAND ${program} "-#" "[#${unit}]" -w NoTests)
+    # A fixed seed keeps the verdict of the differential tests the same.
+    set_tests_properties(
+      ${test_name}
+      PROPERTIES LABELS "${labels}" TIMEOUT 240 ENVIRONMENT
+                 "RC_PARAMS=seed=20261202")
+  endforeach()
+endforeach()
--- /dev/null
+++ b/include/peridotspool/base/Address.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace peridotspool {
+
+/** An IP number and a port; no names are resolved anywhere. */
+struct Address
+{
+  std::string host;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const Address&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(Address, (), (host, port))
+
+/** Returns "host:port", for logs and answers. */
+inline std::string
+ToText(const Address& aAddress)
+{
+  return aAddress.host + ":" + std::to_string(aAddress.port);
+}
+
+} // namespace peridotspool
--- /dev/null
+++ b/include/peridotspool/http/HttpClient.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "peridotspool/base/Address.h"
+#include "peridotspool/http/HttpMessage.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace peridotspool::http {
+
+/** Names one call of one client; chosen by whoever starts it. */
+using ClientCallId = std::uint64_t;
+
+/** The response's status and fields arrived. */
+struct CallHead
+{
+  std::uint32_t status = 0;
+  HeaderFields headers;
+};
+
+/** A piece of the response's body arrived. */
+struct CallPiece
+{
+  std::string bytes;
+};
+
+/** The response is complete. */
+struct CallDone
+{};
+
+/** The call ended without a complete response. */
+struct CallFailed
+{
+  std::string reason;
+  /**
+   * True iff any byte of the request may have reached the peer. False proves
+   * that the request did not run.
+   */
+  bool mayHaveBeenSent = true;
+  /** True iff it ended because nothing came for too long. */
+  bool timedOut = false;
+};
+
+using CallEvent = std::variant<CallHead, CallPiece, CallDone, CallFailed>;
+
+struct HttpClientOptions
+{
+  std::chrono::milliseconds connectTimeout{ 1000 };
+  /** Nothing received on a call for this long ends it (progress deadline). */
+  std::chrono::milliseconds silenceTimeout{ 5000 };
+  std::size_t maxHeaderBytes = 16 << 10;
+  /** Most bytes of one response's body; more ends the call as failed. */
+  std::size_t maxBodyBytes = 16 << 20;
+  /** Idle connections kept for each address. */
+  std::size_t idleConnections = 8;
+};
+
+/**
+ * An HTTP/1.1 client on a thread of its own (Boost.Beast inside).
+ *
+ * The handler is called on that thread and must not block. Each call gets its
+ * events in order: at most one CallHead, pieces, then exactly one CallDone or
+ * CallFailed; after Cancel none. A kept connection that turns out to be closed
+ * before any byte of a new request was written is replaced by a new one.
+ */
+class HttpClient
+{
+public:
+  using Handler = std::function<void(ClientCallId, CallEvent)>;
+
+  HttpClient(HttpClientOptions aOptions, Handler aHandler);
+  ~HttpClient();
+
+  /** Starts a call; the headers host and content-length are added. */
+  void Start(ClientCallId aCall, const Address& aPeer, HttpRequest aRequest);
+  /** As above with its own silence timeout. */
+  void Start(ClientCallId aCall,
+             const Address& aPeer,
+             HttpRequest aRequest,
+             std::chrono::milliseconds aSilenceTimeout);
+  /** Ends a call by closing its connection. */
+  void Cancel(ClientCallId aCall);
+  /** Ends all calls and joins the thread. */
+  void Stop();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace peridotspool::http
--- /dev/null
+++ b/include/peridotspool/ledger/RequestRecord.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "peridotspool/base/Ids.h"
+#include "peridotspool/base/RequestKey.h"
+#include "peridotspool/base/Time.h"
+
+#include <boost/describe/class.hpp>
+#include <boost/describe/enum.hpp>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace peridotspool::ledger {
+
+/** What a caller asked for; fixed from acceptance on. */
+struct RequestTerms
+{
+  ServiceName service;
+  /** The JSON body as the caller sent it. */
+  std::string body;
+  /** May the request run more than once? */
+  bool idempotent = false;
+  /** Lower is more urgent; from the settings' priorities. */
+  std::int32_t priority = 0;
+
+  auto operator<=>(const RequestTerms&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(RequestTerms, (), (service, body, idempotent, priority))
+
+/**
+ * The right to send a request to one upstream. For a request that is not
+ * idempotent it is committed before the first byte is sent, and no second one
+ * is committed unless the first is known not to have run.
+ */
+struct DispatchIntent
+{
+  AttemptNumber attempt;
+  UpstreamName upstream;
+  Incarnation incarnation;
+
+  auto operator<=>(const DispatchIntent&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DispatchIntent, (), (attempt, upstream, incarnation))
+
+enum class OutcomeKind
+{
+  /** The upstream's whole answer. */
+  kAnswered,
+  /** Given up, and the request surely did not run. */
+  kRefused,
+  /** Given up after some of an idempotent request may have run. */
+  kFailed,
+  /** A request that may not run twice was sent, and its fate is not known. */
+  kUnknown,
+  /** The caller withdrew it. */
+  kCancelled,
+};
+BOOST_DESCRIBE_ENUM(OutcomeKind,
+                    kAnswered,
+                    kRefused,
+                    kFailed,
+                    kUnknown,
+                    kCancelled)
+
+/** The final answer to a request; the first one committed stays. */
+struct Outcome
+{
+  OutcomeKind kind = OutcomeKind::kRefused;
+  /** HTTP status for the caller. */
+  std::int32_t status = 0;
+  /** A machine-readable reason, empty for kAnswered. */
+  std::string reason;
+  /** The whole answer text, or a sentence for people. */
+  std::string body;
+  /** When to come back; zero where coming back makes no sense. */
+  Duration retryAfter{ 0 };
+  AttemptNumber attempt;
+  UpstreamName upstream;
+
+  auto operator<=>(const Outcome&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(
+  Outcome,
+  (),
+  (kind, status, reason, body, retryAfter, attempt, upstream))
+
+/** What the ledger keeps of one request, alike on all replicas of its shard. */
+struct RequestRecord
+{
+  RequestKey key;
+  RequestTerms terms;
+  /** The entry that talks to the upstream for this request. */
+  MemberId executor;
+  /** Counts the executors: a message of an earlier one is refused. */
+  AttemptNumber executorTurn;
+  /** The last committed intent; empty before the first. */
+  std::optional<DispatchIntent> intent;
+  /** True iff the last intent is known not to have run. */
+  bool intentVoid = false;
+  /** Set once, by the first operation that ends the request. */
+  std::optional<Outcome> outcome;
+
+  auto operator<=>(const RequestRecord&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(
+  RequestRecord,
+  (),
+  (key, terms, executor, executorTurn, intent, intentVoid, outcome))
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/test/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
