Name struct members as Mozilla's style does

Cause: the tried clang-tidy settings refuse plain member names, and the house style names members mMember without an exception for structs.

--- a/include/peridotspool/base/Address.h
+++ b/include/peridotspool/base/Address.h
@@ -10,18 +10,18 @@
 /** An IP number and a port; no names are resolved anywhere. */
 struct Address
 {
-  std::string host;
-  std::uint16_t port = 0;
+  std::string mHost;
+  std::uint16_t mPort = 0;
 
   auto operator<=>(const Address&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(Address, (), (host, port))
+BOOST_DESCRIBE_STRUCT(Address, (), (mHost, mPort))
 
 /** Returns "host:port", for logs and answers. */
 inline std::string
 ToText(const Address& aAddress)
 {
-  return aAddress.host + ":" + std::to_string(aAddress.port);
+  return aAddress.mHost + ":" + std::to_string(aAddress.mPort);
 }
 
 } // namespace peridotspool
--- a/include/peridotspool/base/RequestKey.h
+++ b/include/peridotspool/base/RequestKey.h
@@ -15,12 +15,12 @@
  */
 struct RequestKey
 {
-  CustomerName customer;
-  std::string key;
+  CustomerName mCustomer;
+  std::string mKey;
 
   auto operator<=>(const RequestKey&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(RequestKey, (), (customer, key))
+BOOST_DESCRIBE_STRUCT(RequestKey, (), (mCustomer, mKey))
 
 /** How many parts the request ledger is cut into; fixed for a system's life. */
 inline constexpr std::uint64_t kShardCount = 256;
@@ -36,7 +36,7 @@
 {
   std::size_t operator()(const peridotspool::RequestKey& aKey) const noexcept
   {
-    return std::hash<std::string>{}(aKey.key) * 31 +
-           std::hash<std::string>{}(aKey.customer.Value());
+    return std::hash<std::string>{}(aKey.mKey) * 31 +
+           std::hash<std::string>{}(aKey.mCustomer.Value());
   }
 };
--- a/include/peridotspool/http/HttpClient.h
+++ b/include/peridotspool/http/HttpClient.h
@@ -19,14 +19,14 @@
 /** The response's status and fields arrived. */
 struct CallHead
 {
-  std::uint32_t status = 0;
-  HeaderFields headers;
+  std::uint32_t mStatus = 0;
+  HeaderFields mHeaders;
 };
 
 /** A piece of the response's body arrived. */
 struct CallPiece
 {
-  std::string bytes;
+  std::string mBytes;
 };
 
 /** The response is complete. */
@@ -36,28 +36,28 @@
 /** The call ended without a complete response. */
 struct CallFailed
 {
-  std::string reason;
+  std::string mReason;
   /**
    * True iff any byte of the request may have reached the peer. False proves
    * that the request did not run.
    */
-  bool mayHaveBeenSent = true;
+  bool mMayHaveBeenSent = true;
   /** True iff it ended because nothing came for too long. */
-  bool timedOut = false;
+  bool mTimedOut = false;
 };
 
 using CallEvent = std::variant<CallHead, CallPiece, CallDone, CallFailed>;
 
 struct HttpClientOptions
 {
-  std::chrono::milliseconds connectTimeout{ 1000 };
+  std::chrono::milliseconds mConnectTimeout{ 1000 };
   /** Nothing received on a call for this long ends it (progress deadline). */
-  std::chrono::milliseconds silenceTimeout{ 5000 };
-  std::size_t maxHeaderBytes = 16 << 10;
+  std::chrono::milliseconds mSilenceTimeout{ 5000 };
+  std::size_t mMaxHeaderBytes = 16 << 10;
   /** Most bytes of one response's body; more ends the call as failed. */
-  std::size_t maxBodyBytes = 16 << 20;
+  std::size_t mMaxBodyBytes = 16 << 20;
   /** Idle connections kept for each address. */
-  std::size_t idleConnections = 8;
+  std::size_t mIdleConnections = 8;
 };
 
 /**
--- a/include/peridotspool/http/HttpMessage.h
+++ b/include/peridotspool/http/HttpMessage.h
@@ -12,21 +12,21 @@
 /** A request as received or to be sent, whole. */
 struct HttpRequest
 {
-  std::string method;
+  std::string mMethod;
   /** Path without the query. */
-  std::string path;
+  std::string mPath;
   /** Query parameters, percent-decoded. */
-  std::map<std::string, std::string> query;
-  HeaderFields headers;
-  std::string body;
+  std::map<std::string, std::string> mQuery;
+  HeaderFields mHeaders;
+  std::string mBody;
 };
 
 /** A whole response. */
 struct HttpResponse
 {
-  std::uint32_t status = 200;
-  HeaderFields headers;
-  std::string body;
+  std::uint32_t mStatus = 200;
+  HeaderFields mHeaders;
+  std::string mBody;
 };
 
 } // namespace peridotspool::http
--- a/include/peridotspool/http/HttpServer.h
+++ b/include/peridotspool/http/HttpServer.h
@@ -18,14 +18,14 @@
 struct HttpServerOptions
 {
   /** Port 0 takes a free one; see HttpServer::LocalAddress. */
-  Address listen;
-  std::size_t maxBodyBytes = 1 << 20;
-  std::size_t maxHeaderBytes = 16 << 10;
-  std::size_t maxConnections = 4096;
+  Address mListen;
+  std::size_t mMaxBodyBytes = 1 << 20;
+  std::size_t mMaxHeaderBytes = 16 << 10;
+  std::size_t mMaxConnections = 4096;
   /** Bytes queued towards one slow reader before its connection is dropped. */
-  std::size_t maxQueuedBytes = 4 << 20;
+  std::size_t mMaxQueuedBytes = 4 << 20;
   /** A connection that sends no whole request for this long is closed. */
-  std::chrono::milliseconds idleTimeout{ 60000 };
+  std::chrono::milliseconds mIdleTimeout{ 60000 };
 };
 
 /**
--- a/include/peridotspool/ledger/Effect.h
+++ b/include/peridotspool/ledger/Effect.h
@@ -11,16 +11,16 @@
 /** Send a message to another entry; it may be lost. */
 struct SendEffect
 {
-  MemberId to;
-  Message message;
+  MemberId mTo;
+  Message mMessage;
 };
 
 /** The answer to a ProposeEvent; exactly one for each. */
 struct AnsweredEffect
 {
-  CallId call;
-  RequestKey key;
-  OperationAnswer answer;
+  CallId mCall;
+  RequestKey mKey;
+  OperationAnswer mAnswer;
 };
 
 /**
@@ -29,9 +29,9 @@
  */
 struct OrphanedEffect
 {
-  RequestRecord record;
+  RequestRecord mRecord;
   /** Time left to the deadline. */
-  Duration remaining{ 0 };
+  Duration mRemaining{ 0 };
 };
 
 using Effect = std::variant<SendEffect, AnsweredEffect, OrphanedEffect>;
--- a/include/peridotspool/ledger/Event.h
+++ b/include/peridotspool/ledger/Event.h
@@ -11,23 +11,23 @@
 /** The control log made a newer member list. */
 struct EpochChangedEvent
 {
-  membership::EpochMap map;
+  membership::EpochMap mMap;
 };
 
 /** A message came from another entry's ledger. */
 struct MessageEvent
 {
-  MemberId from;
-  Message message;
+  MemberId mFrom;
+  Message mMessage;
 };
 
 /** This entry's request module asks for an operation. */
 struct ProposeEvent
 {
   /** The asker's handle, returned in AnsweredEffect. */
-  CallId call;
-  RequestKey key;
-  Operation operation;
+  CallId mCall;
+  RequestKey mKey;
+  Operation mOperation;
 };
 
 /** Time has passed; sent at least every kTickPeriod. */
--- a/include/peridotspool/ledger/LedgerOptions.h
+++ b/include/peridotspool/ledger/LedgerOptions.h
@@ -10,15 +10,15 @@
 struct LedgerOptions
 {
   /** How many entry instances hold each shard. */
-  std::uint32_t replicas = 3;
+  std::uint32_t mReplicas = 3;
   /** Most bytes of records that one entry holds over all its shards. */
-  std::uint64_t maxBytes = 256ULL << 20;
+  std::uint64_t mMaxBytes = 256ULL << 20;
   /** How long a finished request's answer is kept for its caller. */
-  Duration retention = std::chrono::minutes(10);
+  Duration mRetention = std::chrono::minutes(10);
   /** After this long without an answer a message is sent again. */
-  Duration resendAfter = std::chrono::milliseconds(150);
+  Duration mResendAfter = std::chrono::milliseconds(150);
   /** An operation without an answer for this long ends as kNoAnswer. */
-  Duration giveUpAfter = std::chrono::seconds(10);
+  Duration mGiveUpAfter = std::chrono::seconds(10);
 };
 
 } // namespace peridotspool::ledger
--- a/include/peridotspool/ledger/Message.h
+++ b/include/peridotspool/ledger/Message.h
@@ -11,25 +11,25 @@
 /** An entry asks a shard's primary for an operation. */
 struct ProposeMessage
 {
-  EpochNumber epoch;
-  CallId call;
-  RequestKey key;
-  Operation operation;
+  EpochNumber mEpoch;
+  CallId mCall;
+  RequestKey mKey;
+  Operation mOperation;
 
   auto operator<=>(const ProposeMessage&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(ProposeMessage, (), (epoch, call, key, operation))
+BOOST_DESCRIBE_STRUCT(ProposeMessage, (), (mEpoch, mCall, mKey, mOperation))
 
 /** The primary's answer. */
 struct AnswerMessage
 {
-  CallId call;
-  RequestKey key;
-  OperationAnswer answer;
+  CallId mCall;
+  RequestKey mKey;
+  OperationAnswer mAnswer;
 
   auto operator<=>(const AnswerMessage&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(AnswerMessage, (), (call, key, answer))
+BOOST_DESCRIBE_STRUCT(AnswerMessage, (), (mCall, mKey, mAnswer))
 
 using Message = std::variant<ProposeMessage, AnswerMessage>;
 
--- a/include/peridotspool/ledger/Operation.h
+++ b/include/peridotspool/ledger/Operation.h
@@ -9,56 +9,56 @@
 /** Accepts a request; on a known key it changes nothing and returns it. */
 struct AcceptOperation
 {
-  RequestTerms terms;
+  RequestTerms mTerms;
   /** The entry that will run it first. */
-  MemberId executor;
+  MemberId mExecutor;
   /** How long from now until its deadline. */
-  Duration remaining{ 0 };
+  Duration mRemaining{ 0 };
 
   auto operator<=>(const AcceptOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(AcceptOperation, (), (terms, executor, remaining))
+BOOST_DESCRIBE_STRUCT(AcceptOperation, (), (mTerms, mExecutor, mRemaining))
 
 /** Takes the right to send the request to an upstream. */
 struct IntendOperation
 {
-  AttemptNumber executorTurn;
-  DispatchIntent intent;
+  AttemptNumber mExecutorTurn;
+  DispatchIntent mIntent;
 
   auto operator<=>(const IntendOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(IntendOperation, (), (executorTurn, intent))
+BOOST_DESCRIBE_STRUCT(IntendOperation, (), (mExecutorTurn, mIntent))
 
 /** Says that the intent of `attempt` surely did not run. */
 struct VoidIntentOperation
 {
-  AttemptNumber executorTurn;
-  AttemptNumber attempt;
+  AttemptNumber mExecutorTurn;
+  AttemptNumber mAttempt;
 
   auto operator<=>(const VoidIntentOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(VoidIntentOperation, (), (executorTurn, attempt))
+BOOST_DESCRIBE_STRUCT(VoidIntentOperation, (), (mExecutorTurn, mAttempt))
 
 /** Ends the request; refused when an outcome stands or the turn is old. */
 struct FinishOperation
 {
-  AttemptNumber executorTurn;
-  Outcome outcome;
+  AttemptNumber mExecutorTurn;
+  Outcome mOutcome;
 
   auto operator<=>(const FinishOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(FinishOperation, (), (executorTurn, outcome))
+BOOST_DESCRIBE_STRUCT(FinishOperation, (), (mExecutorTurn, mOutcome))
 
 /** Makes another entry the executor, with the next turn. */
 struct TakeOverOperation
 {
   /** The turn that the proposer saw; refused if another has begun. */
-  AttemptNumber executorTurn;
-  MemberId executor;
+  AttemptNumber mExecutorTurn;
+  MemberId mExecutor;
 
   auto operator<=>(const TakeOverOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(TakeOverOperation, (), (executorTurn, executor))
+BOOST_DESCRIBE_STRUCT(TakeOverOperation, (), (mExecutorTurn, mExecutor))
 
 /** The caller withdraws the request. */
 struct CancelOperation
@@ -128,13 +128,13 @@
 /** The ledger's answer to an operation, with the record as committed. */
 struct OperationAnswer
 {
-  Verdict verdict = Verdict::kNoAnswer;
-  std::optional<RequestRecord> record;
+  Verdict mVerdict = Verdict::kNoAnswer;
+  std::optional<RequestRecord> mRecord;
   /** Time left to the request's deadline when the answer was made. */
-  Duration remaining{ 0 };
+  Duration mRemaining{ 0 };
 
   auto operator<=>(const OperationAnswer&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(OperationAnswer, (), (verdict, record, remaining))
+BOOST_DESCRIBE_STRUCT(OperationAnswer, (), (mVerdict, mRecord, mRemaining))
 
 } // namespace peridotspool::ledger
--- a/include/peridotspool/ledger/RequestRecord.h
+++ b/include/peridotspool/ledger/RequestRecord.h
@@ -16,17 +16,19 @@
 /** What a caller asked for; fixed from acceptance on. */
 struct RequestTerms
 {
-  ServiceName service;
+  ServiceName mService;
   /** The JSON body as the caller sent it. */
-  std::string body;
+  std::string mBody;
   /** May the request run more than once? */
-  bool idempotent = false;
+  bool mIdempotent = false;
   /** Lower is more urgent; from the settings' priorities. */
-  std::int32_t priority = 0;
+  std::int32_t mPriority = 0;
 
   auto operator<=>(const RequestTerms&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(RequestTerms, (), (service, body, idempotent, priority))
+BOOST_DESCRIBE_STRUCT(RequestTerms,
+                      (),
+                      (mService, mBody, mIdempotent, mPriority))
 
 /**
  * The right to send a request to one upstream. For a request that is not
@@ -35,13 +37,13 @@
  */
 struct DispatchIntent
 {
-  AttemptNumber attempt;
-  UpstreamName upstream;
-  Incarnation incarnation;
+  AttemptNumber mAttempt;
+  UpstreamName mUpstream;
+  Incarnation mIncarnation;
 
   auto operator<=>(const DispatchIntent&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(DispatchIntent, (), (attempt, upstream, incarnation))
+BOOST_DESCRIBE_STRUCT(DispatchIntent, (), (mAttempt, mUpstream, mIncarnation))
 
 enum class OutcomeKind
 {
@@ -66,46 +68,46 @@
 /** The final answer to a request; the first one committed stays. */
 struct Outcome
 {
-  OutcomeKind kind = OutcomeKind::kRefused;
+  OutcomeKind mKind = OutcomeKind::kRefused;
   /** HTTP status for the caller. */
-  std::int32_t status = 0;
+  std::int32_t mStatus = 0;
   /** A machine-readable reason, empty for kAnswered. */
-  std::string reason;
+  std::string mReason;
   /** The whole answer text, or a sentence for people. */
-  std::string body;
+  std::string mBody;
   /** When to come back; zero where coming back makes no sense. */
-  Duration retryAfter{ 0 };
-  AttemptNumber attempt;
-  UpstreamName upstream;
+  Duration mRetryAfter{ 0 };
+  AttemptNumber mAttempt;
+  UpstreamName mUpstream;
 
   auto operator<=>(const Outcome&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(
   Outcome,
   (),
-  (kind, status, reason, body, retryAfter, attempt, upstream))
+  (mKind, mStatus, mReason, mBody, mRetryAfter, mAttempt, mUpstream))
 
 /** What the ledger keeps of one request, alike on all replicas of its shard. */
 struct RequestRecord
 {
-  RequestKey key;
-  RequestTerms terms;
+  RequestKey mKey;
+  RequestTerms mTerms;
   /** The entry that talks to the upstream for this request. */
-  MemberId executor;
+  MemberId mExecutor;
   /** Counts the executors: a message of an earlier one is refused. */
-  AttemptNumber executorTurn;
+  AttemptNumber mExecutorTurn;
   /** The last committed intent; empty before the first. */
-  std::optional<DispatchIntent> intent;
+  std::optional<DispatchIntent> mIntent;
   /** True iff the last intent is known not to have run. */
-  bool intentVoid = false;
+  bool mIntentVoid = false;
   /** Set once, by the first operation that ends the request. */
-  std::optional<Outcome> outcome;
+  std::optional<Outcome> mOutcome;
 
   auto operator<=>(const RequestRecord&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(
   RequestRecord,
   (),
-  (key, terms, executor, executorTurn, intent, intentVoid, outcome))
+  (mKey, mTerms, mExecutor, mExecutorTurn, mIntent, mIntentVoid, mOutcome))
 
 } // namespace peridotspool::ledger
--- a/include/peridotspool/membership/EpochMap.h
+++ b/include/peridotspool/membership/EpochMap.h
@@ -12,12 +12,12 @@
  */
 struct EpochMap
 {
-  EpochNumber epoch;
+  EpochNumber mEpoch;
   /** Ordered by MemberId. */
-  std::vector<Member> members;
+  std::vector<Member> mMembers;
 
   auto operator<=>(const EpochMap&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(EpochMap, (), (epoch, members))
+BOOST_DESCRIBE_STRUCT(EpochMap, (), (mEpoch, mMembers))
 
 } // namespace peridotspool::membership
--- a/include/peridotspool/membership/Member.h
+++ b/include/peridotspool/membership/Member.h
@@ -21,21 +21,21 @@
 /** One entry process as the control log knows it. */
 struct Member
 {
-  MemberId id;
-  EntryName name;
-  Region region;
-  FailureDomain domain;
+  MemberId mId;
+  EntryName mName;
+  Region mRegion;
+  FailureDomain mDomain;
   /** Where other processes of the system reach it. */
-  Address peerAddress;
+  Address mPeerAddress;
   /** Where callers reach it. */
-  Address callerAddress;
-  MemberState state = MemberState::kActive;
+  Address mCallerAddress;
+  MemberState mState = MemberState::kActive;
 
   auto operator<=>(const Member&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(
   Member,
   (),
-  (id, name, region, domain, peerAddress, callerAddress, state))
+  (mId, mName, mRegion, mDomain, mPeerAddress, mCallerAddress, mState))
 
 } // namespace peridotspool::membership
--- a/include/peridotspool/routing/RouteChoice.h
+++ b/include/peridotspool/routing/RouteChoice.h
@@ -13,22 +13,22 @@
 /** One upstream that was weighed, with the parts of its score. */
 struct CandidateScore
 {
-  UpstreamName upstream;
-  Duration expectedFirstToken{ 0 };
-  std::uint64_t cachedTokens = 0;
-  double latencyPart = 0;
-  double costPart = 0;
-  double total = 0;
+  UpstreamName mUpstream;
+  Duration mExpectedFirstToken{ 0 };
+  std::uint64_t mCachedTokens = 0;
+  double mLatencyPart = 0;
+  double mCostPart = 0;
+  double mTotal = 0;
 };
 
 /** The router's decision, with its reasons for `peridotctl explain`. */
 struct RouteChoice
 {
-  UpstreamName upstream;
-  Incarnation incarnation;
-  UpstreamKind kind = UpstreamKind::kModelEngine;
-  Address address;
-  std::vector<CandidateScore> weighed;
+  UpstreamName mUpstream;
+  Incarnation mIncarnation;
+  UpstreamKind mKind = UpstreamKind::kModelEngine;
+  Address mAddress;
+  std::vector<CandidateScore> mWeighed;
 };
 
 /** Why no upstream was chosen. */
--- a/include/peridotspool/routing/RouteQuery.h
+++ b/include/peridotspool/routing/RouteQuery.h
@@ -13,15 +13,15 @@
 /** What the router needs to know of a request to choose its upstream. */
 struct RouteQuery
 {
-  RequestKey key;
-  ServiceName service;
-  std::int32_t priority = 0;
-  TimePoint deadline;
+  RequestKey mKey;
+  ServiceName mService;
+  std::int32_t mPriority = 0;
+  TimePoint mDeadline;
   /** Hashes of the prompt's leading blocks, longest prefix last. */
-  std::vector<std::uint64_t> prefixBlocks;
-  std::uint64_t promptTokens = 0;
+  std::vector<std::uint64_t> mPrefixBlocks;
+  std::uint64_t mPromptTokens = 0;
   /** Upstreams that this request must not go to again. */
-  std::vector<UpstreamName> avoid;
+  std::vector<UpstreamName> mAvoid;
 };
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/RouterOptions.h
+++ b/include/peridotspool/routing/RouterOptions.h
@@ -10,12 +10,12 @@
 struct RouterOptions
 {
   /** What one second of expected waiting weighs. */
-  double latencyWeight = 1.0;
+  double mLatencyWeight = 1.0;
   /** What one currency unit an hour weighs. */
-  double costWeight = 0.1;
+  double mCostWeight = 0.1;
   /** How many upstreams are compared for one request. */
-  std::uint32_t candidates = 4;
-  std::uint64_t randomSeed = 1;
+  std::uint32_t mCandidates = 4;
+  std::uint64_t mRandomSeed = 1;
 };
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/UpstreamReport.h
+++ b/include/peridotspool/routing/UpstreamReport.h
@@ -31,54 +31,54 @@
 /** What an upstream says of itself when it announces or renews its lease. */
 struct UpstreamAnnouncement
 {
-  UpstreamName name;
+  UpstreamName mName;
   /** Rises with each life of the upstream's process. */
-  Incarnation incarnation;
+  Incarnation mIncarnation;
   /** Rises with each announcement of one life. */
-  std::uint64_t sequence = 0;
-  ServiceName service;
-  UpstreamKind kind = UpstreamKind::kModelEngine;
-  UpstreamState state = UpstreamState::kServing;
-  FailureDomain domain;
-  Address address;
+  std::uint64_t mSequence = 0;
+  ServiceName mService;
+  UpstreamKind mKind = UpstreamKind::kModelEngine;
+  UpstreamState mState = UpstreamState::kServing;
+  FailureDomain mDomain;
+  Address mAddress;
   /** Requests that it runs at once; beyond this they wait inside it. */
-  std::uint32_t slots = 1;
+  std::uint32_t mSlots = 1;
   /** Price in millionths of a currency unit an hour. */
-  std::uint64_t priceMicrosPerHour = 0;
-  bool reclaimable = false;
+  std::uint64_t mPriceMicrosPerHour = 0;
+  bool mReclaimable = false;
   /** True iff its engine refuses an order with an old fencing number. */
-  bool checksFencing = false;
+  bool mChecksFencing = false;
   /** Load as of the moment of the announcement. */
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mWaiting = 0;
   /** Measured time to first token and between tokens. */
-  Duration firstToken{ 0 };
-  Duration tokenGap{ 0 };
-  std::vector<std::string> models;
+  Duration mFirstToken{ 0 };
+  Duration mTokenGap{ 0 };
+  std::vector<std::string> mModels;
   /** How long this announcement holds without renewal. */
-  Duration lease{ 0 };
+  Duration mLease{ 0 };
 
   auto operator<=>(const UpstreamAnnouncement&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(UpstreamAnnouncement,
                       (),
-                      (name,
-                       incarnation,
-                       sequence,
-                       service,
-                       kind,
-                       state,
-                       domain,
-                       address,
-                       slots,
-                       priceMicrosPerHour,
-                       reclaimable,
-                       checksFencing,
-                       running,
-                       waiting,
-                       firstToken,
-                       tokenGap,
-                       models,
-                       lease))
+                      (mName,
+                       mIncarnation,
+                       mSequence,
+                       mService,
+                       mKind,
+                       mState,
+                       mDomain,
+                       mAddress,
+                       mSlots,
+                       mPriceMicrosPerHour,
+                       mReclaimable,
+                       mChecksFencing,
+                       mRunning,
+                       mWaiting,
+                       mFirstToken,
+                       mTokenGap,
+                       mModels,
+                       mLease))
 
 } // namespace peridotspool::routing
--- a/src/base/RequestKey.cpp
+++ b/src/base/RequestKey.cpp
@@ -7,10 +7,10 @@
 ShardId
 ShardOf(const RequestKey& aKey)
 {
-  const std::string& customer = aKey.customer.Value();
+  const std::string& customer = aKey.mCustomer.Value();
   const std::uint64_t seed = XXH3_64bits(customer.data(), customer.size());
   const std::uint64_t hash =
-    XXH3_64bits_withSeed(aKey.key.data(), aKey.key.size(), seed);
+    XXH3_64bits_withSeed(aKey.mKey.data(), aKey.mKey.size(), seed);
   return ShardId(hash % kShardCount);
 }
 
