--- a/include/peridotspool/base/Time.h
+++ b/include/peridotspool/base/Time.h
@@ -15,6 +15,7 @@
   using period = std::chrono::microseconds::period;
   using duration = std::chrono::microseconds;
   using time_point = std::chrono::time_point<ProcessClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): a clock must call it so.
   static constexpr bool is_steady = true;
 };
 
--- a/include/peridotspool/ledger/Ledger.h
+++ b/include/peridotspool/ledger/Ledger.h
@@ -3,6 +3,7 @@
 #include "peridotspool/base/Time.h"
 #include "peridotspool/ledger/Effect.h"
 #include "peridotspool/ledger/Event.h"
+#include "peridotspool/ledger/LedgerCounters.h"
 #include "peridotspool/ledger/LedgerOptions.h"
 
 #include <memory>
@@ -23,10 +24,18 @@
 public:
   explicit Ledger(MemberId aSelf, LedgerOptions aOptions);
   ~Ledger();
+  Ledger(Ledger&&) noexcept;
+  Ledger& operator=(Ledger&&) noexcept;
 
   /** Takes one event and returns what the host is to do, in order. */
   Effects Step(const Event& aEvent, TimePoint aNow);
 
+  /**
+   * Returns what was seen and what is held. A draining entry has handed
+   * everything over when mHeldShards is zero.
+   */
+  LedgerCounters Counters() const;
+
 private:
   std::unique_ptr<LedgerState> mState;
 };
--- a/include/peridotspool/ledger/LedgerOptions.h
+++ b/include/peridotspool/ledger/LedgerOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Time.h"
+#include "peridotspool/ledger/CommitRule.h"
 
 #include <cstdint>
 
@@ -11,14 +12,31 @@
 {
   /** How many entry instances hold each shard. */
   std::uint32_t mReplicas = 3;
+  CommitRule mCommitRule = CommitRule::kAllReplicas;
   /** Most bytes of records that one entry holds over all its shards. */
   std::uint64_t mMaxBytes = 256ULL << 20;
+  /** Bytes set aside for the answer of each unfinished request. */
+  std::uint64_t mAnswerReserve = 8ULL << 10;
   /** How long a finished request's answer is kept for its caller. */
   Duration mRetention = std::chrono::minutes(10);
   /** After this long without an answer a message is sent again. */
   Duration mResendAfter = std::chrono::milliseconds(150);
   /** An operation without an answer for this long ends as kNoAnswer. */
   Duration mGiveUpAfter = std::chrono::seconds(10);
+  /** How long past its deadline a request may be unfinished. */
+  Duration mDeadlineGrace = std::chrono::seconds(1);
+  /** How often an orphaned request is announced until it is taken over. */
+  Duration mOrphanRepeat = std::chrono::seconds(1);
+  /** How often a copy that is no longer needed asks to be released. */
+  Duration mLeftoverRepeat = std::chrono::seconds(1);
+  /** How long after a loss unknown keys may name lost requests. */
+  Duration mLossWindow = std::chrono::minutes(30);
+  /** Changes that each shard remembers, for filling a copy by delta. */
+  std::uint32_t mLogEntries = 512;
+  /** Most bytes of records in one message that fills a copy. */
+  std::uint64_t mChunkBytes = 256ULL << 10;
+  /** Most operations of one shard that wait for replicas or for peering. */
+  std::uint32_t mMaxPending = 4096;
 };
 
 } // namespace peridotspool::ledger
--- a/include/peridotspool/ledger/Message.h
+++ b/include/peridotspool/ledger/Message.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "peridotspool/ledger/Operation.h"
+#include "peridotspool/ledger/PeeringMessage.h"
+#include "peridotspool/ledger/TransferMessage.h"
 #include "peridotspool/membership/EpochMap.h"
 
 #include <boost/describe/class.hpp>
@@ -31,6 +33,46 @@
 };
 BOOST_DESCRIBE_STRUCT(AnswerMessage, (), (mCall, mKey, mAnswer))
 
-using Message = std::variant<ProposeMessage, AnswerMessage>;
+/** The primary has given an operation its place in the shard's log. */
+struct ReplicateMessage
+{
+  ShardId mShard;
+  EpochNumber mInterval;
+  SequenceNumber mSequence;
+  RequestKey mKey;
+  Operation mOperation;
+  Origin mOrigin;
+
+  auto operator<=>(const ReplicateMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(ReplicateMessage,
+                      (),
+                      (mShard, mInterval, mSequence, mKey, mOperation, mOrigin))
+
+/** A replica holds all operations up to and with mLast. */
+struct AckMessage
+{
+  ShardId mShard;
+  EpochNumber mInterval;
+  SequenceNumber mLast;
+  /** Bytes that the replica holds over all its shards. */
+  std::uint64_t mHeldBytes = 0;
+
+  auto operator<=>(const AckMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(AckMessage, (), (mShard, mInterval, mLast, mHeldBytes))
+
+using Message = std::variant<ProposeMessage,
+                             AnswerMessage,
+                             ReplicateMessage,
+                             AckMessage,
+                             QueryMessage,
+                             ReportMessage,
+                             ActivateMessage,
+                             ActivatedMessage,
+                             RefusedMessage,
+                             ReleaseMessage,
+                             PullMessage,
+                             ChunkMessage>;
 
 } // namespace peridotspool::ledger
--- a/include/peridotspool/ledger/Operation.h
+++ b/include/peridotspool/ledger/Operation.h
@@ -14,12 +14,19 @@
   MemberId mExecutor;
   /** How long from now until its deadline. */
   Duration mRemaining{ 0 };
+  /** True iff the system made the key for this call, so that it is new. */
+  bool mKeyIsNew = false;
 
   auto operator<=>(const AcceptOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(AcceptOperation, (), (mTerms, mExecutor, mRemaining))
-
-/** Takes the right to send the request to an upstream. */
+BOOST_DESCRIBE_STRUCT(AcceptOperation,
+                      (),
+                      (mTerms, mExecutor, mRemaining, mKeyIsNew))
+
+/**
+ * Takes the right to send the request to an upstream. Attempt numbers rise from
+ * intent to intent, also over a takeover: kOldTurn otherwise.
+ */
 struct IntendOperation
 {
   AttemptNumber mExecutorTurn;
@@ -29,7 +36,10 @@
 };
 BOOST_DESCRIBE_STRUCT(IntendOperation, (), (mExecutorTurn, mIntent))
 
-/** Says that the intent of `attempt` surely did not run. */
+/**
+ * Says that the intent of `attempt` surely did not run. One that was never
+ * committed may be named too (its answer got lost); it is then turned down.
+ */
 struct VoidIntentOperation
 {
   AttemptNumber mExecutorTurn;
@@ -39,7 +49,10 @@
 };
 BOOST_DESCRIBE_STRUCT(VoidIntentOperation, (), (mExecutorTurn, mAttempt))
 
-/** Ends the request; refused when an outcome stands or the turn is old. */
+/**
+ * Ends the request; refused when an outcome stands or the turn is old, and with
+ * kMayHaveRun when it says kRefused ("did not run") against a standing intent.
+ */
 struct FinishOperation
 {
   AttemptNumber mExecutorTurn;
@@ -60,19 +73,29 @@
 };
 BOOST_DESCRIBE_STRUCT(TakeOverOperation, (), (mExecutorTurn, mExecutor))
 
-/** The caller withdraws the request. */
+/**
+ * The caller withdraws the request. The outcome's reason is
+ * "cancelled-may-have-run" iff an intent stood, else "cancelled-did-not-run".
+ */
 struct CancelOperation
 {
   auto operator<=>(const CancelOperation&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(CancelOperation, (), ())
 
-/** Drops a finished request's kept answer (acknowledged or past retention). */
+/**
+ * Drops a finished request's kept answer. An acknowledged one leaves a marker
+ * without texts until its retention ends, so that a late duplicate of the
+ * request is not run as new; an unfinished one is left alone (kKnown).
+ */
 struct ForgetOperation
 {
+  /** Set by the primary only: the retention is over, drop the marker too. */
+  bool mExpired = false;
+
   auto operator<=>(const ForgetOperation&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(ForgetOperation, (), ())
+BOOST_DESCRIBE_STRUCT(ForgetOperation, (), (mExpired))
 
 /** Reads the record under the shard's current epoch; changes nothing. */
 struct ReadOperation
@@ -110,7 +133,10 @@
   kOtherTerms,
   /** No answer in time; the operation may or may not take effect. */
   kNoAnswer,
-  /** The shard's records were lost with all of their replicas. */
+  /**
+   * Nothing is known of the key, and records of its shard may have been lost
+   * with all of their replicas: the request may have been accepted and run.
+   */
   kLost,
 };
 BOOST_DESCRIBE_ENUM(Verdict,
@@ -125,7 +151,11 @@
                     kNoAnswer,
                     kLost)
 
-/** The ledger's answer to an operation, with the record as committed. */
+/**
+ * The ledger's answer to an operation, with the record as committed. A kDone to
+ * anything but an accept, a takeover or a read leaves the record's texts (the
+ * request's and the outcome's body) empty: the asker has them.
+ */
 struct OperationAnswer
 {
   Verdict mVerdict = Verdict::kNoAnswer;
--- /dev/null
+++ b/src/ledger/CallDuty.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "ledger/LedgerContext.h"
+#include "peridotspool/ledger/Event.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace peridotspool::ledger {
+
+class PrimaryDuty;
+
+/** This entry's own operations: sent to primaries until they are answered. */
+class CallDuty
+{
+public:
+  CallDuty(LedgerContext& aContext, PrimaryDuty& aPrimary);
+
+  void OnPropose(const ProposeEvent& aEvent);
+  void OnAnswer(CallId aCall, const OperationAnswer& aAnswer);
+  /** Sends all open calls again, to the primaries of the new epoch. */
+  void OnEpoch();
+  void OnTick();
+
+private:
+  struct Call
+  {
+    RequestKey mKey;
+    Operation mOperation;
+    TimePoint mStarted;
+    TimePoint mNextSend;
+  };
+
+  void Send(CallId aId, Call& aCall);
+  void Finish(CallId aId, OperationAnswer aAnswer);
+
+  LedgerContext& mContext;
+  PrimaryDuty& mPrimary;
+  std::map<CallId, Call> mCalls;
+  std::set<std::pair<TimePoint, CallId>> mTimers;
+};
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/LedgerContext.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "ledger/PeeringOutbox.h"
+#include "ledger/Shard.h"
+#include "peridotspool/ledger/Effect.h"
+#include "peridotspool/ledger/LedgerCounters.h"
+#include "peridotspool/ledger/LedgerOptions.h"
+#include "peridotspool/ledger/Placement.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace peridotspool::ledger {
+
+/** What all duties of the ledger share during a step. */
+struct LedgerContext
+{
+  LedgerContext(MemberId aSelf, LedgerOptions aOptions);
+
+  Shard& ShardAt(ShardId aShard);
+  bool IsMember(MemberId aMember) const { return mMembers.contains(aMember); }
+  bool IsDraining(MemberId aMember) const;
+  void Send(MemberId aTo, Message aMessage);
+
+  MemberId mSelf;
+  LedgerOptions mOptions;
+  TimePoint mNow;
+  EpochNumber mEpoch;
+  std::set<MemberId> mMembers;
+  std::set<MemberId> mDraining;
+  Placement mPlacement;
+  std::vector<Shard> mShards;
+  /** Bytes of records over all shards. */
+  std::uint64_t mHeldBytes = 0;
+  LedgerCounters mCounters;
+  PeeringOutbox mOutbox;
+  Effects mEffects;
+};
+
+/** Keeps LedgerContext::mHeldBytes right while a shard's records change. */
+class HeldBytesGuard
+{
+public:
+  HeldBytesGuard(LedgerContext& aContext, const Shard& aShard)
+    : mContext(aContext)
+    , mShard(aShard)
+  {
+    mContext.mHeldBytes -= mShard.mStore.Bytes();
+  }
+  ~HeldBytesGuard() { mContext.mHeldBytes += mShard.mStore.Bytes(); }
+  HeldBytesGuard(const HeldBytesGuard&) = delete;
+  HeldBytesGuard& operator=(const HeldBytesGuard&) = delete;
+
+private:
+  LedgerContext& mContext;
+  const Shard& mShard;
+};
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/PeeringDuty.cpp
@@ -0,0 +1,302 @@
+#include "ledger/PeeringDuty.h"
+
+#include "ledger/PeeringChoice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::ledger {
+
+PeeringDuty::PeeringDuty(LedgerContext& aContext,
+                         PrimaryDuty& aPrimary,
+                         TransferDuty& aTransfer)
+  : mContext(aContext)
+  , mPrimary(aPrimary)
+  , mTransfer(aTransfer)
+{
+}
+
+bool
+PeeringDuty::Admit(MemberId aFrom, Shard& aShard, EpochNumber aInterval)
+{
+  if (mContext.mEpoch < aInterval) {
+    // This entry hasn't got the member list yet; the primary asks again.
+    return false;
+  }
+  if (aInterval < aShard.mInterval) {
+    ++mContext.mCounters.mFenced;
+    mContext.Send(aFrom,
+                  RefusedMessage{
+                    { .mShard = aShard.mId, .mInterval = aShard.mInterval } });
+    return false;
+  }
+  if (aInterval > aShard.mInterval && aShard.Primary() == aFrom) {
+    // The primary peers again under a later number, though the set is alike.
+    aShard.mInterval = aInterval;
+    aShard.mFill.reset();
+    aShard.mEarly.clear();
+  }
+  return true;
+}
+
+void
+PeeringDuty::OnQuery(MemberId aFrom, const QueryMessage& aQuery)
+{
+  for (const ShardInterval& item : aQuery.mShards) {
+    Shard& shard = mContext.ShardAt(item.mShard);
+    if (Admit(aFrom, shard, item.mInterval)) {
+      mContext.mOutbox.mReports[aFrom].mReports.push_back(
+        ReportOf(shard, mContext.mNow));
+    }
+  }
+}
+
+void
+PeeringDuty::OnReport(MemberId aFrom, const ReportMessage& aMessage)
+{
+  for (const ShardReport& report : aMessage.mReports) {
+    Shard& shard = mContext.ShardAt(report.mShard);
+    if (shard.mServing) {
+      Release(shard, aFrom, report);
+      continue;
+    }
+    if (!shard.mRound || aMessage.mEpoch < shard.mInterval) {
+      continue;
+    }
+    shard.mRound->mReports[aFrom] = report;
+    if (shard.mRound->mPhase == PeeringPhase::kAsking) {
+      TryChoose(shard);
+    }
+  }
+}
+
+void
+PeeringDuty::Ask(Shard& aShard, MemberId aMember)
+{
+  if (aMember != mContext.mSelf && mContext.IsMember(aMember) &&
+      !aShard.mRound->mReports.contains(aMember)) {
+    mContext.mOutbox.mQueries[aMember].mShards.push_back(
+      { .mShard = aShard.mId, .mInterval = aShard.mInterval });
+  }
+}
+
+void
+PeeringDuty::AskLikelyHolders(Shard& aShard)
+{
+  std::set<MemberId> likely(aShard.mSet.begin(), aShard.mSet.end());
+  likely.insert(aShard.mActivatedSet.begin(), aShard.mActivatedSet.end());
+  for (const PastSet& past : aShard.mLater) {
+    likely.insert(past.mMembers.begin(), past.mMembers.end());
+  }
+  for (const auto& [member, report] : aShard.mRound->mReports) {
+    likely.insert(report.mActivatedSet.begin(), report.mActivatedSet.end());
+    for (const PastSet& past : report.mLater) {
+      likely.insert(past.mMembers.begin(), past.mMembers.end());
+    }
+  }
+  for (const MemberId member : likely) {
+    Ask(aShard, member);
+  }
+}
+
+void
+PeeringDuty::AskAll(Shard& aShard)
+{
+  aShard.mRound->mAskedAll = true;
+  for (const MemberId member : mContext.mMembers) {
+    Ask(aShard, member);
+  }
+}
+
+void
+PeeringDuty::TryChoose(Shard& aShard)
+{
+  PeeringRound& round = *aShard.mRound;
+  const PeeringChoice choice =
+    ChooseSource({ .mRule = mContext.mOptions.mCommitRule,
+                   .mSet = aShard.mSet,
+                   .mMembers = mContext.mMembers,
+                   .mReports = round.mReports });
+  if (!choice.mReady) {
+    return;
+  }
+  for (const auto& [member, report] : round.mReports) {
+    aShard.mLossUntil =
+      std::max(aShard.mLossUntil, mContext.mNow + report.mLossRemaining);
+  }
+  if (choice.mMayLack) {
+    ++mContext.mCounters.mPossibleLosses;
+    aShard.mLossUntil = mContext.mNow + mContext.mOptions.mLossWindow;
+  }
+  if (!choice.mSource.IsSet() || choice.mSource == mContext.mSelf) {
+    Activate(aShard);
+    return;
+  }
+  round.mPhase = PeeringPhase::kFilling;
+  mTransfer.Start(aShard, choice.mSource);
+}
+
+void
+PeeringDuty::Activate(Shard& aShard)
+{
+  RecordActivation(aShard);
+  aShard.mRound->mPhase = PeeringPhase::kActivating;
+  aShard.mRound->mNextResend = mContext.mNow + mContext.mOptions.mResendAfter;
+  aShard.mRound->mActivated = { mContext.mSelf };
+  if (aShard.mSet.size() == 1) {
+    const auto reports = aShard.mRound->mReports;
+    mPrimary.Serve(aShard);
+    for (const auto& [member, report] : reports) {
+      Release(aShard, member, report);
+    }
+    return;
+  }
+  for (const MemberId member : aShard.mSet) {
+    AskActivation(aShard, member);
+  }
+}
+
+void
+PeeringDuty::AskActivation(Shard& aShard, MemberId aMember)
+{
+  if (!aShard.mRound->mActivated.contains(aMember)) {
+    mContext.mOutbox.mActivates[aMember].mShards.push_back(
+      { .mShard = aShard.mId,
+        .mInterval = aShard.mInterval,
+        .mTarget = aShard.mLog.Last(),
+        .mLossRemaining =
+          std::max(Duration::zero(), aShard.mLossUntil - mContext.mNow) });
+  }
+}
+
+void
+PeeringDuty::OnActivate(MemberId aFrom, const ActivateMessage& aActivate)
+{
+  for (const ShardActivation& item : aActivate.mShards) {
+    Shard& shard = mContext.ShardAt(item.mShard);
+    if (!Admit(aFrom, shard, item.mInterval) || shard.Primary() != aFrom) {
+      continue;
+    }
+    if (item.mLossRemaining > Duration::zero()) {
+      shard.mLossUntil = mContext.mNow + item.mLossRemaining;
+    }
+    if (shard.IsActive() || shard.mLog.Last() == item.mTarget) {
+      RecordAndAnswer(shard);
+    } else {
+      mTransfer.Start(shard, aFrom);
+    }
+  }
+}
+
+void
+PeeringDuty::RecordAndAnswer(Shard& aShard)
+{
+  if (!aShard.IsActive()) {
+    RecordActivation(aShard);
+  }
+  mContext.mOutbox.mActivated[aShard.Primary()].mShards.push_back(
+    { .mShard = aShard.mId, .mInterval = aShard.mInterval });
+}
+
+void
+PeeringDuty::OnFilled(Shard& aShard)
+{
+  if (aShard.mRound && aShard.mRound->mPhase == PeeringPhase::kFilling) {
+    Activate(aShard);
+  } else if (!aShard.mRound && aShard.Includes(mContext.mSelf)) {
+    RecordAndAnswer(aShard);
+  }
+}
+
+void
+PeeringDuty::OnActivated(MemberId aFrom, const ActivatedMessage& aActivated)
+{
+  for (const ShardInterval& item : aActivated.mShards) {
+    Shard& shard = mContext.ShardAt(item.mShard);
+    if (!shard.mRound || item.mInterval != shard.mInterval ||
+        shard.mRound->mPhase != PeeringPhase::kActivating) {
+      continue;
+    }
+    std::set<MemberId>& activated = shard.mRound->mActivated;
+    activated.insert(aFrom);
+    const bool all =
+      std::all_of(shard.mSet.begin(), shard.mSet.end(), [&](MemberId aMember) {
+        return activated.contains(aMember);
+      });
+    if (all) {
+      const auto reports = std::move(shard.mRound->mReports);
+      mPrimary.Serve(shard);
+      for (const auto& [member, report] : reports) {
+        Release(shard, member, report);
+      }
+    }
+  }
+}
+
+void
+PeeringDuty::OnRefused(const RefusedMessage& aRefused)
+{
+  Shard& shard = mContext.ShardAt(aRefused.mShard.mShard);
+  const EpochNumber theirs = aRefused.mShard.mInterval;
+  const bool mine = shard.Primary() == mContext.mSelf;
+  // The refuser missed an epoch that this entry knows to have changed nothing
+  // here, so it can't trust the interval: peer again under a number it admits.
+  if (mine && theirs > shard.mInterval && theirs <= mContext.mEpoch) {
+    BeginInterval(shard, mContext.mEpoch);
+  }
+}
+
+void
+PeeringDuty::Release(Shard& aShard,
+                     MemberId aMember,
+                     const ShardReport& aReport)
+{
+  const bool superseded = aReport.mActivated.IsSet() &&
+                          aReport.mActivated < aShard.mInterval &&
+                          !aShard.Includes(aMember);
+  if (superseded) {
+    mContext.mOutbox.mReleases[aMember].mShards.push_back(
+      { .mShard = aShard.mId, .mInterval = aShard.mInterval });
+  }
+}
+
+void
+PeeringDuty::OnRelease(MemberId aFrom, const ReleaseMessage& aRelease)
+{
+  for (const ShardInterval& item : aRelease.mShards) {
+    Shard& shard = mContext.ShardAt(item.mShard);
+    if (shard.Primary() == aFrom && !shard.Includes(mContext.mSelf) &&
+        shard.mActivated < item.mInterval) {
+      const HeldBytesGuard guard(mContext, shard);
+      DropCopy(shard);
+    }
+  }
+}
+
+void
+PeeringDuty::OnTick(Shard& aShard)
+{
+  const bool leftover = aShard.HoldsCopy() &&
+                        !aShard.Includes(mContext.mSelf) &&
+                        aShard.Primary().IsSet();
+  if (leftover && aShard.mNextLeftover <= mContext.mNow) {
+    aShard.mNextLeftover = mContext.mNow + mContext.mOptions.mLeftoverRepeat;
+    mContext.mOutbox.mReports[aShard.Primary()].mReports.push_back(
+      ReportOf(aShard, mContext.mNow));
+  }
+  if (!aShard.mRound || aShard.mRound->mNextResend > mContext.mNow) {
+    return;
+  }
+  PeeringRound& round = *aShard.mRound;
+  round.mNextResend = mContext.mNow + mContext.mOptions.mResendAfter;
+  if (round.mPhase == PeeringPhase::kAsking) {
+    // The likely holders didn't suffice: somebody else may hold a copy.
+    AskAll(aShard);
+  } else if (round.mPhase == PeeringPhase::kActivating) {
+    for (const MemberId member : aShard.mSet) {
+      AskActivation(aShard, member);
+    }
+  }
+}
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/PeeringEpoch.cpp
@@ -0,0 +1,106 @@
+#include "ledger/PeeringDuty.h"
+
+#include <algorithm>
+
+namespace peridotspool::ledger {
+
+namespace {
+
+/** Past sets remembered for each shard; beyond it all members are asked. */
+constexpr std::size_t kMaxLaterSets = 32;
+
+} // namespace
+
+void
+PeeringDuty::OnEpoch(const membership::EpochMap& aMap)
+{
+  const EpochNumber oldEpoch = mContext.mEpoch;
+  const bool contiguous = oldEpoch.IsSet() && aMap.mEpoch == oldEpoch.Next();
+  mContext.mEpoch = aMap.mEpoch;
+  mContext.mMembers.clear();
+  mContext.mDraining.clear();
+  for (const membership::Member& member : aMap.mMembers) {
+    mContext.mMembers.insert(member.mId);
+    if (member.mState == membership::MemberState::kDraining) {
+      mContext.mDraining.insert(member.mId);
+    }
+  }
+  mContext.mPlacement = Placement(aMap, mContext.mOptions.mReplicas);
+  for (Shard& shard : mContext.mShards) {
+    const auto& set = mContext.mPlacement.ReplicasOf(shard.mId);
+    const bool same = contiguous && shard.mSet == set;
+    if (same && !shard.mRound) {
+      if (shard.mServing) {
+        mPrimary.AnnounceOrphans(shard);
+      }
+      continue;
+    }
+    if (!same && oldEpoch.IsSet()) {
+      NotePast(shard, shard.mSet, oldEpoch, contiguous);
+    }
+    shard.mSet = set;
+    BeginInterval(shard, aMap.mEpoch);
+  }
+}
+
+// A primary may only go on without asking somebody if that one surely never
+// went active in between, so each copy carries the list of sets that were in
+// charge after it; a primary that has just joined learns them from the copies.
+void
+PeeringDuty::NotePast(Shard& aShard,
+                      const std::vector<MemberId>& aOldSet,
+                      EpochNumber aOldEpoch,
+                      bool aContiguous)
+{
+  const bool anyLeft =
+    std::any_of(aOldSet.begin(), aOldSet.end(), [&](MemberId aMember) {
+      return mContext.IsMember(aMember);
+    });
+  if (!aOldSet.empty() && !anyLeft) {
+    aShard.mVanished = PastSet{ .mEpoch = aOldEpoch, .mMembers = aOldSet };
+  }
+  if (!aShard.HoldsCopy()) {
+    return;
+  }
+  aShard.mLaterIsWhole = aShard.mLaterIsWhole && aContiguous;
+  if (aShard.mInterval > aShard.mActivated && !aOldSet.empty()) {
+    aShard.mLater.push_back(
+      { .mEpoch = aShard.mInterval, .mMembers = aOldSet });
+  }
+  if (aShard.mLater.size() > kMaxLaterSets) {
+    aShard.mLater.erase(aShard.mLater.begin());
+    aShard.mLaterIsWhole = false;
+  }
+}
+
+void
+PeeringDuty::BeginInterval(Shard& aShard, EpochNumber aEpoch)
+{
+  std::vector<WaitingOperation> waiting = std::move(aShard.mQueue.mWaiting);
+  aShard.mInterval = aEpoch;
+  aShard.mServing = false;
+  aShard.mRound.reset();
+  aShard.mFill.reset();
+  aShard.mEarly.clear();
+  aShard.mQueue = PrimaryQueue();
+  const MemberId primary = aShard.Primary();
+  if (primary == mContext.mSelf) {
+    aShard.mQueue.mWaiting = std::move(waiting);
+    aShard.mRound = PeeringRound();
+    aShard.mRound->mNextResend = mContext.mNow + mContext.mOptions.mResendAfter;
+    aShard.mRound->mReports[mContext.mSelf] = ReportOf(aShard, mContext.mNow);
+    AskLikelyHolders(aShard);
+    if (!aShard.HoldsCopy()) {
+      AskAll(aShard);
+    }
+    TryChoose(aShard);
+  } else if (aShard.HoldsCopy() && primary.IsSet()) {
+    // Unasked: saves a new primary half a round trip, and tells one that has
+    // just joined of a copy that it can't know of.
+    mContext.mOutbox.mReports[primary].mReports.push_back(
+      ReportOf(aShard, mContext.mNow));
+    aShard.mNextLeftover = mContext.mNow + mContext.mOptions.mLeftoverRepeat;
+  }
+}
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/PeeringRound.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/ledger/PeeringMessage.h"
+
+#include <map>
+#include <set>
+
+namespace peridotspool::ledger {
+
+/** How far a primary has come with taking charge of a shard. */
+enum class PeeringPhase
+{
+  /** Asks the members what they hold. */
+  kAsking,
+  /** Fills its own copy from the newest. */
+  kFilling,
+  /** Waits until all replicas have recorded the activation. */
+  kActivating,
+};
+
+/** A primary's work between a new interval and serving in it. */
+struct PeeringRound
+{
+  PeeringPhase mPhase = PeeringPhase::kAsking;
+  std::map<MemberId, ShardReport> mReports;
+  std::set<MemberId> mActivated;
+  /** True once all members are asked, not just the likely holders. */
+  bool mAskedAll = false;
+  TimePoint mNextResend;
+};
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/PrimaryDuty.cpp
@@ -0,0 +1,378 @@
+#include "ledger/PrimaryDuty.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::ledger {
+
+namespace {
+
+/** Most operations sent again to one replica at once. */
+constexpr std::uint64_t kResendBatch = 64;
+/** Most expired records of one shard that one tick forgets. */
+constexpr int kForgetBatch = 64;
+
+/** Returns the record for an answer, without texts that the asker has. */
+RequestRecord
+RecordForAnswer(const RequestRecord& aRecord,
+                const Operation& aOperation,
+                Verdict aVerdict)
+{
+  const bool needsAll = aVerdict != Verdict::kDone ||
+                        std::holds_alternative<TakeOverOperation>(aOperation) ||
+                        std::holds_alternative<ReadOperation>(aOperation);
+  if (needsAll) {
+    return aRecord;
+  }
+  RequestRecord lean;
+  lean.mKey = aRecord.mKey;
+  lean.mTerms.mService = aRecord.mTerms.mService;
+  lean.mTerms.mIdempotent = aRecord.mTerms.mIdempotent;
+  lean.mTerms.mPriority = aRecord.mTerms.mPriority;
+  lean.mExecutor = aRecord.mExecutor;
+  lean.mExecutorTurn = aRecord.mExecutorTurn;
+  lean.mIntent = aRecord.mIntent;
+  lean.mIntentVoid = aRecord.mIntentVoid;
+  if (aRecord.mOutcome) {
+    lean.mOutcome = aRecord.mOutcome;
+    if (!std::holds_alternative<AcceptOperation>(aOperation)) {
+      lean.mOutcome->mBody.clear();
+    }
+  }
+  return lean;
+}
+
+/** Returns how far the log is committed, given the replicas' progress. */
+SequenceNumber
+CommittedBy(const PrimaryQueue& aQueue, CommitRule aRule, SequenceNumber aLast)
+{
+  if (aQueue.mReplicas.empty()) {
+    return aLast;
+  }
+  SequenceNumber least = aLast;
+  SequenceNumber most;
+  for (const auto& [member, progress] : aQueue.mReplicas) {
+    least = std::min(least, progress.mAcked);
+    most = std::max(most, progress.mAcked);
+  }
+  return aRule == CommitRule::kAllReplicas ? least : most;
+}
+
+} // namespace
+
+PrimaryDuty::PrimaryDuty(LedgerContext& aContext, AnswerSink aLocalAnswer)
+  : mContext(aContext)
+  , mLocalAnswer(std::move(aLocalAnswer))
+{
+}
+
+void
+PrimaryDuty::Propose(Shard& aShard, WaitingOperation aOperation)
+{
+  PrimaryQueue& queue = aShard.mQueue;
+  if (aShard.Primary() != mContext.mSelf ||
+      queue.mInFlight.contains(aOperation.mOrigin)) {
+    return;
+  }
+  if (!aShard.mServing) {
+    const bool waits =
+      std::any_of(queue.mWaiting.begin(),
+                  queue.mWaiting.end(),
+                  [&](const WaitingOperation& aWaiting) {
+                    return aWaiting.mOrigin == aOperation.mOrigin;
+                  });
+    if (!waits && queue.mWaiting.size() < mContext.mOptions.mMaxPending) {
+      queue.mWaiting.push_back(std::move(aOperation));
+    }
+    return;
+  }
+  // A silent replica must not make the primary hold ever more: beyond the
+  // bound the asker's own resend brings the operation again.
+  if (queue.mPending.size() < mContext.mOptions.mMaxPending) {
+    Append(aShard, aOperation, JudgeHere(aShard, aOperation));
+  }
+}
+
+Judgement
+PrimaryDuty::JudgeHere(const Shard& aShard, const WaitingOperation& aOperation)
+{
+  const StoredRecord* stored = aShard.mStore.Find(aOperation.mKey);
+  Judgement judgement =
+    Judge(stored, aOperation.mOperation, aOperation.mOrigin);
+  if (stored != nullptr) {
+    return judgement;
+  }
+  const bool mayBeLost = mContext.mNow < aShard.mLossUntil;
+  const auto* accept = std::get_if<AcceptOperation>(&aOperation.mOperation);
+  if (accept == nullptr) {
+    if (mayBeLost && judgement.mVerdict == Verdict::kNoSuchRequest) {
+      judgement.mVerdict = Verdict::kLost;
+    }
+    return judgement;
+  }
+  // After a loss an unknown key may name a request that has run already. To
+  // run one that may not run twice "as if new" would break at most once, so
+  // it is refused for as long as an earlier life of the key could matter.
+  if (mayBeLost && !accept->mTerms.mIdempotent && !accept->mKeyIsNew) {
+    return { .mVerdict = Verdict::kLost, .mChanges = false };
+  }
+  if (IsFull(aShard, *accept)) {
+    ++mContext.mCounters.mFull;
+    return { .mVerdict = Verdict::kFull, .mChanges = false };
+  }
+  return judgement;
+}
+
+bool
+PrimaryDuty::IsFull(const Shard& aShard, const AcceptOperation& aAccept) const
+{
+  std::uint64_t held = mContext.mHeldBytes;
+  for (const auto& [member, progress] : aShard.mQueue.mReplicas) {
+    held = std::max(held, progress.mHeldBytes);
+  }
+  RequestRecord record;
+  record.mTerms = aAccept.mTerms;
+  return held + BytesOf(record, mContext.mOptions) >
+         mContext.mOptions.mMaxBytes;
+}
+
+// An operation that changes nothing takes a place in the log all the same: its
+// answer rests on what is in the log before it, and a primary that was cut off
+// must not answer from a state that others have left behind.
+void
+PrimaryDuty::Append(Shard& aShard,
+                    const WaitingOperation& aOperation,
+                    const Judgement& aJudgement)
+{
+  PendingOperation pending;
+  pending.mSequence = aShard.mLog.Last().mSequence.Next();
+  pending.mKey = aOperation.mKey;
+  pending.mOrigin = aOperation.mOrigin;
+  pending.mAnswer.mVerdict = aJudgement.mVerdict;
+  LogEntry entry{ .mVersion = { .mInterval = aShard.mInterval,
+                                .mSequence = pending.mSequence },
+                  .mKey = std::nullopt };
+  if (aJudgement.mChanges) {
+    pending.mOperation = aOperation.mOperation;
+    entry.mKey = aOperation.mKey;
+    const HeldBytesGuard guard(mContext, aShard);
+    aShard.mStore.Apply(aOperation.mKey,
+                        aOperation.mOperation,
+                        aOperation.mOrigin,
+                        mContext.mOptions,
+                        mContext.mNow);
+  } else {
+    pending.mOperation = ReadOperation();
+  }
+  aShard.mLog.Append(std::move(entry), mContext.mOptions.mLogEntries);
+  if (const StoredRecord* stored = aShard.mStore.Find(aOperation.mKey)) {
+    pending.mAnswer.mRecord = RecordForAnswer(
+      stored->mRecord, aOperation.mOperation, aJudgement.mVerdict);
+    pending.mDeadline = stored->mDeadline;
+  }
+  for (auto& [member, progress] : aShard.mQueue.mReplicas) {
+    if (progress.mAcked.Next() == pending.mSequence) {
+      progress.mRetryAt = mContext.mNow + mContext.mOptions.mResendAfter;
+    }
+    Replicate(aShard, member, pending);
+  }
+  if (pending.mOrigin.mCall.IsSet()) {
+    aShard.mQueue.mInFlight.insert(pending.mOrigin);
+  }
+  aShard.mQueue.mPending.push_back(std::move(pending));
+  Commit(aShard);
+}
+
+void
+PrimaryDuty::Replicate(const Shard& aShard,
+                       MemberId aTo,
+                       const PendingOperation& aPending)
+{
+  mContext.Send(aTo,
+                ReplicateMessage{ .mShard = aShard.mId,
+                                  .mInterval = aShard.mInterval,
+                                  .mSequence = aPending.mSequence,
+                                  .mKey = aPending.mKey,
+                                  .mOperation = aPending.mOperation,
+                                  .mOrigin = aPending.mOrigin });
+}
+
+void
+PrimaryDuty::OnAck(MemberId aFrom, const AckMessage& aAck)
+{
+  Shard& shard = mContext.ShardAt(aAck.mShard);
+  const auto found = shard.mQueue.mReplicas.find(aFrom);
+  if (!shard.mServing || aAck.mInterval != shard.mInterval ||
+      found == shard.mQueue.mReplicas.end()) {
+    return;
+  }
+  ReplicaProgress& progress = found->second;
+  progress.mHeldBytes = aAck.mHeldBytes;
+  const bool isProgress =
+    aAck.mLast > progress.mAcked && aAck.mLast <= shard.mLog.Last().mSequence;
+  if (isProgress) {
+    progress.mAcked = aAck.mLast;
+    progress.mRetryAt = mContext.mNow + mContext.mOptions.mResendAfter;
+    Commit(shard);
+  }
+}
+
+void
+PrimaryDuty::Commit(Shard& aShard)
+{
+  PrimaryQueue& queue = aShard.mQueue;
+  const SequenceNumber last = aShard.mLog.Last().mSequence;
+  const SequenceNumber committed =
+    CommittedBy(queue, mContext.mOptions.mCommitRule, last);
+  const SequenceNumber onAll =
+    CommittedBy(queue, CommitRule::kAllReplicas, last);
+  if (!queue.mPending.empty()) {
+    const std::uint64_t first = queue.mPending.front().mSequence.Value();
+    while (queue.mCommitted < committed) {
+      queue.mCommitted = queue.mCommitted.Next();
+      Answer(aShard, queue.mPending[queue.mCommitted.Value() - first]);
+    }
+  }
+  while (!queue.mPending.empty() && queue.mPending.front().mSequence <= onAll) {
+    queue.mPending.pop_front();
+  }
+}
+
+void
+PrimaryDuty::Answer(Shard& aShard, PendingOperation& aPending)
+{
+  ++mContext.mCounters.mCommitted;
+  if (!aPending.mOrigin.mCall.IsSet()) {
+    return;
+  }
+  aShard.mQueue.mInFlight.erase(aPending.mOrigin);
+  OperationAnswer answer = std::move(aPending.mAnswer);
+  if (answer.mRecord) {
+    answer.mRemaining = aPending.mDeadline - mContext.mNow;
+  }
+  if (aPending.mOrigin.mMember == mContext.mSelf) {
+    mLocalAnswer(aPending.mOrigin.mCall, answer);
+    return;
+  }
+  mContext.Send(aPending.mOrigin.mMember,
+                AnswerMessage{ .mCall = aPending.mOrigin.mCall,
+                               .mKey = aPending.mKey,
+                               .mAnswer = std::move(answer) });
+}
+
+void
+PrimaryDuty::Serve(Shard& aShard)
+{
+  PrimaryQueue& queue = aShard.mQueue;
+  std::vector<WaitingOperation> waiting = std::move(queue.mWaiting);
+  queue = PrimaryQueue();
+  queue.mCommitted = aShard.mLog.Last().mSequence;
+  for (const MemberId member : aShard.mSet) {
+    if (member != mContext.mSelf) {
+      queue.mReplicas[member].mAcked = queue.mCommitted;
+    }
+  }
+  aShard.mServing = true;
+  aShard.mRound.reset();
+  ++mContext.mCounters.mPeered;
+  AnnounceOrphans(aShard);
+  for (WaitingOperation& operation : waiting) {
+    Propose(aShard, std::move(operation));
+  }
+}
+
+void
+PrimaryDuty::Announce(Shard& aShard,
+                      const RequestKey& aKey,
+                      TimePoint aNextAlarm)
+{
+  const StoredRecord* stored = aShard.mStore.Find(aKey);
+  mContext.mEffects.emplace_back(
+    OrphanedEffect{ .mRecord = stored->mRecord,
+                    .mRemaining = stored->mDeadline - mContext.mNow });
+  aShard.mStore.Announced(aKey, aNextAlarm);
+}
+
+void
+PrimaryDuty::AnnounceOrphans(Shard& aShard)
+{
+  std::vector<std::pair<RequestKey, TimePoint>> orphans;
+  for (const auto& [alarm, key] : aShard.mStore.Unfinished()) {
+    const StoredRecord& stored = *aShard.mStore.Find(*key);
+    const MemberId executor = stored.mRecord.mExecutor;
+    const bool announced =
+      stored.mAnnouncedTurn == stored.mRecord.mExecutorTurn;
+    if (!mContext.IsMember(executor)) {
+      orphans.emplace_back(*key,
+                           mContext.mNow + mContext.mOptions.mOrphanRepeat);
+    } else if (mContext.IsDraining(executor) && !announced) {
+      orphans.emplace_back(*key, alarm);
+    }
+  }
+  for (const auto& [key, nextAlarm] : orphans) {
+    Announce(aShard, key, nextAlarm);
+  }
+}
+
+void
+PrimaryDuty::OnTick(Shard& aShard)
+{
+  if (aShard.mServing) {
+    Resend(aShard);
+    AnnounceOverdue(aShard);
+    ForgetExpired(aShard);
+  }
+}
+
+void
+PrimaryDuty::Resend(Shard& aShard)
+{
+  PrimaryQueue& queue = aShard.mQueue;
+  if (queue.mPending.empty()) {
+    return;
+  }
+  const std::uint64_t first = queue.mPending.front().mSequence.Value();
+  for (auto& [member, progress] : queue.mReplicas) {
+    const std::uint64_t next = progress.mAcked.Value() + 1;
+    if (next >= first + queue.mPending.size() ||
+        progress.mRetryAt > mContext.mNow) {
+      continue;
+    }
+    const std::uint64_t count = std::min<std::uint64_t>(
+      kResendBatch, first + queue.mPending.size() - next);
+    for (std::uint64_t i = 0; i < count; ++i) {
+      Replicate(aShard, member, queue.mPending[next - first + i]);
+    }
+    mContext.mCounters.mResent += count;
+    progress.mRetryAt = mContext.mNow + mContext.mOptions.mResendAfter;
+  }
+}
+
+// A request whose executor died silently, or hangs, is still to be answered:
+// past its deadline the primary's own request module ends it.
+void
+PrimaryDuty::AnnounceOverdue(Shard& aShard)
+{
+  const RecordStore::Alarms& alarms = aShard.mStore.Unfinished();
+  while (!alarms.empty() && alarms.begin()->first <= mContext.mNow) {
+    const RequestKey key = *alarms.begin()->second;
+    Announce(aShard, key, mContext.mNow + mContext.mOptions.mOrphanRepeat);
+  }
+}
+
+void
+PrimaryDuty::ForgetExpired(Shard& aShard)
+{
+  const RecordStore::Alarms& alarms = aShard.mStore.Finished();
+  for (int i = 0; i < kForgetBatch; ++i) {
+    if (alarms.empty() || alarms.begin()->first > mContext.mNow) {
+      return;
+    }
+    Propose(aShard,
+            { .mOrigin = Origin(),
+              .mKey = *alarms.begin()->second,
+              .mOperation = ForgetOperation{ .mExpired = true } });
+  }
+}
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/PrimaryDuty.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "ledger/AnswerSink.h"
+#include "ledger/LedgerContext.h"
+#include "ledger/RecordRules.h"
+
+namespace peridotspool::ledger {
+
+/** Orders a shard's operations, replicates them and answers when committed. */
+class PrimaryDuty
+{
+public:
+  PrimaryDuty(LedgerContext& aContext, AnswerSink aLocalAnswer);
+
+  /** Takes an operation; while peering is under way it waits. */
+  void Propose(Shard& aShard, WaitingOperation aOperation);
+  void OnAck(MemberId aFrom, const AckMessage& aAck);
+  /** Begins to serve: all replicas have recorded the activation. */
+  void Serve(Shard& aShard);
+  /** Announces unfinished requests whose executor is gone or leaving. */
+  void AnnounceOrphans(Shard& aShard);
+  void OnTick(Shard& aShard);
+
+private:
+  Judgement JudgeHere(const Shard& aShard, const WaitingOperation& aOperation);
+  bool IsFull(const Shard& aShard, const AcceptOperation& aAccept) const;
+  void Append(Shard& aShard,
+              const WaitingOperation& aOperation,
+              const Judgement& aJudgement);
+  void Replicate(const Shard& aShard,
+                 MemberId aTo,
+                 const PendingOperation& aPending);
+  void Commit(Shard& aShard);
+  void Answer(Shard& aShard, PendingOperation& aPending);
+  void Resend(Shard& aShard);
+  void Announce(Shard& aShard, const RequestKey& aKey, TimePoint aNextAlarm);
+  void AnnounceOverdue(Shard& aShard);
+  void ForgetExpired(Shard& aShard);
+
+  LedgerContext& mContext;
+  AnswerSink mLocalAnswer;
+};
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/RecordRules.cpp
@@ -0,0 +1,234 @@
+#include "ledger/RecordRules.h"
+
+#include "peridotspool/base/Overloaded.h"
+
+namespace peridotspool::ledger {
+
+namespace {
+
+constexpr Judgement kChange{ .mVerdict = Verdict::kDone, .mChanges = true };
+constexpr Judgement kRepeated{ .mVerdict = Verdict::kDone, .mChanges = false };
+
+Judgement
+Refuse(Verdict aVerdict)
+{
+  return { .mVerdict = aVerdict, .mChanges = false };
+}
+
+// Priorities are left out: they come from the settings, which may change
+// between a request and its retry.
+bool
+SameTerms(const RequestTerms& aLeft, const RequestTerms& aRight)
+{
+  return aLeft.mService == aRight.mService &&
+         aLeft.mIdempotent == aRight.mIdempotent && aLeft.mBody == aRight.mBody;
+}
+
+Judgement
+JudgeAccept(const StoredRecord& aStored,
+            const AcceptOperation& aAccept,
+            const Origin& aOrigin)
+{
+  if (aStored.mForgotten) {
+    return Refuse(Verdict::kFinished);
+  }
+  if (!SameTerms(aStored.mRecord.mTerms, aAccept.mTerms)) {
+    return Refuse(Verdict::kOtherTerms);
+  }
+  return aStored.mAccepted == aOrigin ? kRepeated : Refuse(Verdict::kKnown);
+}
+
+Judgement
+JudgeIntend(const RequestRecord& aRecord, const IntendOperation& aIntend)
+{
+  if (aRecord.mOutcome) {
+    return Refuse(Verdict::kFinished);
+  }
+  if (aRecord.mExecutorTurn != aIntend.mExecutorTurn) {
+    return Refuse(Verdict::kOldTurn);
+  }
+  const bool standing = HasStandingIntent(aRecord);
+  if (standing && *aRecord.mIntent == aIntend.mIntent) {
+    return kRepeated;
+  }
+  if (standing && !aRecord.mTerms.mIdempotent) {
+    return Refuse(Verdict::kMayHaveRun);
+  }
+  // A late duplicate of a voided intent must not stand again: nobody would
+  // void it a second time, and the request could never be sent.
+  if (aRecord.mIntent &&
+      aIntend.mIntent.mAttempt <= aRecord.mIntent->mAttempt) {
+    return Refuse(Verdict::kOldTurn);
+  }
+  return kChange;
+}
+
+Judgement
+JudgeVoid(const RequestRecord& aRecord, const VoidIntentOperation& aVoid)
+{
+  if (aRecord.mOutcome) {
+    return Refuse(Verdict::kFinished);
+  }
+  if (aRecord.mExecutorTurn != aVoid.mExecutorTurn) {
+    return Refuse(Verdict::kOldTurn);
+  }
+  if (!aRecord.mIntent || aRecord.mIntent->mAttempt < aVoid.mAttempt) {
+    return HasStandingIntent(aRecord) ? Refuse(Verdict::kMayHaveRun) : kChange;
+  }
+  const bool current = aRecord.mIntent->mAttempt == aVoid.mAttempt;
+  return current && !aRecord.mIntentVoid ? kChange : kRepeated;
+}
+
+Judgement
+JudgeFinish(const RequestRecord& aRecord, const FinishOperation& aFinish)
+{
+  if (aRecord.mOutcome) {
+    return *aRecord.mOutcome == aFinish.mOutcome ? kRepeated
+                                                 : Refuse(Verdict::kFinished);
+  }
+  if (aRecord.mExecutorTurn != aFinish.mExecutorTurn) {
+    return Refuse(Verdict::kOldTurn);
+  }
+  const bool saysNotRun = aFinish.mOutcome.mKind == OutcomeKind::kRefused;
+  if (saysNotRun && HasStandingIntent(aRecord)) {
+    return Refuse(Verdict::kMayHaveRun);
+  }
+  return kChange;
+}
+
+Judgement
+JudgeTakeOver(const RequestRecord& aRecord, const TakeOverOperation& aTakeOver)
+{
+  if (aRecord.mOutcome) {
+    return Refuse(Verdict::kFinished);
+  }
+  if (aRecord.mExecutorTurn == aTakeOver.mExecutorTurn) {
+    return kChange;
+  }
+  const bool repeated =
+    aRecord.mExecutorTurn == aTakeOver.mExecutorTurn.Next() &&
+    aRecord.mExecutor == aTakeOver.mExecutor;
+  return repeated ? kRepeated : Refuse(Verdict::kOldTurn);
+}
+
+Judgement
+JudgeCancel(const RequestRecord& aRecord)
+{
+  if (!aRecord.mOutcome) {
+    return kChange;
+  }
+  return aRecord.mOutcome->mKind == OutcomeKind::kCancelled
+           ? kRepeated
+           : Refuse(Verdict::kFinished);
+}
+
+Judgement
+JudgeForget(const StoredRecord& aStored, const ForgetOperation& aForget)
+{
+  if (!aStored.mRecord.mOutcome) {
+    return Refuse(Verdict::kKnown);
+  }
+  return aForget.mExpired || !aStored.mForgotten ? kChange : kRepeated;
+}
+
+Judgement
+JudgeUnknown(const Operation& aOperation)
+{
+  if (std::holds_alternative<AcceptOperation>(aOperation)) {
+    return kChange;
+  }
+  if (std::holds_alternative<ForgetOperation>(aOperation)) {
+    return kRepeated;
+  }
+  return Refuse(Verdict::kNoSuchRequest);
+}
+
+Outcome
+CancelledOutcome(const RequestRecord& aRecord)
+{
+  const bool mayHaveRun = HasStandingIntent(aRecord);
+  Outcome outcome;
+  outcome.mKind = OutcomeKind::kCancelled;
+  outcome.mReason =
+    mayHaveRun ? "cancelled-may-have-run" : "cancelled-did-not-run";
+  return outcome;
+}
+
+void
+Void(RequestRecord& aRecord, const VoidIntentOperation& aVoid)
+{
+  if (!aRecord.mIntent || aRecord.mIntent->mAttempt != aVoid.mAttempt) {
+    // The intent's own message is still under way, or lost: this marker turns
+    // it down should it arrive yet.
+    aRecord.mIntent = DispatchIntent{ .mAttempt = aVoid.mAttempt,
+                                      .mUpstream = UpstreamName(),
+                                      .mIncarnation = Incarnation() };
+  }
+  aRecord.mIntentVoid = true;
+}
+
+} // namespace
+
+bool
+HasStandingIntent(const RequestRecord& aRecord)
+{
+  return aRecord.mIntent.has_value() && !aRecord.mIntentVoid;
+}
+
+Judgement
+Judge(const StoredRecord* aRecord,
+      const Operation& aOperation,
+      const Origin& aOrigin)
+{
+  if (aRecord == nullptr) {
+    return JudgeUnknown(aOperation);
+  }
+  const RequestRecord& record = aRecord->mRecord;
+  return std::visit(
+    Overloaded{ [&](const AcceptOperation& aAccept) {
+                 return JudgeAccept(*aRecord, aAccept, aOrigin);
+               },
+                [&](const IntendOperation& aIntend) {
+                  return JudgeIntend(record, aIntend);
+                },
+                [&](const VoidIntentOperation& aVoid) {
+                  return JudgeVoid(record, aVoid);
+                },
+                [&](const FinishOperation& aFinish) {
+                  return JudgeFinish(record, aFinish);
+                },
+                [&](const TakeOverOperation& aTakeOver) {
+                  return JudgeTakeOver(record, aTakeOver);
+                },
+                [&](const CancelOperation&) { return JudgeCancel(record); },
+                [&](const ForgetOperation& aForget) {
+                  return JudgeForget(*aRecord, aForget);
+                },
+                [&](const ReadOperation&) { return kRepeated; } },
+    aOperation);
+}
+
+void
+Change(RequestRecord& aRecord, const Operation& aOperation)
+{
+  std::visit(
+    Overloaded{ [&](const IntendOperation& aIntend) {
+                 aRecord.mIntent = aIntend.mIntent;
+                 aRecord.mIntentVoid = false;
+               },
+                [&](const VoidIntentOperation& aVoid) { Void(aRecord, aVoid); },
+                [&](const FinishOperation& aFinish) {
+                  aRecord.mOutcome = aFinish.mOutcome;
+                },
+                [&](const TakeOverOperation& aTakeOver) {
+                  aRecord.mExecutor = aTakeOver.mExecutor;
+                  aRecord.mExecutorTurn = aTakeOver.mExecutorTurn.Next();
+                },
+                [&](const CancelOperation&) {
+                  aRecord.mOutcome = CancelledOutcome(aRecord);
+                },
+                [](const auto&) {} },
+    aOperation);
+}
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/RecordStore.cpp
@@ -0,0 +1,170 @@
+#include "ledger/RecordStore.h"
+
+#include "ledger/RecordRules.h"
+
+namespace peridotspool::ledger {
+
+namespace {
+
+/** A tree node's pointers and colour, with the allocator's own word. */
+constexpr std::uint64_t kNodeBytes = 48;
+/** What a record costs beside its texts: the fields and two tree nodes. */
+constexpr std::uint64_t kRecordOverhead =
+  sizeof(StoredRecord) + sizeof(RequestKey) + kNodeBytes + kNodeBytes;
+
+void
+DropTexts(RequestRecord& aRecord)
+{
+  aRecord.mTerms.mBody = std::string();
+  aRecord.mOutcome->mBody = std::string();
+}
+
+} // namespace
+
+std::uint64_t
+BytesOf(const RequestRecord& aRecord, const LedgerOptions& aOptions)
+{
+  const std::uint64_t keys =
+    2 * (aRecord.mKey.mKey.size() + aRecord.mKey.mCustomer.Value().size());
+  const std::uint64_t answer =
+    aRecord.mOutcome ? aRecord.mOutcome->mBody.size() : aOptions.mAnswerReserve;
+  return kRecordOverhead + keys + aRecord.mTerms.mBody.size() + answer;
+}
+
+RecordCopy
+CopyOf(const StoredRecord& aStored, TimePoint aNow)
+{
+  return { .mRecord = aStored.mRecord,
+           .mAccepted = aStored.mAccepted,
+           .mRemaining = aStored.mDeadline - aNow,
+           .mRetireIn = aStored.mAlarm - aNow,
+           .mForgotten = aStored.mForgotten };
+}
+
+const StoredRecord*
+RecordStore::Find(const RequestKey& aKey) const
+{
+  const auto found = mRecords.find(aKey);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
+void
+RecordStore::Apply(const RequestKey& aKey,
+                   const Operation& aOperation,
+                   const Origin& aOrigin,
+                   const LedgerOptions& aOptions,
+                   TimePoint aNow)
+{
+  if (const auto* accept = std::get_if<AcceptOperation>(&aOperation)) {
+    Accept(aKey, *accept, aOrigin, aOptions, aNow);
+    return;
+  }
+  const auto found = mRecords.find(aKey);
+  if (found == mRecords.end()) {
+    return;
+  }
+  StoredRecord& stored = found->second;
+  const auto* forget = std::get_if<ForgetOperation>(&aOperation);
+  if (forget != nullptr && forget->mExpired) {
+    Remove(aKey);
+    return;
+  }
+  const bool wasFinished = stored.mRecord.mOutcome.has_value();
+  Unlink(stored);
+  if (forget != nullptr) {
+    DropTexts(stored.mRecord);
+    stored.mForgotten = true;
+  }
+  Change(stored.mRecord, aOperation);
+  if (!wasFinished && stored.mRecord.mOutcome) {
+    stored.mAlarm = aNow + aOptions.mRetention;
+  }
+  Link(stored, aOptions);
+}
+
+void
+RecordStore::Accept(const RequestKey& aKey,
+                    const AcceptOperation& aAccept,
+                    const Origin& aOrigin,
+                    const LedgerOptions& aOptions,
+                    TimePoint aNow)
+{
+  StoredRecord stored;
+  stored.mRecord.mKey = aKey;
+  stored.mRecord.mTerms = aAccept.mTerms;
+  stored.mRecord.mExecutor = aAccept.mExecutor;
+  stored.mRecord.mExecutorTurn = AttemptNumber(1);
+  stored.mAccepted = aOrigin;
+  stored.mDeadline = aNow + aAccept.mRemaining;
+  stored.mAlarm = stored.mDeadline + aOptions.mDeadlineGrace;
+  Insert(std::move(stored), aOptions);
+}
+
+void
+RecordStore::Put(const RecordCopy& aCopy,
+                 const LedgerOptions& aOptions,
+                 TimePoint aNow)
+{
+  Remove(aCopy.mRecord.mKey);
+  StoredRecord stored;
+  stored.mRecord = aCopy.mRecord;
+  stored.mAccepted = aCopy.mAccepted;
+  stored.mDeadline = aNow + aCopy.mRemaining;
+  stored.mForgotten = aCopy.mForgotten;
+  stored.mAlarm = stored.mRecord.mOutcome
+                    ? aNow + aCopy.mRetireIn
+                    : stored.mDeadline + aOptions.mDeadlineGrace;
+  Insert(std::move(stored), aOptions);
+}
+
+void
+RecordStore::Remove(const RequestKey& aKey)
+{
+  const auto found = mRecords.find(aKey);
+  if (found != mRecords.end()) {
+    Unlink(found->second);
+    mRecords.erase(found);
+  }
+}
+
+void
+RecordStore::Announced(const RequestKey& aKey, TimePoint aNextAlarm)
+{
+  const auto found = mRecords.find(aKey);
+  if (found == mRecords.end() || found->second.mRecord.mOutcome) {
+    return;
+  }
+  StoredRecord& stored = found->second;
+  mUnfinished.erase({ stored.mAlarm, &stored.mRecord.mKey });
+  stored.mAlarm = aNextAlarm;
+  stored.mAnnouncedTurn = stored.mRecord.mExecutorTurn;
+  mUnfinished.insert({ stored.mAlarm, &stored.mRecord.mKey });
+}
+
+void
+RecordStore::Insert(StoredRecord aStored, const LedgerOptions& aOptions)
+{
+  RequestKey key = aStored.mRecord.mKey;
+  const auto [place, isNew] =
+    mRecords.insert_or_assign(std::move(key), std::move(aStored));
+  Link(place->second, aOptions);
+}
+
+void
+RecordStore::Unlink(const StoredRecord& aStored)
+{
+  mBytes -= aStored.mBytes;
+  Alarms& alarms = aStored.mRecord.mOutcome ? mFinished : mUnfinished;
+  alarms.erase({ aStored.mAlarm, &aStored.mRecord.mKey });
+}
+
+void
+RecordStore::Link(StoredRecord& aStored, const LedgerOptions& aOptions)
+{
+  aStored.mBytes = BytesOf(aStored.mRecord, aOptions);
+  mBytes += aStored.mBytes;
+  Alarms& alarms = aStored.mRecord.mOutcome ? mFinished : mUnfinished;
+  alarms.insert({ aStored.mAlarm, &aStored.mRecord.mKey });
+}
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/src/ledger/ReplicaDuty.cpp
@@ -0,0 +1,75 @@
+#include "ledger/ReplicaDuty.h"
+
+namespace peridotspool::ledger {
+
+namespace {
+
+/** Most operations of one shard kept until an earlier one comes. */
+constexpr std::size_t kMaxEarly = 256;
+
+} // namespace
+
+ReplicaDuty::ReplicaDuty(LedgerContext& aContext)
+  : mContext(aContext)
+{
+}
+
+// A primary that was cut off, or slept, still sends under its old interval. It
+// must get no acknowledgement, or it would tell callers of commits that the
+// present primary knows nothing of.
+void
+ReplicaDuty::OnReplicate(MemberId aFrom, const ReplicateMessage& aReplicate)
+{
+  Shard& shard = mContext.ShardAt(aReplicate.mShard);
+  if (aReplicate.mInterval < shard.mInterval) {
+    ++mContext.mCounters.mFenced;
+    mContext.Send(
+      aFrom,
+      RefusedMessage{ { .mShard = shard.mId, .mInterval = shard.mInterval } });
+    return;
+  }
+  if (aReplicate.mInterval != shard.mInterval || !shard.IsActive() ||
+      shard.Primary() != aFrom) {
+    return;
+  }
+  const SequenceNumber next = shard.mLog.Last().mSequence.Next();
+  if (aReplicate.mSequence > next && shard.mEarly.size() < kMaxEarly) {
+    shard.mEarly.emplace(aReplicate.mSequence, aReplicate);
+  }
+  if (aReplicate.mSequence == next) {
+    Apply(shard, aReplicate);
+    auto early = shard.mEarly.begin();
+    while (early != shard.mEarly.end() &&
+           early->first <= shard.mLog.Last().mSequence.Next()) {
+      if (early->first == shard.mLog.Last().mSequence.Next()) {
+        Apply(shard, early->second);
+      }
+      early = shard.mEarly.erase(early);
+    }
+  }
+  mContext.Send(aFrom,
+                AckMessage{ .mShard = shard.mId,
+                            .mInterval = shard.mInterval,
+                            .mLast = shard.mLog.Last().mSequence,
+                            .mHeldBytes = mContext.mHeldBytes });
+}
+
+void
+ReplicaDuty::Apply(Shard& aShard, const ReplicateMessage& aReplicate)
+{
+  LogEntry entry{ .mVersion = { .mInterval = aReplicate.mInterval,
+                                .mSequence = aReplicate.mSequence },
+                  .mKey = std::nullopt };
+  if (!std::holds_alternative<ReadOperation>(aReplicate.mOperation)) {
+    const HeldBytesGuard guard(mContext, aShard);
+    aShard.mStore.Apply(aReplicate.mKey,
+                        aReplicate.mOperation,
+                        aReplicate.mOrigin,
+                        mContext.mOptions,
+                        mContext.mNow);
+    entry.mKey = aReplicate.mKey;
+  }
+  aShard.mLog.Append(std::move(entry), mContext.mOptions.mLogEntries);
+}
+
+} // namespace peridotspool::ledger
