Prove the ledger against a map that never fails, and by focused failures

Cause: peering, fencing and bounds had no tests beyond the first start.

Change: a differential test (sequential, against one naive map; concurrent, against each promise) over loss, duplication, reordering, kills, freezes, cuts, missed epochs; focused tests of reclaim, commit rules, fencing, bounds, orphans and the choice of the newest copy.

Found by the new tests and mended: a request taken over went on being announced as an orphan every second; an accept that had waited while its asker left the member list was announced only at its deadline. The memory bound was first tested as hard; it can't be, since a primary knows what a replica holds only as of its last acknowledgement, so the option's comment and the test now state the slack (one order of each other primary).

--- a/include/peridotspool/ledger/LedgerOptions.h
+++ b/include/peridotspool/ledger/LedgerOptions.h
@@ -13,7 +13,11 @@
   /** How many entry instances hold each shard. */
   std::uint32_t mReplicas = 3;
   CommitRule mCommitRule = CommitRule::kAllReplicas;
-  /** Most bytes of records that one entry holds over all its shards. */
+  /**
+   * Bytes of records over all shards of an entry, beyond which its shards take
+   * no new requests. What other primaries place on a replica between two of its
+   * acknowledgements comes on top, and answers larger than mAnswerReserve.
+   */
   std::uint64_t mMaxBytes = 256ULL << 20;
   /** Bytes set aside for the answer of each unfinished request. */
   std::uint64_t mAnswerReserve = 8ULL << 10;
--- a/src/ledger/LedgerContext.h
+++ b/src/ledger/LedgerContext.h
@@ -33,6 +33,8 @@
   std::vector<Shard> mShards;
   /** Bytes of records over all shards. */
   std::uint64_t mHeldBytes = 0;
+  /** What other members said that they hold, when they last acknowledged. */
+  std::map<MemberId, std::uint64_t> mPeerBytes;
   LedgerCounters mCounters;
   PeeringOutbox mOutbox;
   Effects mEffects;
--- a/src/ledger/PeeringEpoch.cpp
+++ b/src/ledger/PeeringEpoch.cpp
@@ -25,6 +25,9 @@
       mContext.mDraining.insert(member.mId);
     }
   }
+  std::erase_if(mContext.mPeerBytes, [&](const auto& aEntry) {
+    return !mContext.IsMember(aEntry.first);
+  });
   mContext.mPlacement = Placement(aMap, mContext.mOptions.mReplicas);
   for (Shard& shard : mContext.mShards) {
     const auto& set = mContext.mPlacement.ReplicasOf(shard.mId);
--- a/src/ledger/PrimaryDuty.cpp
+++ b/src/ledger/PrimaryDuty.cpp
@@ -116,7 +116,7 @@
   if (mayBeLost && !accept->mTerms.mIdempotent && !accept->mKeyIsNew) {
     return { .mVerdict = Verdict::kLost, .mChanges = false };
   }
-  if (IsFull(aShard, *accept)) {
+  if (IsFull(aShard, aOperation.mKey, *accept)) {
     ++mContext.mCounters.mFull;
     return { .mVerdict = Verdict::kFull, .mChanges = false };
   }
@@ -124,13 +124,18 @@
 }
 
 bool
-PrimaryDuty::IsFull(const Shard& aShard, const AcceptOperation& aAccept) const
+PrimaryDuty::IsFull(const Shard& aShard,
+                    const RequestKey& aKey,
+                    const AcceptOperation& aAccept) const
 {
   std::uint64_t held = mContext.mHeldBytes;
-  for (const auto& [member, progress] : aShard.mQueue.mReplicas) {
-    held = std::max(held, progress.mHeldBytes);
+  for (const MemberId member : aShard.mSet) {
+    const auto found = mContext.mPeerBytes.find(member);
+    held =
+      std::max(held, found == mContext.mPeerBytes.end() ? 0 : found->second);
   }
   RequestRecord record;
+  record.mKey = aKey;
   record.mTerms = aAccept.mTerms;
   return held + BytesOf(record, mContext.mOptions) >
          mContext.mOptions.mMaxBytes;
@@ -161,6 +166,7 @@
                         aOperation.mOrigin,
                         mContext.mOptions,
                         mContext.mNow);
+    WatchExecutor(aShard, aOperation.mKey);
   } else {
     pending.mOperation = ReadOperation();
   }
@@ -200,6 +206,7 @@
 void
 PrimaryDuty::OnAck(MemberId aFrom, const AckMessage& aAck)
 {
+  mContext.mPeerBytes[aFrom] = aAck.mHeldBytes;
   Shard& shard = mContext.ShardAt(aAck.mShard);
   const auto found = shard.mQueue.mReplicas.find(aFrom);
   if (!shard.mServing || aAck.mInterval != shard.mInterval ||
@@ -207,7 +214,6 @@
     return;
   }
   ReplicaProgress& progress = found->second;
-  progress.mHeldBytes = aAck.mHeldBytes;
   const bool isProgress =
     aAck.mLast > progress.mAcked && aAck.mLast <= shard.mLog.Last().mSequence;
   if (isProgress) {
@@ -290,7 +296,21 @@
   mContext.mEffects.emplace_back(
     OrphanedEffect{ .mRecord = stored->mRecord,
                     .mRemaining = stored->mDeadline - mContext.mNow });
-  aShard.mStore.Announced(aKey, aNextAlarm);
+  aShard.mStore.Announced(aKey);
+  aShard.mStore.SetAlarm(aKey, aNextAlarm);
+}
+
+// The asker may have left the member list while its operation waited here. The
+// epoch's own search for orphans is over by then, so the record is looked at
+// again soon.
+void
+PrimaryDuty::WatchExecutor(Shard& aShard, const RequestKey& aKey)
+{
+  const StoredRecord* stored = aShard.mStore.Find(aKey);
+  if (stored != nullptr && !mContext.IsMember(stored->mRecord.mExecutor)) {
+    aShard.mStore.SetAlarm(aKey,
+                           mContext.mNow + mContext.mOptions.mOrphanRepeat);
+  }
 }
 
 void
--- a/src/ledger/PrimaryDuty.h
+++ b/src/ledger/PrimaryDuty.h
@@ -23,7 +23,9 @@
 
 private:
   Judgement JudgeHere(const Shard& aShard, const WaitingOperation& aOperation);
-  bool IsFull(const Shard& aShard, const AcceptOperation& aAccept) const;
+  bool IsFull(const Shard& aShard,
+              const RequestKey& aKey,
+              const AcceptOperation& aAccept) const;
   void Append(Shard& aShard,
               const WaitingOperation& aOperation,
               const Judgement& aJudgement);
@@ -34,6 +36,7 @@
   void Answer(Shard& aShard, PendingOperation& aPending);
   void Resend(Shard& aShard);
   void Announce(Shard& aShard, const RequestKey& aKey, TimePoint aNextAlarm);
+  void WatchExecutor(Shard& aShard, const RequestKey& aKey);
   void AnnounceOverdue(Shard& aShard);
   void ForgetExpired(Shard& aShard);
 
--- a/src/ledger/PrimaryQueue.h
+++ b/src/ledger/PrimaryQueue.h
@@ -36,7 +36,6 @@
 {
   SequenceNumber mAcked;
   TimePoint mRetryAt;
-  std::uint64_t mHeldBytes = 0;
 };
 
 /** What a primary has under way for one shard. */
--- a/src/ledger/RecordStore.cpp
+++ b/src/ledger/RecordStore.cpp
@@ -78,6 +78,9 @@
   Change(stored.mRecord, aOperation);
   if (!wasFinished && stored.mRecord.mOutcome) {
     stored.mAlarm = aNow + aOptions.mRetention;
+  } else if (std::holds_alternative<TakeOverOperation>(aOperation)) {
+    // The announcements of the executor before have reached their end.
+    stored.mAlarm = stored.mDeadline + aOptions.mDeadlineGrace;
   }
   Link(stored, aOptions);
 }
@@ -128,7 +131,16 @@
 }
 
 void
-RecordStore::Announced(const RequestKey& aKey, TimePoint aNextAlarm)
+RecordStore::Announced(const RequestKey& aKey)
+{
+  const auto found = mRecords.find(aKey);
+  if (found != mRecords.end()) {
+    found->second.mAnnouncedTurn = found->second.mRecord.mExecutorTurn;
+  }
+}
+
+void
+RecordStore::SetAlarm(const RequestKey& aKey, TimePoint aAlarm)
 {
   const auto found = mRecords.find(aKey);
   if (found == mRecords.end() || found->second.mRecord.mOutcome) {
@@ -136,8 +148,7 @@
   }
   StoredRecord& stored = found->second;
   mUnfinished.erase({ stored.mAlarm, &stored.mRecord.mKey });
-  stored.mAlarm = aNextAlarm;
-  stored.mAnnouncedTurn = stored.mRecord.mExecutorTurn;
+  stored.mAlarm = aAlarm;
   mUnfinished.insert({ stored.mAlarm, &stored.mRecord.mKey });
 }
 
--- a/src/ledger/RecordStore.h
+++ b/src/ledger/RecordStore.h
@@ -50,8 +50,10 @@
            const LedgerOptions& aOptions,
            TimePoint aNow);
   void Remove(const RequestKey& aKey);
-  /** Notes an announcement, and when to look at the record again. */
-  void Announced(const RequestKey& aKey, TimePoint aNextAlarm);
+  /** Notes that the present executor was announced as gone or leaving. */
+  void Announced(const RequestKey& aKey);
+  /** Says when to look at an unfinished record again. */
+  void SetAlarm(const RequestKey& aKey, TimePoint aAlarm);
 
 private:
   void Accept(const RequestKey& aKey,
--- /dev/null
+++ b/test/ledger/FencingTest.cpp
@@ -0,0 +1,166 @@
+// ctest-labels: promise-at-most-once promise-fencing promise-whole-own-answer
+#include "ledger/TestEntries.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotspool::ledger {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ShardId kShard(40);
+
+} // namespace
+
+TEST_CASE("ACutOffPrimaryCommitsNothing")
+{
+  // Symptom: two teams at one hoarding.
+  // Sequence: a primary is cut off with a caller on its side; the others go
+  // on without it; both sides give an intent for the same order.
+  // Cause: the old primary didn't know, and needed nobody's consent.
+  TestEntries entries(2);
+  TestCluster& cluster = entries.mCluster;
+  const RequestKey key = KeyIn(kShard);
+  const MemberId old = cluster.Places().PrimaryOf(kShard);
+  const MemberId gateway = entries.Other({ old });
+  REQUIRE(cluster.Do(gateway, key, AcceptOrder(old)).mVerdict ==
+          Verdict::kDone);
+  cluster.Cut(old);
+  const CallId cut = cluster.Propose(old, key, IntendTo("jobs-1"));
+  const CallId read = cluster.Propose(old, key, ReadOperation());
+  cluster.Run(seconds(1));
+  entries.Replace({ old });
+  cluster.Run(seconds(1));
+  CHECK(cluster
+          .Do(gateway,
+              key,
+              TakeOverOperation{ .mExecutorTurn = AttemptNumber(1),
+                                 .mExecutor = gateway })
+          .mVerdict == Verdict::kDone);
+  CHECK(cluster.Do(gateway, key, IntendTo("jobs-2", 1, 2)).mVerdict ==
+        Verdict::kDone);
+  CHECK(cluster.AnswerTo(cut) == nullptr);
+  CHECK(cluster.AnswerTo(read) == nullptr);
+  cluster.Mend(old);
+  cluster.Run(seconds(20));
+  REQUIRE(cluster.AnswerTo(cut) != nullptr);
+  CHECK(cluster.AnswerTo(cut)->mVerdict != Verdict::kDone);
+  CHECK(cluster.AnswerTo(read)->mVerdict != Verdict::kDone);
+}
+
+TEST_CASE("AFrozenPrimaryThatWakesIsRefused")
+{
+  // Symptom: an order runs under a primary that had been replaced.
+  // Sequence: a primary is stopped with an intent in its inbox, replaced, and
+  // wakes: it orders the intent and replicates it before it hears of the
+  // epoch that left it out.
+  // Cause: replicas took operations of an interval that was over.
+  TestEntries entries(2);
+  TestCluster& cluster = entries.mCluster;
+  const RequestKey key = KeyIn(kShard);
+  const MemberId old = cluster.Places().PrimaryOf(kShard);
+  const MemberId gateway = entries.Other({ old });
+  REQUIRE(cluster.Do(gateway, key, AcceptOrder(gateway)).mVerdict ==
+          Verdict::kDone);
+  cluster.Freeze(old);
+  const CallId first = cluster.Propose(gateway, key, IntendTo("jobs-1"));
+  cluster.Run(seconds(1));
+  cluster.Remove(old);
+  cluster.Publish({ old });
+  cluster.Run(seconds(2));
+  REQUIRE(cluster.AnswerTo(first) != nullptr);
+  CHECK(cluster.AnswerTo(first)->mVerdict == Verdict::kDone);
+  cluster.Wake(old);
+  const CallId late = cluster.Propose(old, key, IntendTo("jobs-2"));
+  cluster.Run(seconds(20));
+  REQUIRE(cluster.AnswerTo(late) != nullptr);
+  CHECK(cluster.AnswerTo(late)->mVerdict == Verdict::kNoAnswer);
+  const auto read = cluster.Do(gateway, key, ReadOperation());
+  CHECK(read.mRecord->mIntent->mUpstream == UpstreamName("jobs-1"));
+}
+
+TEST_CASE("OneOfThreeRetriesRunsThoughThePrimaryIsLost")
+{
+  // Symptom: a duplicated repaste order.
+  // Sequence: a caller retries through three entries at once, the primary
+  // dies in between, and each entry that was told "accepted" or "known" asks
+  // for the right to send.
+  // Cause: the right to send was kept where it died with the primary.
+  for (int step = 0; step < 12; ++step) {
+    TestEntries entries(2);
+    TestCluster& cluster = entries.mCluster;
+    const RequestKey key = KeyIn(kShard);
+    const MemberId primary = cluster.Places().PrimaryOf(kShard);
+    std::vector<MemberId> gateways;
+    std::vector<CallId> accepts;
+    while (gateways.size() < 3) {
+      std::vector<MemberId> taken = gateways;
+      taken.push_back(primary);
+      gateways.push_back(entries.Other(taken));
+      accepts.push_back(
+        cluster.Propose(gateways.back(), key, AcceptOrder(gateways.back())));
+    }
+    cluster.Run(Duration(400 * step));
+    cluster.Kill(primary);
+    entries.Replace({ primary });
+    cluster.Run(seconds(2));
+    int done = 0;
+    int intents = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+      REQUIRE(cluster.AnswerTo(accepts[i]) != nullptr);
+      done += cluster.AnswerTo(accepts[i])->mVerdict == Verdict::kDone ? 1 : 0;
+      const auto intent = cluster.Do(
+        gateways[i], key, IntendTo("jobs-" + std::to_string(i), 1 + i));
+      intents += intent.mVerdict == Verdict::kDone ? 1 : 0;
+    }
+    INFO("the primary died " << 400 * step << " us after the accepts");
+    CHECK(done == 1);
+    CHECK(intents == 1);
+  }
+}
+
+TEST_CASE("AnOutcomeStaysThroughTheLossOfItsPrimary")
+{
+  // Symptom: a caller attaches again and gets another answer than before.
+  // Sequence: an answer is committed, its primary dies, and an executor that
+  // hadn't heard of it finishes the request in another way.
+  // Cause: the second outcome took the place of the first.
+  TestEntries entries(2);
+  TestCluster& cluster = entries.mCluster;
+  const RequestKey key = KeyIn(kShard);
+  const MemberId primary = cluster.Places().PrimaryOf(kShard);
+  const MemberId gateway = entries.Other({ primary });
+  cluster.Do(gateway, key, AcceptOrder(gateway));
+  cluster.Do(gateway, key, IntendTo("jobs-1"));
+  cluster.Do(gateway, key, FinishWith(OutcomeKind::kAnswered, "the answer"));
+  cluster.Kill(primary);
+  entries.Replace({ primary });
+  const auto second =
+    cluster.Do(gateway, key, FinishWith(OutcomeKind::kUnknown, ""));
+  CHECK(second.mVerdict == Verdict::kFinished);
+  REQUIRE(second.mRecord);
+  CHECK(second.mRecord->mOutcome->mBody == "the answer");
+}
+
+TEST_CASE("ADuplicateOfAnAcceptAfterForgettingIsNotRunAsNew")
+{
+  // Symptom: an order that was answered and acknowledged runs again.
+  // Sequence: accept, answer, acknowledgement; then the caller's retry, which
+  // had been under way all the time, arrives.
+  // Cause: the record was dropped with the answer.
+  TestEntries entries;
+  TestCluster& cluster = entries.mCluster;
+  const RequestKey key = KeyIn(kShard);
+  const MemberId gateway = entries.mIds[0];
+  cluster.Do(gateway, key, AcceptOrder(gateway));
+  cluster.Do(gateway, key, IntendTo("jobs-1"));
+  cluster.Do(gateway, key, FinishWith(OutcomeKind::kAnswered, "done"));
+  cluster.Do(gateway, key, ForgetOperation());
+  CHECK(
+    cluster.Do(entries.mIds[1], key, AcceptOrder(entries.mIds[1])).mVerdict ==
+    Verdict::kFinished);
+}
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/test/ledger/NaiveLedger.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "peridotspool/ledger/Operation.h"
+
+#include <map>
+
+namespace peridotspool::ledger {
+
+/**
+ * One map that never fails: what the replicated ledger is compared with. It
+ * is written from the operations' descriptions, apart from the ledger's code.
+ */
+class NaiveLedger
+{
+public:
+  /** Carries out the operation; returns the verdict that is due. */
+  Verdict Do(const RequestKey& aKey, const Operation& aOperation);
+  const RequestRecord* Find(const RequestKey& aKey) const;
+
+private:
+  Verdict On(const RequestKey& aKey, const AcceptOperation& aAccept);
+  Verdict On(const RequestKey& aKey, const IntendOperation& aIntend);
+  Verdict On(const RequestKey& aKey, const VoidIntentOperation& aVoid);
+  Verdict On(const RequestKey& aKey, const FinishOperation& aFinish);
+  Verdict On(const RequestKey& aKey, const TakeOverOperation& aTakeOver);
+  Verdict On(const RequestKey& aKey, const CancelOperation& aCancel);
+  Verdict On(const RequestKey& aKey, const ForgetOperation& aForget);
+  Verdict On(const RequestKey& aKey, const ReadOperation& aRead);
+
+  struct Entry
+  {
+    RequestRecord mRecord;
+    bool mForgotten = false;
+    bool Stands() const { return mRecord.mIntent && !mRecord.mIntentVoid; }
+  };
+
+  /** Returns the entry if it is unfinished and the turn is its present one. */
+  Entry* Running(const RequestKey& aKey,
+                 AttemptNumber aTurn,
+                 Verdict& aVerdict);
+
+  std::map<RequestKey, Entry> mEntries;
+};
+
+} // namespace peridotspool::ledger
--- /dev/null
+++ b/test/ledger/TestEntries.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "ledger/TestCluster.h"
+
+namespace peridotspool::ledger {
+
+/** Entries spread over four failure domains, served and settled. */
+class TestEntries
+{
+public:
+  explicit TestEntries(int aPerDomain = 1, LedgerOptions aOptions = {});
+
+  /** Takes the members off the list, adds as many new ones and publishes. */
+  void Replace(const std::vector<MemberId>& aLost);
+  /** Runs until each shard is served, or throws. */
+  void Settle();
+  /** Accepts `aCount` orders through the entries in turn; returns the keys. */
+  std::vector<RequestKey> AcceptMany(int aCount);
+  /** Returns how many of the requests some live entry can still read. */
+  int CountReadable(const std::vector<RequestKey>& aKeys);
+  /** Returns the sum of a counter over the live entries. */
+  std::uint64_t Sum(std::uint64_t LedgerCounters::*aCounter) const;
+  /** Returns a live member of the list that is not among `aOthers`. */
+  MemberId Other(const std::vector<MemberId>& aOthers) const;
+
+  TestCluster mCluster;
+  std::vector<MemberId> mIds;
+
+private:
+  int mNextDomain = 0;
+  std::string NextDomain();
+};
+
+} // namespace peridotspool::ledger
