Send nothing again after a loss that may have run

Cause: when the newest surviving copy may lack commits (the pair of primary-plus-one lost, or a whole set lost and an older copy found), a record could be older than its own intent: an order could be sent twice.

Change: the new primary gives each unfinished request that may not run twice an intent that nobody can void (kLostAttempt), through the shard's log, so that the replicas fetch it before they count. It can be answered as unknown, but not sent again, nor said not to have run.

--- a/include/peridotspool/ledger/LedgerOptions.h
+++ b/include/peridotspool/ledger/LedgerOptions.h
@@ -36,7 +36,7 @@
   /** How long after a loss unknown keys may name lost requests. */
   Duration mLossWindow = std::chrono::minutes(30);
   /** Changes that each shard remembers, for filling a copy by delta. */
-  std::uint32_t mLogEntries = 512;
+  std::uint32_t mLogEntries = 64;
   /** Most bytes of records in one message that fills a copy. */
   std::uint64_t mChunkBytes = 256ULL << 10;
   /** Most operations of one shard that wait for replicas or for peering. */
--- a/include/peridotspool/ledger/RequestRecord.h
+++ b/include/peridotspool/ledger/RequestRecord.h
@@ -45,6 +45,12 @@
 };
 BOOST_DESCRIBE_STRUCT(DispatchIntent, (), (mAttempt, mUpstream, mIncarnation))
 
+/**
+ * Stands for an intent that may have been committed and lost with all replicas
+ * that held it: above any real attempt, and never voided.
+ */
+inline constexpr AttemptNumber kLostAttempt(1ULL << 32);
+
 enum class OutcomeKind
 {
   /** The upstream's whole answer. */
--- a/src/ledger/PeeringDuty.cpp
+++ b/src/ledger/PeeringDuty.cpp
@@ -1,6 +1,7 @@
 #include "ledger/PeeringDuty.h"
 
 #include "ledger/PeeringChoice.h"
+#include "ledger/RecordRules.h"
 
 #include <algorithm>
 #include <utility>
@@ -124,6 +125,7 @@
     aShard.mLossUntil =
       std::max(aShard.mLossUntil, mContext.mNow + report.mLossRemaining);
   }
+  round.mMayLack = choice.mMayLack;
   if (choice.mMayLack) {
     ++mContext.mCounters.mPossibleLosses;
     aShard.mLossUntil = mContext.mNow + mContext.mOptions.mLossWindow;
@@ -136,9 +138,37 @@
   mTransfer.Start(aShard, choice.mSource);
 }
 
+// The copy may be older than an intent that was committed and is lost with it.
+// One would notice by an order that runs twice after a wave of reclaims. So
+// each unfinished request that may not run twice gets an intent that nobody
+// can void: it can still be answered, but not sent again nor said not to have
+// run. The marks take places in the log, so that the replicas fetch them.
+void
+PeeringDuty::MarkMayHaveRun(Shard& aShard)
+{
+  std::vector<RequestKey> keys;
+  for (const auto& [alarm, key] : aShard.mStore.Unfinished()) {
+    const RequestRecord& record = aShard.mStore.Find(*key)->mRecord;
+    if (!record.mTerms.mIdempotent && !HasStandingIntent(record)) {
+      keys.push_back(*key);
+    }
+  }
+  for (const RequestKey& key : keys) {
+    aShard.mStore.MarkMayHaveRun(key);
+    aShard.mLog.Append(
+      { .mVersion = { .mInterval = aShard.mInterval,
+                      .mSequence = aShard.mLog.Last().mSequence.Next() },
+        .mKey = key },
+      mContext.mOptions.mLogEntries);
+  }
+}
+
 void
 PeeringDuty::Activate(Shard& aShard)
 {
+  if (aShard.mRound->mMayLack) {
+    MarkMayHaveRun(aShard);
+  }
   RecordActivation(aShard);
   aShard.mRound->mPhase = PeeringPhase::kActivating;
   aShard.mRound->mNextResend = mContext.mNow + mContext.mOptions.mResendAfter;
--- a/src/ledger/PeeringDuty.h
+++ b/src/ledger/PeeringDuty.h
@@ -43,6 +43,7 @@
   void AskAll(Shard& aShard);
   void TryChoose(Shard& aShard);
   void Activate(Shard& aShard);
+  void MarkMayHaveRun(Shard& aShard);
   void AskActivation(Shard& aShard, MemberId aMember);
   void RecordAndAnswer(Shard& aShard);
   void Release(Shard& aShard, MemberId aMember, const ShardReport& aReport);
--- a/src/ledger/PeeringRound.h
+++ b/src/ledger/PeeringRound.h
@@ -27,6 +27,8 @@
   std::set<MemberId> mActivated;
   /** True once all members are asked, not just the likely holders. */
   bool mAskedAll = false;
+  /** True once the newest copy found may lack what was committed. */
+  bool mMayLack = false;
   TimePoint mNextResend;
 };
 
--- a/src/ledger/RecordRules.cpp
+++ b/src/ledger/RecordRules.cpp
@@ -75,7 +75,8 @@
   if (!aRecord.mIntent || aRecord.mIntent->mAttempt < aVoid.mAttempt) {
     return HasStandingIntent(aRecord) ? Refuse(Verdict::kMayHaveRun) : kChange;
   }
-  const bool current = aRecord.mIntent->mAttempt == aVoid.mAttempt;
+  const bool current = aRecord.mIntent->mAttempt == aVoid.mAttempt &&
+                       aVoid.mAttempt != kLostAttempt;
   return current && !aRecord.mIntentVoid ? kChange : kRepeated;
 }
 
--- a/src/ledger/RecordStore.cpp
+++ b/src/ledger/RecordStore.cpp
@@ -130,6 +130,19 @@
   }
 }
 
+void
+RecordStore::MarkMayHaveRun(const RequestKey& aKey)
+{
+  const auto found = mRecords.find(aKey);
+  if (found != mRecords.end()) {
+    RequestRecord& record = found->second.mRecord;
+    record.mIntent = DispatchIntent{ .mAttempt = kLostAttempt,
+                                     .mUpstream = UpstreamName(),
+                                     .mIncarnation = Incarnation() };
+    record.mIntentVoid = false;
+  }
+}
+
 void
 RecordStore::Announced(const RequestKey& aKey)
 {
--- a/src/ledger/RecordStore.h
+++ b/src/ledger/RecordStore.h
@@ -50,6 +50,8 @@
            const LedgerOptions& aOptions,
            TimePoint aNow);
   void Remove(const RequestKey& aKey);
+  /** Gives the record an intent of kLostAttempt. */
+  void MarkMayHaveRun(const RequestKey& aKey);
   /** Notes that the present executor was announced as gone or leaving. */
   void Announced(const RequestKey& aKey);
   /** Says when to look at an unfinished record again. */
--- a/src/ledger/TransferDuty.cpp
+++ b/src/ledger/TransferDuty.cpp
@@ -142,7 +142,8 @@
   ChunkMessage chunk{ .mShard = shard.mId,
                       .mInterval = aPull.mInterval,
                       .mAfter = aPull.mAfter,
-                      .mWhole = !shard.mLog.Knows(aPull.mHeld),
+                      .mWhole = !aPull.mHeld.mSequence.IsSet() ||
+                                !shard.mLog.Knows(aPull.mHeld),
                       .mTarget = shard.mLog.Last(),
                       .mRecords = {},
                       .mRemoved = {},
--- a/test/ledger/CommitRuleTest.cpp
+++ b/test/ledger/CommitRuleTest.cpp
@@ -165,6 +165,38 @@
   }
 }
 
+TEST_CASE("AfterALossNothingThatMayHaveRunIsSentAgain")
+{
+  // Symptom: an order runs twice, though its record survived.
+  // Sequence: all three replicas hold an accept; the third is silent while
+  // the intent commits on the other two, which are then lost.
+  // Cause: the surviving copy is older than the intent, and was believed.
+  OneOrder order(CommitRule::kPrimaryPlusOne);
+  TestCluster& cluster = order.mEntries.mCluster;
+  REQUIRE(order.Accept() == Verdict::kDone);
+  cluster.Run(seconds(1));
+  cluster.Cut(order.mSet[2]);
+  REQUIRE(cluster.Do(order.mGateway, order.mKey, IntendTo("jobs-1")).mVerdict ==
+          Verdict::kDone);
+  cluster.Kill(order.mSet[0]);
+  cluster.Kill(order.mSet[1]);
+  cluster.Mend(order.mSet[2]);
+  order.mEntries.Replace({ order.mSet[0], order.mSet[1] });
+  order.mEntries.Settle();
+  const auto ask = [&](const Operation& aOperation) {
+    return cluster.Do(order.mGateway, order.mKey, aOperation).mVerdict;
+  };
+  CHECK(order.Read() == Verdict::kDone);
+  CHECK(ask(IntendTo("jobs-2", 2)) == Verdict::kMayHaveRun);
+  CHECK(ask(FinishWith(OutcomeKind::kRefused, "")) == Verdict::kMayHaveRun);
+  // The marks are on all replicas: two more losses change nothing.
+  order.mSet = cluster.Places().ReplicasOf(kShard);
+  order.mGateway = order.mEntries.Other(order.mSet);
+  order.Lose({ 0, 1 });
+  CHECK(ask(IntendTo("jobs-2", 3)) == Verdict::kMayHaveRun);
+  CHECK(ask(FinishWith(OutcomeKind::kUnknown, "")) == Verdict::kDone);
+}
+
 TEST_CASE("RemembersALossThroughTheNextRepair")
 {
   OneOrder order(CommitRule::kAllReplicas);
