Lay down control's types: log, state, sessions, storage

Cause: the daemons need the types and step signatures before the code. Change: headers only. Ruled out: command payloads as opaque bytes (the codec describes structs, so the log can hold typed commands); static entry data in each heartbeat (sent only until the process is a member).

--- /dev/null
+++ b/include/peridotspool/control/Command.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "peridotspool/base/TextDelta.h"
+#include "peridotspool/control/ReplicaSet.h"
+#include "peridotspool/membership/EntryNonce.h"
+#include "peridotspool/membership/EntryProfile.h"
+
+#include <boost/describe/class.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotspool::control {
+
+/** Changes nothing; a new leader's first entry. */
+struct NoopCommand
+{
+  auto operator<=>(const NoopCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(NoopCommand, (), ())
+
+/** Replaces the replica set; at most one replica differs. */
+struct ReplicaSetCommand
+{
+  ReplicaSet mSet;
+
+  auto operator<=>(const ReplicaSetCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(ReplicaSetCommand, (), (mSet))
+
+/** A settings edit that has passed its check. */
+struct EditCommand
+{
+  EditId mEdit;
+  Revision mBase;
+  /** Against the text of mBase; empty when mBase was already replaced. */
+  TextDelta mDelta;
+  /** Checksum of the wanted text and the base: tells edits apart. */
+  std::uint64_t mDigest = 0;
+  std::string mAuthor;
+
+  auto operator<=>(const EditCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(EditCommand, (), (mEdit, mBase, mDelta, mDigest, mAuthor))
+
+/** One entry process that becomes a member. */
+struct MemberJoin
+{
+  membership::EntryNonce mNonce;
+  membership::EntryProfile mProfile;
+
+  auto operator<=>(const MemberJoin&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(MemberJoin, (), (mNonce, mProfile))
+
+/** Makes one new epoch out of all its changes together. */
+struct MembershipCommand
+{
+  std::vector<MemberJoin> mJoins;
+  std::vector<MemberId> mDrains;
+  std::vector<MemberId> mRemovals;
+
+  auto operator<=>(const MembershipCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(MembershipCommand, (), (mJoins, mDrains, mRemovals))
+
+/** Takes the next fencing number for one order. */
+struct FencingCommand
+{
+  auto operator<=>(const FencingCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(FencingCommand, (), ())
+
+using Command = std::variant<NoopCommand,
+                             ReplicaSetCommand,
+                             EditCommand,
+                             MembershipCommand,
+                             FencingCommand>;
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/control/ControlEffect.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "peridotspool/control/OperatorAnswer.h"
+#include "peridotspool/control/PersistEffect.h"
+#include "peridotspool/control/ReplicaMessage.h"
+#include "peridotspool/membership/EntryMessage.h"
+
+#include <boost/describe/enum.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotspool::control {
+
+/** Send a message to another control replica; it may be lost. */
+struct ToReplicaEffect
+{
+  Address mTo;
+  ReplicaEnvelope mEnvelope;
+};
+
+/** Send a message on the connection that this entry process spoke on last. */
+struct ToEntryEffect
+{
+  membership::EntryNonce mTo;
+  membership::ToEntryMessage mMessage;
+};
+
+/** The answer to an OperatorEvent; exactly one for each. */
+struct AnswerEffect
+{
+  CallId mCall;
+  OperatorAnswer mAnswer;
+};
+
+enum class ControlNotice
+{
+  kTookLead,
+  kLostLead,
+  kEpochMade,
+  kSettingsCommitted,
+  kReplicaSetChanged,
+  kReplicaJoinRefused,
+  kMemberSilent,
+  kSnapshotMade,
+  kSnapshotInstalled,
+};
+BOOST_DESCRIBE_ENUM(ControlNotice,
+                    kTookLead,
+                    kLostLead,
+                    kEpochMade,
+                    kSettingsCommitted,
+                    kReplicaSetChanged,
+                    kReplicaJoinRefused,
+                    kMemberSilent,
+                    kSnapshotMade,
+                    kSnapshotInstalled)
+
+/** For the host's log. */
+struct NoticeEffect
+{
+  ControlNotice mNotice = ControlNotice::kTookLead;
+  /** key=value pairs. */
+  std::string mText;
+};
+
+using ControlEffect = std::variant<ToReplicaEffect,
+                                   ToEntryEffect,
+                                   PersistEffect,
+                                   AnswerEffect,
+                                   NoticeEffect>;
+using ControlEffects = std::vector<ControlEffect>;
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/control/ControlNode.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "peridotspool/control/ControlEffect.h"
+#include "peridotspool/control/ControlEvent.h"
+#include "peridotspool/control/ControlOptions.h"
+#include "peridotspool/control/RestoredState.h"
+
+#include <memory>
+
+namespace peridotspool::control {
+
+class ControlNodeState;
+
+/**
+ * One control replica: the replicated log, the state that it makes, and the
+ * sessions with entries and operators. What `peridotspool-controld` hosts.
+ *
+ * It is a pure step: it owns no clock, thread, socket or file, and the same
+ * events at the same times give the same effects. Not thread-safe.
+ */
+class ControlNode
+{
+public:
+  /** Starts from what was synced; an empty state joins by asking the seeds. */
+  ControlNode(ControlOptions aOptions, RestoredState aState, TimePoint aNow);
+  ~ControlNode();
+  ControlNode(ControlNode&&) noexcept;
+  ControlNode& operator=(ControlNode&&) noexcept;
+
+  /** Takes one event and returns what the host is to do, in order. */
+  ControlEffects Step(const ControlEvent& aEvent, TimePoint aNow);
+
+  /** Returns true iff this replica leads, and its lease holds at aNow. */
+  bool Leads(TimePoint aNow) const;
+  /** The newest applied state; on a follower it may be behind. */
+  const MachineState& State() const;
+  const ReplicaSet& Replicas() const;
+  ReplicaId Self() const;
+
+private:
+  std::unique_ptr<ControlNodeState> mState;
+};
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/control/MachineState.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "peridotspool/control/MembershipState.h"
+#include "peridotspool/control/SettingsState.h"
+
+#include <boost/describe/class.hpp>
+
+namespace peridotspool::control {
+
+/** All that the control log's commands change, apart from the replica set. */
+struct MachineState
+{
+  SettingsState mSettings;
+  MembershipState mMembership;
+  FencingNumber mLastFencing;
+
+  auto operator<=>(const MachineState&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(MachineState, (), (mSettings, mMembership, mLastFencing))
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/control/OperatorRequest.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "peridotspool/base/Ids.h"
+#include "peridotspool/base/Time.h"
+
+#include <boost/describe/class.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace peridotspool::control {
+
+/** Replaces the settings tree; safe to resend with the same edit id. */
+struct EditRequest
+{
+  EditId mEdit;
+  /** The revision that the new text was made from. */
+  Revision mBase;
+  std::string mText;
+  std::string mAuthor;
+
+  auto operator<=>(const EditRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(EditRequest, (), (mEdit, mBase, mText, mAuthor))
+
+/** Asks until when a revision is in force on all live entries. */
+struct InForceRequest
+{
+  Revision mRevision;
+  /** Answer after this long even if some entries are missing. */
+  Duration mWait{ 0 };
+
+  auto operator<=>(const InForceRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(InForceRequest, (), (mRevision, mWait))
+
+/** Asks for the settings text, of the newest revision unless one is given. */
+struct SettingsRequest
+{
+  std::optional<Revision> mRevision;
+
+  auto operator<=>(const SettingsRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SettingsRequest, (), (mRevision))
+
+/** Asks for the latest changes. */
+struct HistoryRequest
+{
+  std::uint64_t mLimit = 20;
+
+  auto operator<=>(const HistoryRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(HistoryRequest, (), (mLimit))
+
+/** Asks for the texts of two revisions. */
+struct DiffRequest
+{
+  Revision mFrom;
+  Revision mTo;
+
+  auto operator<=>(const DiffRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DiffRequest, (), (mFrom, mTo))
+
+/** Marks an entry as leaving; it hands over and is then removed. */
+struct DrainRequest
+{
+  EntryName mEntry;
+
+  auto operator<=>(const DrainRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DrainRequest, (), (mEntry))
+
+struct StatusRequest
+{
+  auto operator<=>(const StatusRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(StatusRequest, (), ())
+
+/** Takes the next fencing number, for one order to an engine. */
+struct FencingRequest
+{
+  auto operator<=>(const FencingRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(FencingRequest, (), ())
+
+using OperatorRequest = std::variant<EditRequest,
+                                     InForceRequest,
+                                     SettingsRequest,
+                                     HistoryRequest,
+                                     DiffRequest,
+                                     DrainRequest,
+                                     StatusRequest,
+                                     FencingRequest>;
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/control/SettingsState.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "peridotspool/base/TextDelta.h"
+#include "peridotspool/control/EditAnswer.h"
+
+#include <boost/describe/class.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peridotspool::control {
+
+/** One committed edit. */
+struct SettingsChange
+{
+  Revision mRevision;
+  EditId mEdit;
+  std::string mAuthor;
+  TextDelta mDelta;
+
+  auto operator<=>(const SettingsChange&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SettingsChange, (), (mRevision, mEdit, mAuthor, mDelta))
+
+/** The first answer to an edit, kept for resends. */
+struct EditRecord
+{
+  std::uint64_t mDigest = 0;
+  EditAnswer mAnswer;
+
+  auto operator<=>(const EditRecord&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(EditRecord, (), (mDigest, mAnswer))
+
+/** The replicated settings: the whole tree's text and its latest changes. */
+struct SettingsState
+{
+  Revision mRevision;
+  /** YAML of the whole tree at mRevision; opaque here. */
+  std::string mText;
+  /** The latest changes in rising order, up to mRevision; bounded. */
+  std::vector<SettingsChange> mHistory;
+  std::map<EditId, EditRecord> mEdits;
+  /** Ids of mEdits from the oldest on; bounded. */
+  std::vector<EditId> mEditOrder;
+
+  auto operator<=>(const SettingsState&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SettingsState,
+                      (),
+                      (mRevision, mText, mHistory, mEdits, mEditOrder))
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/membership/ControlSession.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/membership/ControlSessionEffect.h"
+#include "peridotspool/membership/ControlSessionEvent.h"
+#include "peridotspool/membership/ControlSessionOptions.h"
+
+#include <boost/describe/enum.hpp>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace peridotspool::membership {
+
+/** May an entry take new work? */
+enum class ServeVerdict
+{
+  kMayServe,
+  /** The control log hasn't made this process a member yet. */
+  kNotMember,
+  /** Removed from the member list, for good. */
+  kRemoved,
+  /** No majority has confirmed this process's settings since it started. */
+  kNeverConfirmed,
+  /** The last confirmation is too long ago. */
+  kConfirmationTooOld,
+};
+BOOST_DESCRIBE_ENUM(ServeVerdict,
+                    kMayServe,
+                    kNotMember,
+                    kRemoved,
+                    kNeverConfirmed,
+                    kConfirmationTooOld)
+
+/**
+ * An entry's side of its session with the control replicas: membership, lease,
+ * settings and epochs. Settings and epochs only ever rise.
+ *
+ * A pure step without clock, thread or socket. Not thread-safe.
+ */
+class ControlSession
+{
+public:
+  explicit ControlSession(ControlSessionOptions aOptions);
+
+  /** Takes one event and returns what the host is to do, in order. */
+  ControlSessionEffects Step(const ControlSessionEvent& aEvent, TimePoint aNow);
+
+  /** Says whether the entry may take new work at aNow, and if not, why. */
+  ServeVerdict MayServe(TimePoint aNow) const;
+  /**
+   * Returns true iff the leader's lease for this member holds at aNow. Asked
+   * right before an effect that only a live member may have.
+   */
+  bool LeaseHolds(TimePoint aNow) const;
+
+  /** Unset before the process is a member. */
+  MemberId Member() const { return mMember; }
+  /** The newest epoch that was taken. */
+  const EpochMap& Epoch() const { return mEpoch; }
+  /** The newest settings that were taken. */
+  Revision TakenRevision() const { return mTaken; }
+  Revision InForceRevision() const { return mInForce; }
+  /** The newest revision that a majority is known to have committed. */
+  Revision ConfirmedRevision() const { return mConfirmed; }
+
+private:
+  void Take(const FromControlEvent& aEvent);
+  void Take(const SettingsInForceEvent& aEvent);
+  void Take(const LeaveEvent& aEvent);
+  void Take(const LeftNothingEvent& aEvent);
+  void Take(const SuspectsEvent& aEvent);
+  void Take(const SessionTickEvent& aEvent);
+
+  void TakeMessage(const HeartbeatAnswer& aAnswer);
+  void TakeMessage(const SettingsPush& aPush);
+  void TakeMessage(const EpochPush& aPush);
+  void TakeStanding(const HeartbeatAnswer& aAnswer);
+  void TakeConfirmation(const HeartbeatAnswer& aAnswer, TimePoint aSentAt);
+  std::optional<std::string> TextOf(const SettingsPush& aPush) const;
+  void TakeChange(const EpochChange& aChange);
+
+  void SendHeartbeat();
+  void SendToAll(const FromEntryMessage& aMessage);
+  std::optional<TimePoint> SentAt(std::uint64_t aSequence) const;
+
+  /** A heartbeat whose answer may still come. */
+  struct SentHeartbeat
+  {
+    std::uint64_t mSequence;
+    TimePoint mSentAt;
+    /** The settings that it reported. */
+    Revision mInForce;
+  };
+
+  ControlSessionOptions mOptions;
+  ControlSessionEffects mEffects;
+  TimePoint mNow;
+  std::optional<TimePoint> mLastSent;
+  std::deque<SentHeartbeat> mSent;
+  std::uint64_t mSequence = 0;
+  MemberId mMember;
+  bool mRemoved = false;
+  bool mLeaving = false;
+  bool mDrainTold = false;
+  bool mDone = false;
+  std::vector<MemberId> mSuspects;
+  EpochMap mEpoch;
+  Revision mTaken;
+  std::string mText;
+  Revision mInForce;
+  Revision mConfirmed;
+  /** When the entry's settings were last known to be the newest. */
+  std::optional<TimePoint> mUpToDateAt;
+  TimePoint mLeaseEnd;
+};
+
+} // namespace peridotspool::membership
--- /dev/null
+++ b/include/peridotspool/storage/ControlStore.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "peridotspool/control/PersistEffect.h"
+#include "peridotspool/storage/DataFolder.h"
+
+#include <optional>
+#include <string>
+
+namespace peridotspool::storage {
+
+/**
+ * A control replica's state on disk. Blocking; for one thread: the host's disk
+ * thread carries PersistEffects out in order and reports their tokens.
+ */
+class ControlStore
+{
+public:
+  /** Opens the folder and returns what was synced in it. */
+  static std::optional<ControlStore> Open(std::string aPath,
+                                          control::RestoredState& aState,
+                                          LastReason& aReason,
+                                          SyncFunction aSync = {});
+
+  /**
+   * Writes the first state of a new system (see control::InitialState) into an
+   * empty folder; refused when the folder holds anything.
+   */
+  static bool Initialise(std::string aPath,
+                         const control::RestoredState& aState,
+                         LastReason& aReason);
+
+  /**
+   * Writes one effect and syncs it. After a failure the process must stop: it
+   * can't know what is on the disk.
+   */
+  bool Write(const control::PersistEffect& aWrite, LastReason& aReason);
+
+  /** Bytes cut off as a torn tail when the folder was opened. */
+  std::uint64_t CutBytes() const { return mFolder.CutBytes(); }
+
+private:
+  explicit ControlStore(DataFolder aFolder);
+
+  DataFolder mFolder;
+  /** The state on disk, without identity; needed for checkpoints. */
+  control::RestoredState mOnDisk;
+};
+
+} // namespace peridotspool::storage
