Add the life of a request: executions, audiences and relays

Change: RequestManager joins the ledger and the router as a pure step. One entry runs a request (the executor, one turn at a time); callers may be at any entry and follow it. A request that may not run twice is sent only after its intent is committed; one that may is sent at once, with its intent committed beside it. Broken streams are first resumed at the same engine over a new connection, then continued elsewhere with what was delivered as a prefix. Each answer's text has a lineage (the attempt at which it began), so halves of two answers never meet. Left: tests of the manager against a naive ledger; the daemons.

--- a/include/peridotspool/ledger/RequestRecord.h
+++ b/include/peridotspool/ledger/RequestRecord.h
@@ -40,10 +40,14 @@
   AttemptNumber mAttempt;
   UpstreamName mUpstream;
   Incarnation mIncarnation;
+  /** Pieces that were given along as a prefix; 0 from the beginning. */
+  std::uint64_t mFromIndex = 0;
 
   auto operator<=>(const DispatchIntent&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(DispatchIntent, (), (mAttempt, mUpstream, mIncarnation))
+BOOST_DESCRIBE_STRUCT(DispatchIntent,
+                      (),
+                      (mAttempt, mUpstream, mIncarnation, mFromIndex))
 
 enum class OutcomeKind
 {
@@ -79,13 +83,15 @@
   Duration mRetryAfter{ 0 };
   AttemptNumber mAttempt;
   UpstreamName mUpstream;
+  /** The attempt at which the answer's text began from nothing. */
+  AttemptNumber mLineage;
 
   auto operator<=>(const Outcome&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(
   Outcome,
   (),
-  (mKind, mStatus, mReason, mBody, mRetryAfter, mAttempt, mUpstream))
+  (mKind, mStatus, mReason, mBody, mRetryAfter, mAttempt, mUpstream, mLineage))
 
 /** What the ledger keeps of one request, alike on all replicas of its shard. */
 struct RequestRecord
--- /dev/null
+++ b/include/peridotspool/request/RelayMessage.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "peridotspool/base/Ids.h"
+#include "peridotspool/base/RequestKey.h"
+#include "peridotspool/ledger/RequestRecord.h"
+
+#include <boost/describe/class.hpp>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace peridotspool::request {
+
+/** Asks a request's executor for its answer from an offset on. */
+struct FollowMessage
+{
+  RequestKey mKey;
+  AttemptNumber mLineage;
+  std::uint64_t mOffset = 0;
+
+  auto operator<=>(const FollowMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(FollowMessage, (), (mKey, mLineage, mOffset))
+
+/** A piece of the answer that starts at mOffset bytes. */
+struct PieceMessage
+{
+  RequestKey mKey;
+  AttemptNumber mLineage;
+  std::uint64_t mOffset = 0;
+  std::string mText;
+
+  auto operator<=>(const PieceMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(PieceMessage, (), (mKey, mLineage, mOffset, mText))
+
+/** The request has ended; its outcome is committed. */
+struct EndedMessage
+{
+  RequestKey mKey;
+  ledger::Outcome mOutcome;
+
+  auto operator<=>(const EndedMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(EndedMessage, (), (mKey, mOutcome))
+
+/** The asked entry does not run this request; look at the ledger again. */
+struct NotHereMessage
+{
+  RequestKey mKey;
+
+  auto operator<=>(const NotHereMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(NotHereMessage, (), (mKey))
+
+/** A leaving executor asks another entry to take a request over. */
+struct HandOverMessage
+{
+  RequestKey mKey;
+  AttemptNumber mExecutorTurn;
+
+  auto operator<=>(const HandOverMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(HandOverMessage, (), (mKey, mExecutorTurn))
+
+/** Another entry has become the executor; the earlier one stops. */
+struct TakenOverMessage
+{
+  RequestKey mKey;
+  AttemptNumber mExecutorTurn;
+
+  auto operator<=>(const TakenOverMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(TakenOverMessage, (), (mKey, mExecutorTurn))
+
+using RelayMessage = std::variant<FollowMessage,
+                                  PieceMessage,
+                                  EndedMessage,
+                                  NotHereMessage,
+                                  HandOverMessage,
+                                  TakenOverMessage>;
+
+} // namespace peridotspool::request
--- /dev/null
+++ b/include/peridotspool/request/Tally.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <boost/describe/enum.hpp>
+
+namespace peridotspool::request {
+
+/** What the request path counts; each becomes a counter of /metrics. */
+enum class Tally
+{
+  kAccepted,
+  kKnownKey,
+  kAnswered,
+  kFailed,
+  kUnknownOutcome,
+  kCancelled,
+  kRefusedNoUpstream,
+  kRefusedAllEjected,
+  kRefusedDeadline,
+  kRefusedQueueFull,
+  kRefusedRetriesSpent,
+  kRefusedLedgerFull,
+  kRefusedOtherTerms,
+  kRefusedNotConfirmed,
+  kRefusedRateLimit,
+  kRefusedRetryBudget,
+  kRetryUpstreamRefused,
+  kRetryConnectionBroken,
+  kRetrySilent,
+  kRetryCrossedAnswer,
+  kRetryStreamGone,
+  kResumedStream,
+  kLatePieceDropped,
+  kCrossedPieceDropped,
+  kTakenOver,
+  kHandedOver,
+  kTurnLost,
+  kRecomputedAfterUpstreamLoss,
+  kRecomputedAfterTakeover,
+};
+BOOST_DESCRIBE_ENUM(Tally,
+                    kAccepted,
+                    kKnownKey,
+                    kAnswered,
+                    kFailed,
+                    kUnknownOutcome,
+                    kCancelled,
+                    kRefusedNoUpstream,
+                    kRefusedAllEjected,
+                    kRefusedDeadline,
+                    kRefusedQueueFull,
+                    kRefusedRetriesSpent,
+                    kRefusedLedgerFull,
+                    kRefusedOtherTerms,
+                    kRefusedNotConfirmed,
+                    kRefusedRateLimit,
+                    kRefusedRetryBudget,
+                    kRetryUpstreamRefused,
+                    kRetryConnectionBroken,
+                    kRetrySilent,
+                    kRetryCrossedAnswer,
+                    kRetryStreamGone,
+                    kResumedStream,
+                    kLatePieceDropped,
+                    kCrossedPieceDropped,
+                    kTakenOver,
+                    kHandedOver,
+                    kTurnLost,
+                    kRecomputedAfterUpstreamLoss,
+                    kRecomputedAfterTakeover)
+
+} // namespace peridotspool::request
--- a/include/peridotspool/routing/Router.h
+++ b/include/peridotspool/routing/Router.h
@@ -62,6 +62,10 @@
   /** Counts the end of a request that was sent. */
   void Ended(const UpstreamName& aUpstream, AttemptEnd aEnd, TimePoint aNow);
 
+  /** Returns the announcement that holds for an upstream now, if any. */
+  std::optional<UpstreamAnnouncement> Find(const UpstreamName& aUpstream,
+                                           TimePoint aNow) const;
+
   /** The announcements that hold now, for status pages. */
   std::vector<UpstreamAnnouncement> Upstreams(TimePoint aNow) const;
 
--- /dev/null
+++ b/src/request/LocalRequest.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "request/Audience.h"
+#include "request/Execution.h"
+
+#include <memory>
+#include <optional>
+
+namespace peridotspool::request {
+
+/** This entry's view of an answer that another entry's execution makes. */
+struct Following
+{
+  MemberId mExecutor;
+  AttemptNumber mExecutorTurn;
+  TimePoint mLastHeard;
+  TimePoint mAskAgainAt;
+  std::uint32_t mSilentAsks = 0;
+  std::uint32_t mDenials = 0;
+};
+
+/** All that this entry knows of one request. */
+struct LocalRequest
+{
+  Audience mAudience;
+  /** Set while this entry is the executor. */
+  std::unique_ptr<Execution> mExecution;
+  /** Set while another entry is, and somebody here wants the answer. */
+  std::optional<Following> mFollowing;
+  /** What came from the executor that is followed. */
+  Answer mMirror;
+  /** True while the ledger is being asked about it. */
+  bool mResolving = false;
+  /** When something is due; TimePoint::max() if nothing is. */
+  TimePoint mWake = TimePoint::max();
+};
+
+} // namespace peridotspool::request
--- /dev/null
+++ b/src/request/Relay.cpp
@@ -0,0 +1,200 @@
+// The part of the request manager that passes answers between entries: a
+// request runs at one entry, and its callers may be at any.
+
+#include "request/RequestManagerState.h"
+
+#include <algorithm>
+
+namespace peridotspool::request {
+
+namespace {
+
+/** Asks without an answer before the ledger is asked who runs the request. */
+constexpr std::uint32_t kMaxSilentAsks = 2;
+/** After a denial the ledger is asked again this much later. */
+constexpr Duration kDenialPause = std::chrono::milliseconds(150);
+
+} // namespace
+
+void
+RequestManagerState::Follow(const RequestKey& aKey,
+                            const ledger::RequestRecord& aRecord)
+{
+  LocalRequest& request = mRequests[aKey];
+  const bool same = request.mFollowing &&
+                    request.mFollowing->mExecutorTurn == aRecord.mExecutorTurn;
+  if (!same) {
+    request.mFollowing = Following{ .mExecutor = aRecord.mExecutor,
+                                    .mExecutorTurn = aRecord.mExecutorTurn };
+    // Another executor may give another text; what it sends decides.
+    request.mMirror = Answer{ .mExecutor = aRecord.mExecutor };
+  }
+  request.mFollowing->mSilentAsks = 0;
+  AskExecutor(aKey, request);
+}
+
+void
+RequestManagerState::AskExecutor(const RequestKey& aKey, LocalRequest& aRequest)
+{
+  Following& following = *aRequest.mFollowing;
+  mEffects->emplace_back(RelayEffect{
+    following.mExecutor,
+    FollowMessage{
+      aKey, aRequest.mMirror.mLineage, aRequest.mMirror.mText.size() } });
+  following.mAskAgainAt = mNow + mOptions.mFollowAgain;
+  SetWake(aKey, aRequest, following.mAskAgainAt);
+}
+
+void
+RequestManagerState::FollowTick(const RequestKey& aKey, LocalRequest& aRequest)
+{
+  Following& following = *aRequest.mFollowing;
+  if (following.mDenials > 0 || following.mSilentAsks >= kMaxSilentAsks) {
+    following.mSilentAsks = 0;
+    SetWake(aKey, aRequest, mNow + mOptions.mFollowAgain);
+    Resolve(aKey);
+    return;
+  }
+  ++following.mSilentAsks;
+  AskExecutor(aKey, aRequest);
+}
+
+void
+RequestManagerState::OnRelay(MemberId aFrom, const FollowMessage& aMessage)
+{
+  const auto found = mRequests.find(aMessage.mKey);
+  if (found == mRequests.end() || !found->second.mExecution) {
+    mEffects->emplace_back(
+      RelayEffect{ aFrom, NotHereMessage{ aMessage.mKey } });
+    return;
+  }
+  LocalRequest& request = found->second;
+  request.mAudience.Add(aFrom, { aMessage.mLineage, aMessage.mOffset });
+  const Answer& answer = request.mExecution->CurrentAnswer();
+  const bool nothingNew = answer.mLineage == aMessage.mLineage &&
+                          answer.mText.size() <= aMessage.mOffset;
+  if (nothingNew || !answer.mLineage.IsSet()) {
+    // An empty piece says that the executor is alive and runs the request.
+    mEffects->emplace_back(RelayEffect{
+      aFrom,
+      PieceMessage{ aMessage.mKey, aMessage.mLineage, aMessage.mOffset, "" } });
+  }
+  Settle(aMessage.mKey);
+}
+
+void
+RequestManagerState::OnRelay(MemberId aFrom, const PieceMessage& aMessage)
+{
+  const auto found = mRequests.find(aMessage.mKey);
+  if (found == mRequests.end() || !found->second.mFollowing ||
+      found->second.mFollowing->mExecutor != aFrom) {
+    mEffects->emplace_back(CountEffect{ Tally::kLatePieceDropped });
+    return;
+  }
+  LocalRequest& request = found->second;
+  Answer& mirror = request.mMirror;
+  request.mFollowing->mLastHeard = mNow;
+  request.mFollowing->mSilentAsks = 0;
+  request.mFollowing->mDenials = 0;
+  SetWake(aMessage.mKey, request, mNow + mOptions.mFollowAgain);
+  if (aMessage.mText.empty()) {
+    return;
+  }
+  if (mirror.mLineage != aMessage.mLineage && aMessage.mOffset == 0) {
+    mirror.mLineage = aMessage.mLineage;
+    mirror.mText.clear();
+  }
+  const bool fits = mirror.mLineage == aMessage.mLineage &&
+                    mirror.mText.size() == aMessage.mOffset;
+  if (fits) {
+    mirror.mText += aMessage.mText;
+    Settle(aMessage.mKey);
+    return;
+  }
+  const bool repeated = mirror.mLineage == aMessage.mLineage &&
+                        aMessage.mOffset < mirror.mText.size();
+  if (!repeated) {
+    // A piece before this one was lost between the entries.
+    AskExecutor(aMessage.mKey, request);
+  }
+}
+
+void
+RequestManagerState::OnRelay(MemberId /*aFrom*/, const EndedMessage& aMessage)
+{
+  const auto found = mRequests.find(aMessage.mKey);
+  if (found == mRequests.end()) {
+    return;
+  }
+  LocalRequest& request = found->second;
+  if (request.mExecution) {
+    WithExecution(aMessage.mKey,
+                  [&](Execution& aExecution, StepContext& aContext) {
+                    aExecution.OnOutcome(aContext, aMessage.mOutcome);
+                  });
+    return;
+  }
+  request.mMirror = AnswerOf(aMessage.mOutcome, request.mMirror.mExecutor);
+  request.mFollowing.reset();
+  Settle(aMessage.mKey);
+}
+
+void
+RequestManagerState::OnRelay(MemberId aFrom, const NotHereMessage& aMessage)
+{
+  const auto found = mRequests.find(aMessage.mKey);
+  if (found == mRequests.end() || !found->second.mFollowing ||
+      found->second.mFollowing->mExecutor != aFrom) {
+    return;
+  }
+  ++found->second.mFollowing->mDenials;
+  SetWake(aMessage.mKey, found->second, mNow + kDenialPause);
+}
+
+void
+RequestManagerState::OnRelay(MemberId aFrom, const HandOverMessage& aMessage)
+{
+  ProposeTakeOver(aMessage.mKey, aMessage.mExecutorTurn, aFrom);
+}
+
+void
+RequestManagerState::OnRelay(MemberId /*aFrom*/,
+                             const TakenOverMessage& aMessage)
+{
+  WithExecution(
+    aMessage.mKey, [&](Execution& aExecution, StepContext& aContext) {
+      if (aExecution.Record().mExecutorTurn < aMessage.mExecutorTurn) {
+        aExecution.OnTurnLost(aContext);
+      }
+    });
+}
+
+void
+RequestManagerState::HandOver(const RequestKey& aKey, LocalRequest& aRequest)
+{
+  const auto target = HandOverTarget(aKey);
+  if (!aRequest.mExecution->CanMove() || !target) {
+    return;
+  }
+  mEffects->emplace_back(CountEffect{ Tally::kHandedOver });
+  mEffects->emplace_back(RelayEffect{
+    *target,
+    HandOverMessage{ aKey, aRequest.mExecution->Record().mExecutorTurn } });
+}
+
+std::optional<MemberId>
+RequestManagerState::HandOverTarget(const RequestKey& aKey) const
+{
+  std::vector<MemberId> candidates;
+  for (const auto& [member, state] : mMembers) {
+    if (member != mSelf && state == membership::MemberState::kActive) {
+      candidates.push_back(member);
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates[std::hash<RequestKey>{}(aKey) % candidates.size()];
+}
+
+} // namespace peridotspool::request
--- /dev/null
+++ b/src/request/RequestManagerState.cpp
@@ -0,0 +1,596 @@
+#include "request/RequestManagerState.h"
+
+#include "peridotspool/base/Overloaded.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::request {
+
+namespace {
+
+constexpr std::int32_t kStatusUnavailable = 503;
+constexpr std::int32_t kStatusConflict = 422;
+
+} // namespace
+
+RequestManagerState::RequestManagerState(MemberId aSelf,
+                                         RequestOptions aOptions,
+                                         routing::Router& aRouter)
+  : mSelf(aSelf)
+  , mOptions(aOptions)
+  , mRouter(aRouter)
+  , mRandom(aOptions.mRandomSeed ^ aSelf.Value())
+{
+}
+
+Effects
+RequestManagerState::Step(const Event& aEvent, TimePoint aNow)
+{
+  Effects effects;
+  mNow = aNow;
+  mEffects = &effects;
+  std::visit([this](const auto& aAny) { On(aAny); }, aEvent);
+  mEffects = nullptr;
+  ForgetAnswered(effects);
+  return effects;
+}
+
+void
+RequestManagerState::ForgetAnswered(const Effects& aEffects)
+{
+  for (const Effect& effect : aEffects) {
+    const auto* reply = std::get_if<ReplyEffect>(&effect);
+    const bool last = reply != nullptr &&
+                      !std::holds_alternative<AcceptedReply>(reply->mReply) &&
+                      !std::holds_alternative<PieceReply>(reply->mReply) &&
+                      !std::holds_alternative<RestartReply>(reply->mReply);
+    if (last) {
+      mExchanges.erase(reply->mExchange);
+    }
+  }
+}
+
+std::size_t
+RequestManagerState::Running() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRequests.begin(), mRequests.end(), [](const auto& aPair) {
+      return aPair.second.mExecution != nullptr;
+    }));
+}
+
+std::size_t
+RequestManagerState::Callers() const
+{
+  return mExchanges.size();
+}
+
+void
+RequestManagerState::On(const SubmitEvent& aEvent)
+{
+  mExchanges[aEvent.mExchange] = aEvent.mKey;
+  Propose(aEvent.mKey,
+          ledger::AcceptOperation{ .mTerms = aEvent.mTerms,
+                                   .mExecutor = mSelf,
+                                   .mRemaining = aEvent.mRemaining },
+          { aEvent.mKey, AcceptPending{ aEvent.mExchange } });
+}
+
+void
+RequestManagerState::On(const AttachEvent& aEvent)
+{
+  mExchanges[aEvent.mExchange] = aEvent.mKey;
+  LocalRequest& request = mRequests[aEvent.mKey];
+  request.mAudience.Add(aEvent.mExchange, { aEvent.mLineage, aEvent.mOffset });
+  if (!request.mExecution) {
+    Resolve(aEvent.mKey);
+  }
+  Settle(aEvent.mKey);
+}
+
+void
+RequestManagerState::On(const CancelEvent& aEvent)
+{
+  Propose(aEvent.mKey,
+          ledger::CancelOperation{},
+          { aEvent.mKey, ConfirmPending{ aEvent.mExchange } });
+}
+
+void
+RequestManagerState::On(const AcknowledgeEvent& aEvent)
+{
+  Propose(aEvent.mKey,
+          ledger::ForgetOperation{},
+          { aEvent.mKey, ConfirmPending{ aEvent.mExchange } });
+}
+
+void
+RequestManagerState::On(const CallerGoneEvent& aEvent)
+{
+  const auto exchange = mExchanges.find(aEvent.mExchange);
+  if (exchange == mExchanges.end()) {
+    return;
+  }
+  const RequestKey key = exchange->second;
+  mExchanges.erase(exchange);
+  const auto request = mRequests.find(key);
+  if (request != mRequests.end()) {
+    request->second.mAudience.Remove(aEvent.mExchange);
+    Settle(key);
+  }
+}
+
+void
+RequestManagerState::On(const LedgerAnsweredEvent& aEvent)
+{
+  const auto found = mProposals.find(aEvent.mCall);
+  if (found == mProposals.end()) {
+    return;
+  }
+  const PendingProposal pending = std::move(found->second);
+  mProposals.erase(found);
+  const RequestKey& key = pending.mKey;
+  const ledger::OperationAnswer& answer = aEvent.mAnswer;
+  std::visit(
+    Overloaded{
+      [&](const AcceptPending& aAccept) { OnAccepted(key, aAccept, answer); },
+      [&](const ResolvePending&) { OnResolved(key, answer); },
+      [&](const TakeOverPending& aTake) { OnTakenOver(key, aTake, answer); },
+      [&](const ConfirmPending& aOne) { OnConfirmed(key, aOne, answer); },
+      [&](const ExecutionPending&) {
+        OnExecutionAnswer(key, aEvent.mCall, answer);
+      } },
+    pending.mPurpose);
+}
+
+void
+RequestManagerState::On(const OrphanedEvent& aEvent)
+{
+  const RequestKey& key = aEvent.mRecord.mKey;
+  const auto found = mRequests.find(key);
+  if (found != mRequests.end() && found->second.mExecution) {
+    return;
+  }
+  ProposeTakeOver(key, aEvent.mRecord.mExecutorTurn, aEvent.mRecord.mExecutor);
+}
+
+void
+RequestManagerState::On(const UpstreamEvent& aEvent)
+{
+  const auto call = mUpstreamCalls.find(aEvent.mCall);
+  if (call == mUpstreamCalls.end()) {
+    mEffects->emplace_back(CountEffect{ Tally::kLatePieceDropped });
+    return;
+  }
+  const RequestKey key = call->second;
+  if (!std::holds_alternative<UpstreamPiece>(aEvent.mOutcome)) {
+    mUpstreamCalls.erase(call);
+  }
+  WithExecution(key, [&](Execution& aExecution, StepContext& aContext) {
+    aExecution.OnUpstream(aContext, aEvent);
+  });
+}
+
+void
+RequestManagerState::On(const RelayEvent& aEvent)
+{
+  std::visit([&](const auto& aMessage) { OnRelay(aEvent.mFrom, aMessage); },
+             aEvent.mMessage);
+}
+
+void
+RequestManagerState::On(const MembersEvent& aEvent)
+{
+  mMembers.clear();
+  for (const membership::Member& member : aEvent.mMap.mMembers) {
+    mMembers[member.mId] = member.mState;
+  }
+  std::vector<RequestKey> lost;
+  for (const auto& [key, request] : mRequests) {
+    if (request.mFollowing && !IsMember(request.mFollowing->mExecutor)) {
+      lost.push_back(key);
+    }
+  }
+  for (const RequestKey& key : lost) {
+    Resolve(key);
+  }
+}
+
+void
+RequestManagerState::On(const DrainEvent& /*aEvent*/)
+{
+  mDraining = true;
+  std::vector<RequestKey> keys;
+  for (const auto& [key, request] : mRequests) {
+    keys.push_back(key);
+  }
+  for (const RequestKey& key : keys) {
+    LocalRequest& request = mRequests[key];
+    if (request.mExecution) {
+      HandOver(key, request);
+    } else if (request.mFollowing) {
+      request.mAudience.MoveCallersAway(*mEffects);
+    }
+    Settle(key);
+  }
+}
+
+void
+RequestManagerState::On(const AbandonEvent& /*aEvent*/)
+{
+  for (const auto& [call, key] : mUpstreamCalls) {
+    mEffects->emplace_back(DropUpstreamEffect{ call });
+  }
+  for (const auto& [exchange, key] : mExchanges) {
+    ReplyTo(exchange, MovedReply{});
+  }
+  mUpstreamCalls.clear();
+  mProposals.clear();
+  mRequests.clear();
+  mWakes.clear();
+}
+
+void
+RequestManagerState::On(const TickEvent& /*aEvent*/)
+{
+  while (!mWakes.empty() && mWakes.begin()->first <= mNow) {
+    const RequestKey key = mWakes.begin()->second;
+    mWakes.erase(mWakes.begin());
+    WakeOne(key);
+  }
+}
+
+void
+RequestManagerState::WakeOne(const RequestKey& aKey)
+{
+  const auto found = mRequests.find(aKey);
+  if (found == mRequests.end()) {
+    return;
+  }
+  found->second.mWake = TimePoint::max();
+  if (found->second.mExecution) {
+    WithExecution(aKey, [](Execution& aExecution, StepContext& aContext) {
+      aExecution.OnTick(aContext);
+    });
+  } else if (found->second.mFollowing) {
+    FollowTick(aKey, found->second);
+    Settle(aKey);
+  }
+}
+
+void
+RequestManagerState::OnAccepted(const RequestKey& aKey,
+                                const AcceptPending& aPending,
+                                const ledger::OperationAnswer& aAnswer)
+{
+  switch (aAnswer.mVerdict) {
+    case ledger::Verdict::kDone:
+      mEffects->emplace_back(CountEffect{ Tally::kAccepted });
+      break;
+    case ledger::Verdict::kKnown:
+    case ledger::Verdict::kFinished:
+      mEffects->emplace_back(CountEffect{ Tally::kKnownKey });
+      break;
+    case ledger::Verdict::kFull:
+      mEffects->emplace_back(CountEffect{ Tally::kRefusedLedgerFull });
+      RefuseExchange(aPending.mExchange, kStatusUnavailable, "ledger-full");
+      return;
+    case ledger::Verdict::kOtherTerms:
+      mEffects->emplace_back(CountEffect{ Tally::kRefusedOtherTerms });
+      RefuseExchange(
+        aPending.mExchange, kStatusConflict, "key-used-with-other-terms");
+      return;
+    default:
+      ReplyTo(aPending.mExchange, NoAnswerReply{});
+      return;
+  }
+  ReplyTo(aPending.mExchange, AcceptedReply{ aKey });
+  LocalRequest& request = mRequests[aKey];
+  if (mExchanges.count(aPending.mExchange) > 0) {
+    request.mAudience.Add(aPending.mExchange, {});
+  }
+  if (aAnswer.mVerdict == ledger::Verdict::kDone) {
+    BeginExecution(aKey, aAnswer, ExecutionStart::kAccepted);
+  } else if (aAnswer.mRecord) {
+    OnRecord(aKey, *aAnswer.mRecord);
+  }
+  Settle(aKey);
+}
+
+void
+RequestManagerState::OnResolved(const RequestKey& aKey,
+                                const ledger::OperationAnswer& aAnswer)
+{
+  const auto found = mRequests.find(aKey);
+  if (found == mRequests.end()) {
+    return;
+  }
+  LocalRequest& request = found->second;
+  request.mResolving = false;
+  if (request.mExecution) {
+    return;
+  }
+  if (aAnswer.mRecord) {
+    OnRecord(aKey, *aAnswer.mRecord);
+  } else {
+    const bool absent = aAnswer.mVerdict == ledger::Verdict::kNoSuchRequest;
+    for (const CallId exchange : request.mAudience.TakeCallers()) {
+      ReplyTo(exchange,
+              absent ? Reply(NoSuchRequestReply{}) : Reply(NoAnswerReply{}));
+    }
+    request.mFollowing.reset();
+  }
+  Settle(aKey);
+}
+
+void
+RequestManagerState::OnRecord(const RequestKey& aKey,
+                              const ledger::RequestRecord& aRecord)
+{
+  LocalRequest& request = mRequests[aKey];
+  if (aRecord.mOutcome) {
+    request.mMirror = AnswerOf(*aRecord.mOutcome, aRecord.mExecutor);
+    request.mFollowing.reset();
+    return;
+  }
+  if (request.mExecution) {
+    return;
+  }
+  // The record may name an entry that doesn't run it (any more): one that has
+  // left, one that denied it twice, or this one before a lost answer.
+  const bool denied =
+    request.mFollowing && request.mFollowing->mDenials >= 2 &&
+    request.mFollowing->mExecutorTurn == aRecord.mExecutorTurn;
+  if (aRecord.mExecutor == mSelf || !IsMember(aRecord.mExecutor) || denied) {
+    ProposeTakeOver(aKey, aRecord.mExecutorTurn, aRecord.mExecutor);
+  } else {
+    Follow(aKey, aRecord);
+  }
+}
+
+void
+RequestManagerState::Resolve(const RequestKey& aKey)
+{
+  LocalRequest& request = mRequests[aKey];
+  if (request.mResolving) {
+    return;
+  }
+  request.mResolving = true;
+  Propose(aKey, ledger::ReadOperation{}, { aKey, ResolvePending{} });
+}
+
+void
+RequestManagerState::ProposeTakeOver(const RequestKey& aKey,
+                                     AttemptNumber aTurn,
+                                     MemberId aFrom)
+{
+  if (mDraining) {
+    return;
+  }
+  Propose(
+    aKey,
+    ledger::TakeOverOperation{ .mExecutorTurn = aTurn, .mExecutor = mSelf },
+    { aKey, TakeOverPending{ aFrom } });
+}
+
+void
+RequestManagerState::OnTakenOver(const RequestKey& aKey,
+                                 const TakeOverPending& aPending,
+                                 const ledger::OperationAnswer& aAnswer)
+{
+  if (aAnswer.mVerdict == ledger::Verdict::kDone && aAnswer.mRecord) {
+    mEffects->emplace_back(CountEffect{ Tally::kTakenOver });
+    if (aPending.mFrom != mSelf && IsMember(aPending.mFrom)) {
+      mEffects->emplace_back(RelayEffect{
+        aPending.mFrom,
+        TakenOverMessage{ aKey, aAnswer.mRecord->mExecutorTurn } });
+    }
+    BeginExecution(aKey, aAnswer, ExecutionStart::kTakenOver);
+  } else if (aAnswer.mRecord) {
+    OnRecord(aKey, *aAnswer.mRecord);
+  } else if (mRequests.count(aKey) > 0) {
+    Resolve(aKey);
+  }
+  Settle(aKey);
+}
+
+void
+RequestManagerState::OnConfirmed(const RequestKey& aKey,
+                                 const ConfirmPending& aPending,
+                                 const ledger::OperationAnswer& aAnswer)
+{
+  switch (aAnswer.mVerdict) {
+    case ledger::Verdict::kDone:
+    case ledger::Verdict::kFinished:
+      ReplyTo(aPending.mExchange, ConfirmedReply{});
+      break;
+    case ledger::Verdict::kNoSuchRequest:
+      ReplyTo(aPending.mExchange, NoSuchRequestReply{});
+      return;
+    default:
+      ReplyTo(aPending.mExchange, NoAnswerReply{});
+      return;
+  }
+  if (!aAnswer.mRecord || !aAnswer.mRecord->mOutcome) {
+    return;
+  }
+  const ledger::Outcome& outcome = *aAnswer.mRecord->mOutcome;
+  const MemberId executor = aAnswer.mRecord->mExecutor;
+  if (executor != mSelf && IsMember(executor)) {
+    mEffects->emplace_back(
+      RelayEffect{ executor, EndedMessage{ aKey, outcome } });
+  }
+  WithExecution(aKey, [&](Execution& aExecution, StepContext& aContext) {
+    aExecution.OnOutcome(aContext, outcome);
+  });
+}
+
+void
+RequestManagerState::OnExecutionAnswer(const RequestKey& aKey,
+                                       CallId aCall,
+                                       const ledger::OperationAnswer& aAnswer)
+{
+  WithExecution(aKey, [&](Execution& aExecution, StepContext& aContext) {
+    aExecution.OnLedgerAnswer(aContext, aCall, aAnswer);
+  });
+}
+
+void
+RequestManagerState::BeginExecution(const RequestKey& aKey,
+                                    const ledger::OperationAnswer& aAnswer,
+                                    ExecutionStart aWhy)
+{
+  LocalRequest& request = mRequests[aKey];
+  request.mFollowing.reset();
+  request.mMirror = Answer{};
+  request.mExecution =
+    std::make_unique<Execution>(*aAnswer.mRecord, mNow + aAnswer.mRemaining);
+  WithExecution(aKey, [&](Execution& aExecution, StepContext& aContext) {
+    aExecution.Start(aContext, aWhy);
+  });
+}
+
+CallId
+RequestManagerState::Propose(const RequestKey& aKey,
+                             ledger::Operation aOperation,
+                             PendingProposal aPending)
+{
+  mLastCall = mLastCall.Next();
+  mProposals.emplace(mLastCall, std::move(aPending));
+  mEffects->emplace_back(
+    ProposeEffect{ mLastCall, aKey, std::move(aOperation) });
+  return mLastCall;
+}
+
+void
+RequestManagerState::ReplyTo(CallId aExchange, Reply aReply)
+{
+  mEffects->emplace_back(ReplyEffect{ aExchange, std::move(aReply) });
+}
+
+void
+RequestManagerState::RefuseExchange(CallId aExchange,
+                                    std::int32_t aStatus,
+                                    std::string aReason)
+{
+  ledger::Outcome outcome{ .mKind = ledger::OutcomeKind::kRefused,
+                           .mStatus = aStatus,
+                           .mReason = std::move(aReason),
+                           .mRetryAfter = mOptions.mRetryAfter };
+  mExchanges.erase(aExchange);
+  ReplyTo(aExchange, FinalReply{ std::move(outcome), mSelf });
+}
+
+bool
+RequestManagerState::IsMember(MemberId aMember) const
+{
+  return mMembers.count(aMember) > 0;
+}
+
+bool
+RequestManagerState::IsDraining(MemberId aMember) const
+{
+  const auto found = mMembers.find(aMember);
+  return found != mMembers.end() &&
+         found->second == membership::MemberState::kDraining;
+}
+
+void
+RequestManagerState::WithExecution(const RequestKey& aKey,
+                                   const UseExecution& aUse)
+{
+  const auto found = mRequests.find(aKey);
+  if (found == mRequests.end() || !found->second.mExecution) {
+    return;
+  }
+  const std::size_t before = mEffects->size();
+  StepContext context{ .mNow = mNow,
+                       .mSelf = mSelf,
+                       .mOptions = mOptions,
+                       .mRouter = mRouter,
+                       .mRandom = mRandom,
+                       .mLastCall = mLastCall,
+                       .mEffects = *mEffects };
+  aUse(*found->second.mExecution, context);
+  ClaimNewEffects(aKey, before);
+  Settle(aKey);
+}
+
+void
+RequestManagerState::ClaimNewEffects(const RequestKey& aKey, std::size_t aFrom)
+{
+  for (std::size_t index = aFrom; index < mEffects->size(); ++index) {
+    const Effect& effect = (*mEffects)[index];
+    if (const auto* proposal = std::get_if<ProposeEffect>(&effect)) {
+      mProposals[proposal->mCall] = { aKey, ExecutionPending{} };
+    } else if (const auto* start = std::get_if<StartUpstreamEffect>(&effect)) {
+      mUpstreamCalls[start->mCall] = aKey;
+    } else if (const auto* drop = std::get_if<DropUpstreamEffect>(&effect)) {
+      mUpstreamCalls.erase(drop->mCall);
+    }
+  }
+}
+
+void
+RequestManagerState::Settle(const RequestKey& aKey)
+{
+  const auto found = mRequests.find(aKey);
+  if (found == mRequests.end()) {
+    return;
+  }
+  LocalRequest& request = found->second;
+  if (request.mExecution) {
+    SettleExecution(aKey, request);
+  } else {
+    request.mAudience.Publish(aKey, request.mMirror, *mEffects);
+  }
+  const bool unused =
+    !request.mExecution && !request.mResolving && request.mAudience.Empty();
+  if (unused) {
+    SetWake(aKey, request, TimePoint::max());
+    mRequests.erase(found);
+  }
+}
+
+void
+RequestManagerState::SettleExecution(const RequestKey& aKey,
+                                     LocalRequest& aRequest)
+{
+  Execution& execution = *aRequest.mExecution;
+  aRequest.mAudience.Publish(aKey, execution.CurrentAnswer(), *mEffects);
+  if (!execution.Ended()) {
+    SetWake(aKey, aRequest, execution.NextWake());
+    return;
+  }
+  const bool lostTurn = execution.LostTurn();
+  SetWake(aKey, aRequest, TimePoint::max());
+  aRequest.mExecution.reset();
+  if (!lostTurn) {
+    return;
+  }
+  if (mDraining) {
+    aRequest.mAudience.MoveCallersAway(*mEffects);
+  } else if (!aRequest.mAudience.Empty()) {
+    Resolve(aKey);
+  }
+}
+
+void
+RequestManagerState::SetWake(const RequestKey& aKey,
+                             LocalRequest& aRequest,
+                             TimePoint aWake)
+{
+  if (aRequest.mWake == aWake) {
+    return;
+  }
+  if (aRequest.mWake != TimePoint::max()) {
+    mWakes.erase({ aRequest.mWake, aKey });
+  }
+  aRequest.mWake = aWake;
+  if (aWake != TimePoint::max()) {
+    mWakes.insert({ aWake, aKey });
+  }
+}
+
+} // namespace peridotspool::request
--- /dev/null
+++ b/src/request/RequestManagerState.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "peridotspool/request/RequestManager.h"
+#include "request/LocalRequest.h"
+#include "request/PendingProposal.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace peridotspool::request {
+
+/** The state and the steps behind RequestManager. */
+class RequestManagerState
+{
+public:
+  RequestManagerState(MemberId aSelf,
+                      RequestOptions aOptions,
+                      routing::Router& aRouter);
+
+  Effects Step(const Event& aEvent, TimePoint aNow);
+
+  std::size_t Running() const;
+  std::size_t Callers() const;
+
+private:
+  void On(const SubmitEvent& aEvent);
+  void On(const AttachEvent& aEvent);
+  void On(const CancelEvent& aEvent);
+  void On(const AcknowledgeEvent& aEvent);
+  void On(const CallerGoneEvent& aEvent);
+  void On(const LedgerAnsweredEvent& aEvent);
+  void On(const OrphanedEvent& aEvent);
+  void On(const UpstreamEvent& aEvent);
+  void On(const RelayEvent& aEvent);
+  void On(const MembersEvent& aEvent);
+  void On(const DrainEvent& aEvent);
+  void On(const AbandonEvent& aEvent);
+  void On(const TickEvent& aEvent);
+
+  void OnAccepted(const RequestKey& aKey,
+                  const AcceptPending& aPending,
+                  const ledger::OperationAnswer& aAnswer);
+  void OnResolved(const RequestKey& aKey,
+                  const ledger::OperationAnswer& aAnswer);
+  void OnTakenOver(const RequestKey& aKey,
+                   const TakeOverPending& aPending,
+                   const ledger::OperationAnswer& aAnswer);
+  void OnConfirmed(const RequestKey& aKey,
+                   const ConfirmPending& aPending,
+                   const ledger::OperationAnswer& aAnswer);
+  void OnExecutionAnswer(const RequestKey& aKey,
+                         CallId aCall,
+                         const ledger::OperationAnswer& aAnswer);
+
+  void OnRelay(MemberId aFrom, const FollowMessage& aMessage);
+  void OnRelay(MemberId aFrom, const PieceMessage& aMessage);
+  void OnRelay(MemberId aFrom, const EndedMessage& aMessage);
+  void OnRelay(MemberId aFrom, const NotHereMessage& aMessage);
+  void OnRelay(MemberId aFrom, const HandOverMessage& aMessage);
+  void OnRelay(MemberId aFrom, const TakenOverMessage& aMessage);
+
+  /** Acts on a record: publishes, follows, or takes over. */
+  void OnRecord(const RequestKey& aKey, const ledger::RequestRecord& aRecord);
+  void Resolve(const RequestKey& aKey);
+  void ProposeTakeOver(const RequestKey& aKey,
+                       AttemptNumber aTurn,
+                       MemberId aFrom);
+  void Follow(const RequestKey& aKey, const ledger::RequestRecord& aRecord);
+  void AskExecutor(const RequestKey& aKey, LocalRequest& aRequest);
+  void BeginExecution(const RequestKey& aKey,
+                      const ledger::OperationAnswer& aAnswer,
+                      ExecutionStart aWhy);
+  void HandOver(const RequestKey& aKey, LocalRequest& aRequest);
+  std::optional<MemberId> HandOverTarget(const RequestKey& aKey) const;
+
+  /** Publishes news of a request, sets its wake and drops it if unused. */
+  void Settle(const RequestKey& aKey);
+  void SettleExecution(const RequestKey& aKey, LocalRequest& aRequest);
+  void SetWake(const RequestKey& aKey, LocalRequest& aRequest, TimePoint aWake);
+  void WakeOne(const RequestKey& aKey);
+  void FollowTick(const RequestKey& aKey, LocalRequest& aRequest);
+
+  CallId Propose(const RequestKey& aKey,
+                 ledger::Operation aOperation,
+                 PendingProposal aPending);
+  void ReplyTo(CallId aExchange, Reply aReply);
+  void RefuseExchange(CallId aExchange,
+                      std::int32_t aStatus,
+                      std::string aReason);
+  bool IsMember(MemberId aMember) const;
+  bool IsDraining(MemberId aMember) const;
+
+  using UseExecution = std::function<void(Execution&, StepContext&)>;
+  /** Runs aUse with a context, then claims what it proposed and started. */
+  void WithExecution(const RequestKey& aKey, const UseExecution& aUse);
+  /** Forgets the exchanges that got their last reply. */
+  void ForgetAnswered(const Effects& aEffects);
+  void ClaimNewEffects(const RequestKey& aKey, std::size_t aFrom);
+
+  MemberId mSelf;
+  RequestOptions mOptions;
+  routing::Router& mRouter;
+  std::mt19937_64 mRandom;
+  CallId mLastCall;
+  bool mDraining = false;
+  std::map<MemberId, membership::MemberState> mMembers;
+  std::unordered_map<RequestKey, LocalRequest> mRequests;
+  std::unordered_map<CallId, PendingProposal> mProposals;
+  std::unordered_map<CallId, RequestKey> mUpstreamCalls;
+  std::unordered_map<CallId, RequestKey> mExchanges;
+  std::set<std::pair<TimePoint, RequestKey>> mWakes;
+
+  // Valid during one step only.
+  TimePoint mNow;
+  Effects* mEffects = nullptr;
+};
+
+} // namespace peridotspool::request
