Read and check the settings files

Why: each process reads its addresses from its own file, and operators steer the system by one tree of settings. A mistyped key that is taken for an absent one puts a default in force that nobody wrote.

What: one schema-driven reader for both kinds of file.

Ruled out: one struct parser for each file (the checks would stand twice); emitting a fresh YAML text on edits (loses the operators' comments).

Also: a NOLINT for the one name in Time.h that the standard library asks for.

--- a/include/peridotspool/base/Time.h
+++ b/include/peridotspool/base/Time.h
@@ -15,6 +15,8 @@
   using period = std::chrono::microseconds::period;
   using duration = std::chrono::microseconds;
   using time_point = std::chrono::time_point<ProcessClock>;
+  // The standard library asks for this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
 
--- /dev/null
+++ b/include/peridotspool/settings/ProcessBounds.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace peridotspool::settings {
+
+/** Upper bounds of what one process holds; beyond them it refuses. */
+struct ProcessBounds
+{
+  /** Bytes of one request's or answer's body. */
+  std::uint64_t mBodyBytes = 1 << 20;
+  /** Bytes of one HTTP header. */
+  std::uint64_t mHeaderBytes = 16 << 10;
+  /** Bytes of one message between our processes. */
+  std::uint64_t mFrameBytes = 4 << 20;
+  /** Open connections from callers. */
+  std::uint64_t mConnections = 4096;
+  /** Slots of each ring between two threads. */
+  std::uint64_t mRingSlots = 4096;
+  /** Bytes of accepted requests and kept answers. */
+  std::uint64_t mLedgerBytes = 256 << 20;
+  /** Upstreams known at once. */
+  std::uint64_t mUpstreams = 8192;
+
+  auto operator<=>(const ProcessBounds&) const = default;
+};
+
+} // namespace peridotspool::settings
--- /dev/null
+++ b/src/settings/ProcessSettings.cpp
@@ -0,0 +1,166 @@
+#include "peridotspool/settings/ProcessSettings.h"
+
+#include "settings/CheckedTree.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace peridotspool::settings {
+
+namespace {
+
+/** Reads the values of one checked file. */
+class FileReader
+{
+public:
+  FileReader(const CheckedTree& aTree, const BranchRule& aSchema)
+    : mTree(aTree)
+    , mSchema(aSchema)
+  {
+  }
+
+  template<typename T>
+  T Value(const std::string& aPath) const
+  {
+    return ValueOr<T>(mTree, mSchema, aPath);
+  }
+
+  std::string Text(const std::string& aPath) const
+  {
+    return Value<std::string>(aPath);
+  }
+
+  std::uint64_t Count(const std::string& aPath) const
+  {
+    return static_cast<std::uint64_t>(Value<std::int64_t>(aPath));
+  }
+
+  Address AddressOr(const std::string& aPath, const Address& aElse) const
+  {
+    const auto found = mTree.mValues.find(aPath);
+    return found == mTree.mValues.end()
+             ? aElse
+             : std::get<Address>(found->second.mValue);
+  }
+
+private:
+  const CheckedTree& mTree;
+  const BranchRule& mSchema;
+};
+
+LogSettings
+ReadLog(const FileReader& aFile)
+{
+  const std::string level = aFile.Text("log.level");
+  LogSettings log;
+  log.mLevel = level == "debug"   ? LogLevel::kDebug
+               : level == "warn"  ? LogLevel::kWarn
+               : level == "error" ? LogLevel::kError
+                                  : LogLevel::kInfo;
+  log.mFormat = aFile.Text("log.format") == "json" ? LogFormat::kJson
+                                                   : LogFormat::kKeyValue;
+  log.mFile = aFile.Text("log.file");
+  log.mQueueLines = aFile.Count("log.queue_lines");
+  return log;
+}
+
+ProcessBounds
+ReadBounds(const FileReader& aFile)
+{
+  return { .mBodyBytes = aFile.Count("bounds.body"),
+           .mHeaderBytes = aFile.Count("bounds.header"),
+           .mFrameBytes = aFile.Count("bounds.frame"),
+           .mConnections = aFile.Count("bounds.connections"),
+           .mRingSlots = aFile.Count("bounds.ring_slots"),
+           .mLedgerBytes = aFile.Count("bounds.ledger"),
+           .mUpstreams = aFile.Count("bounds.upstreams") };
+}
+
+std::string
+WrongReplica(const std::string& aPath, const std::string& aName)
+{
+  return aPath + ": expected a replica's number from 1, found '" + aName + "'";
+}
+
+/** Reads the replicas; their ids are the names of their branches. */
+std::vector<ControlReplica>
+ReadReplicas(const CheckedTree& aTree,
+             const FileReader& aReader,
+             const std::string& aFile,
+             SettingsErrors& aErrors)
+{
+  std::vector<ControlReplica> replicas;
+  for (const std::string& name : ChildNames(aTree, "control_replicas")) {
+    const std::string path = "control_replicas." + name;
+    std::uint64_t id = 0;
+    const char* const end = name.data() + name.size();
+    const auto [rest, fault] = std::from_chars(name.data(), end, id);
+    if (fault != std::errc{} || rest != end || id == 0) {
+      AddError(
+        aErrors, aFile, aTree.mBranches.at(path), WrongReplica(path, name));
+      continue;
+    }
+    replicas.push_back(
+      { .mId = ReplicaId(id),
+        .mPeerAddress = aReader.AddressOr(path + ".peer", {}),
+        .mHttpAddress = aReader.AddressOr(path + ".http", {}) });
+  }
+  std::sort(replicas.begin(), replicas.end());
+  if (replicas.empty() && aErrors.empty()) {
+    AddError(aErrors,
+             aFile,
+             aTree.mBranches.at("control_replicas"),
+             "control_replicas: expected at least one replica");
+  }
+  return replicas;
+}
+
+ProcessSettings
+ReadProcess(const FileReader& aFile, ProcessRole aRole)
+{
+  ProcessSettings settings;
+  settings.mName = EntryName(aFile.Text("name"));
+  settings.mRegion = Region(aFile.Text("region"));
+  settings.mDomain = FailureDomain(aFile.Text("failure_domain"));
+  settings.mPeerListen = aFile.Value<Address>("listen.peer");
+  settings.mHttpListen = aFile.Value<Address>("listen.http");
+  settings.mPeerAdvertise =
+    aFile.AddressOr("advertise.peer", settings.mPeerListen);
+  settings.mHttpAdvertise =
+    aFile.AddressOr("advertise.http", settings.mHttpListen);
+  settings.mPeerKeyFile = aFile.Text("peer_key_file");
+  settings.mOperatorsFile = aFile.Text("operators_file");
+  settings.mLog = ReadLog(aFile);
+  settings.mBounds = ReadBounds(aFile);
+  if (aRole == ProcessRole::kControl) {
+    settings.mReplica = ReplicaId(aFile.Count("replica"));
+    settings.mDataFolder = aFile.Text("data_folder");
+  }
+  return settings;
+}
+
+} // namespace
+
+std::optional<ProcessSettings>
+ParseProcessSettings(std::string_view aText,
+                     const std::string& aFile,
+                     ProcessRole aRole,
+                     SettingsErrors& aErrors)
+{
+  aErrors.clear();
+  const BranchRule& schema =
+    aRole == ProcessRole::kEntry ? EntrySchema() : ControlSchema();
+  const CheckedTree tree = CheckText(aText, aFile, schema, aErrors);
+  if (!aErrors.empty()) {
+    return std::nullopt;
+  }
+  const FileReader reader(tree, schema);
+  ProcessSettings settings = ReadProcess(reader, aRole);
+  settings.mControlReplicas = ReadReplicas(tree, reader, aFile, aErrors);
+  if (!aErrors.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace peridotspool::settings
