Host the cores: entryd and controld

Change: EntryNode joins session, ledger, router and requests as one pure step; EntryHost and ControlHost put threads, sockets, disk and clock around the nodes. HTTP to callers, operators and upstreams is read and written by pure functions (CallerApi, OperatorApi, CallerExchange, UpstreamAdapter).

--- /dev/null
+++ b/include/peridotspool/http/OperatorApi.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "peridotspool/control/OperatorAnswer.h"
+#include "peridotspool/control/OperatorRequest.h"
+#include "peridotspool/http/CallerApi.h"
+#include "peridotspool/http/HttpMessage.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace peridotspool::http {
+
+/** An operator's request to a control replica, or the answer to a bad one. */
+using OperatorCommand = std::variant<control::OperatorRequest, RefusedCommand>;
+
+/**
+ * Reads a request to a control replica's HTTP address: authenticates it and
+ * gives it its type. Every request but an unknown one needs an operator's key.
+ */
+OperatorCommand
+ReadOperatorRequest(const HttpRequest& aRequest, const KeyHashes& aKeys);
+
+/** Returns a replica's HTTP address for its peer address. */
+using FindHttpAddress =
+  std::function<std::optional<Address>(const Address& aPeer)>;
+
+/** Writes the answer; a replica that doesn't lead names the one that does. */
+HttpResponse
+WriteOperatorAnswer(const control::OperatorAnswer& aAnswer,
+                    const FindHttpAddress& aFindHttp);
+
+} // namespace peridotspool::http
--- /dev/null
+++ b/include/peridotspool/runtime/SystemClock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+
+namespace peridotspool::runtime {
+
+/**
+ * Returns the present time of this process. Only hosts call it: the deciding
+ * parts get the time as an argument. Counts on while the process is stopped,
+ * so that one that was frozen finds its leases over when it wakes.
+ */
+TimePoint
+ReadClock();
+
+} // namespace peridotspool::runtime
--- /dev/null
+++ b/src/runtime/ControlHost.cpp
@@ -0,0 +1,289 @@
+#include "peridotspool/runtime/ControlHost.h"
+
+#include "http/ApiError.h"
+#include "peridotspool/runtime/KeyFiles.h"
+#include "peridotspool/runtime/StopSignal.h"
+#include "peridotspool/runtime/SystemClock.h"
+#include "peridotspool/settings/SettingsTree.h"
+#include "peridotspool/storage/ControlStore.h"
+#include "peridotspool/wire/Codec.h"
+#include "runtime/ControlDecider.h"
+
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace peridotspool::runtime {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr std::size_t kDiskSlots = 1024;
+constexpr std::size_t kMaxOperatorBody = 8U << 20;
+constexpr std::uint32_t kStatusUnavailable = 503;
+
+std::uint64_t
+RandomNumber()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device() | 1;
+}
+
+std::optional<std::string>
+CheckTree(const std::string& aText)
+{
+  settings::SettingsErrors errors;
+  if (settings::SettingsTree::Parse(aText, "settings", errors)) {
+    return std::nullopt;
+  }
+  return settings::ToText(errors);
+}
+
+control::ControlOptions
+NodeOptions(const settings::ProcessSettings& aSettings, const Address& aAddress)
+{
+  control::ControlOptions options;
+  options.mName = control::ReplicaName(aSettings.mName.Value());
+  options.mDomain = aSettings.mDomain;
+  options.mAddress = aAddress;
+  options.mNonce = control::JoinNonce(RandomNumber());
+  for (const auto& replica : aSettings.mControlReplicas) {
+    if (replica.mPeerAddress != aAddress) {
+      options.mSeeds.push_back(replica.mPeerAddress);
+    }
+  }
+  options.mConsensus.mRandomSeed = RandomNumber();
+  options.mChecker = CheckTree;
+  return options;
+}
+
+} // namespace
+
+bool
+InitialiseControl(const settings::ProcessSettings& aSettings,
+                  LastReason& aReason)
+{
+  const control::RestoredState first = control::InitialState(
+    control::SystemId(RandomNumber()),
+    control::ReplicaInfo{ .mName =
+                            control::ReplicaName(aSettings.mName.Value()),
+                          .mDomain = aSettings.mDomain,
+                          .mAddress = aSettings.mPeerAdvertise });
+  return storage::ControlStore::Initialise(
+    aSettings.mDataFolder, first, aReason);
+}
+
+class ControlHost::Impl
+{
+public:
+  explicit Impl(settings::ProcessSettings aSettings)
+    : mSettings(std::move(aSettings))
+    , mRing(mSettings.mBounds.mRingSlots)
+    , mDisk(kDiskSlots)
+  {
+  }
+
+  ~Impl()
+  {
+    mRing.Close();
+    mDisk.Close();
+    for (std::thread* thread : { &mDeciding, &mWriting }) {
+      if (thread->joinable()) {
+        thread->join();
+      }
+    }
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  bool Start(LastReason& aReason)
+  {
+    const auto key = ReadPeerKey(mSettings.mPeerKeyFile, aReason);
+    if (!key) {
+      return false;
+    }
+    const auto operators = ReadOperators(mSettings.mOperatorsFile, aReason);
+    if (!operators) {
+      return false;
+    }
+    mKeys = *operators;
+    control::RestoredState restored;
+    mStore =
+      storage::ControlStore::Open(mSettings.mDataFolder, restored, aReason);
+    if (!mStore) {
+      return false;
+    }
+    MakeParts(*key);
+    if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
+      return false;
+    }
+    mWriting = std::thread([this] { WriteToDisk(); });
+    mDeciding = std::thread(
+      [this, state = std::move(restored)]() mutable { Decide(state); });
+    return true;
+  }
+
+  void Leave() { mRing.Push(StopInput{}); }
+
+  bool Wait()
+  {
+    mDeciding.join();
+    mDisk.Close();
+    mWriting.join();
+    mServer->Stop();
+    mTransport->Stop();
+    return !mDiskFailed;
+  }
+
+private:
+  void MakeParts(const std::string& aKey)
+  {
+    const auto& bounds = mSettings.mBounds;
+    mTransport = std::make_unique<wire::PeerTransport>(
+      wire::PeerTransportOptions{ .mListen = mSettings.mPeerListen,
+                                  .mSharedKey = aKey,
+                                  .mMaxFrameBytes = bounds.mFrameBytes },
+      [this](std::string aFrame) { OnFrame(aFrame); });
+    mServer = std::make_unique<http::HttpServer>(
+      http::HttpServerOptions{ .mListen = mSettings.mHttpListen,
+                               .mMaxBodyBytes = kMaxOperatorBody,
+                               .mMaxHeaderBytes = bounds.mHeaderBytes,
+                               .mMaxConnections = bounds.mConnections },
+      [this](http::ExchangeId aExchange, http::HttpRequest aRequest) {
+        OnRequest(aExchange, aRequest);
+      },
+      [](http::ExchangeId) {});
+  }
+
+  void OnFrame(const std::string& aFrame)
+  {
+    LastReason reason;
+    auto envelope = wire::Decode<wire::PeerEnvelope>(aFrame, reason);
+    if (envelope) {
+      mRing.TryPush(ControlPeerInput{ std::move(*envelope) });
+    }
+  }
+
+  void OnRequest(http::ExchangeId aExchange, const http::HttpRequest& aRequest)
+  {
+    http::OperatorCommand command = http::ReadOperatorRequest(aRequest, mKeys);
+    if (auto* refused = std::get_if<http::RefusedCommand>(&command)) {
+      mServer->Respond(aExchange, std::move(refused->mResponse));
+      return;
+    }
+    auto& request = std::get<control::OperatorRequest>(command);
+    if (!mRing.TryPush(OperatorInput{ aExchange, std::move(request) })) {
+      mServer->Respond(aExchange,
+                       http::MakeErrorResponse(kStatusUnavailable,
+                                               "overloaded",
+                                               "too much waits to be decided"));
+    }
+  }
+
+  std::optional<Address> FindHttp(const Address& aPeer) const
+  {
+    for (const auto& replica : mSettings.mControlReplicas) {
+      if (replica.mPeerAddress == aPeer) {
+        return replica.mHttpAddress;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Decide(control::RestoredState& aRestored)
+  {
+    TimePoint now = ReadClock();
+    Address self = mSettings.mPeerAdvertise;
+    if (self.mPort == 0) {
+      self = mTransport->LocalAddress();
+    }
+    ControlDecider decider(
+      control::ControlNode(
+        NodeOptions(mSettings, self), std::move(aRestored), now),
+      ControlParts{ *mServer, *mTransport, mDisk, [this](const Address& aPeer) {
+                     return FindHttp(aPeer);
+                   } });
+    TimePoint nextTick = now;
+    while (!decider.Stopped() && !mDiskFailed) {
+      auto input = mRing.Pop(std::max(Duration(0), nextTick - now));
+      now = ReadClock();
+      if (now >= nextTick) {
+        // Before the input: a replica that was frozen must learn that its
+        // lease is over before it answers anything that waited.
+        decider.Tick(now);
+        nextTick = now + kTick;
+      }
+      if (input) {
+        decider.Take(std::move(*input), now);
+      }
+    }
+    mRing.Close();
+  }
+
+  void WriteToDisk()
+  {
+    for (;;) {
+      auto write = mDisk.Pop(std::chrono::seconds(1));
+      if (!write) {
+        if (mRing.Closed()) {
+          return;
+        }
+        continue;
+      }
+      LastReason reason;
+      if (!mStore->Write(*write, reason)) {
+        // After a failed sync nobody knows what the disk holds: going on could
+        // acknowledge what a restart forgets.
+        std::fprintf(stderr, "data folder: %s\n", reason.Text().c_str());
+        mDiskFailed = true;
+        mRing.Close();
+        mDisk.Close();
+        RequestStop();
+        return;
+      }
+      mRing.Push(SyncedInput{ write->mToken });
+    }
+  }
+
+  settings::ProcessSettings mSettings;
+  http::KeyHashes mKeys;
+  BoundedRing<ControlInput> mRing;
+  BoundedRing<control::PersistEffect> mDisk;
+  std::optional<storage::ControlStore> mStore;
+  std::unique_ptr<wire::PeerTransport> mTransport;
+  std::unique_ptr<http::HttpServer> mServer;
+  std::atomic<bool> mDiskFailed{ false };
+  std::thread mDeciding;
+  std::thread mWriting;
+};
+
+ControlHost::ControlHost(settings::ProcessSettings aSettings)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+ControlHost::~ControlHost() = default;
+
+bool
+ControlHost::Start(LastReason& aReason)
+{
+  return mImpl->Start(aReason);
+}
+
+void
+ControlHost::Leave()
+{
+  mImpl->Leave();
+}
+
+bool
+ControlHost::Wait()
+{
+  return mImpl->Wait();
+}
+
+} // namespace peridotspool::runtime
--- /dev/null
+++ b/src/runtime/EntryDecider.cpp
@@ -0,0 +1,387 @@
+#include "runtime/EntryDecider.h"
+
+#include "peridotspool/wire/Codec.h"
+#include "runtime/StatusJson.h"
+
+#include <utility>
+
+namespace peridotspool::runtime {
+
+namespace {
+
+constexpr std::size_t kExplainedRequests = 2000;
+/** Side calls are numbered above all calls that the core starts. */
+constexpr http::ClientCallId kFirstSideCall = 1ULL << 62;
+
+http::HttpResponse
+JsonResponse(std::string aBody)
+{
+  return http::HttpResponse{ .mStatus = 200,
+                             .mHeaders = { { "content-type",
+                                             "application/json" } },
+                             .mBody = std::move(aBody) };
+}
+
+} // namespace
+
+EntryDecider::EntryDecider(request::EntryNodeOptions aOptions,
+                           std::string aName,
+                           EntryParts aParts,
+                           TimePoint aNow)
+  : mName(std::move(aName))
+  , mParts(aParts)
+  , mNode(std::move(aOptions), aNow)
+  , mExplain(kExplainedRequests)
+  , mLastSideCall(kFirstSideCall)
+{
+}
+
+void
+EntryDecider::Take(EntryInput aInput, TimePoint aNow)
+{
+  mNow = aNow;
+  std::visit([this](auto& aAny) { On(aAny); }, aInput);
+}
+
+void
+EntryDecider::Tick(TimePoint aNow)
+{
+  mNow = aNow;
+  Step(request::TickEvent{});
+}
+
+void
+EntryDecider::Step(const request::EntryNodeEvent& aEvent)
+{
+  for (const auto& effect : mNode.Step(aEvent, mNow)) {
+    std::visit([this](const auto& aAny) { Carry(aAny); }, effect);
+  }
+}
+
+void
+EntryDecider::On(CommandInput& aInput)
+{
+  std::visit([&](auto& aAny) { OnCommand(aInput.mExchange, aAny); },
+             aInput.mCommand);
+}
+
+void
+EntryDecider::On(GoneInput& aInput)
+{
+  if (mExchanges.erase(aInput.mExchange) > 0) {
+    Step(request::CallerEvent{
+      request::CallerGoneEvent{ CallId(aInput.mExchange) } });
+  }
+}
+
+void
+EntryDecider::On(CallInput& aInput)
+{
+  const auto reader = mReaders.find(aInput.mCall);
+  if (reader == mReaders.end()) {
+    return;
+  }
+  auto outcomes = std::visit(
+    [&](auto& aReader) { return aReader.Take(aInput.mEvent); }, reader->second);
+  const bool over = std::holds_alternative<http::CallDone>(aInput.mEvent) ||
+                    std::holds_alternative<http::CallFailed>(aInput.mEvent);
+  if (over) {
+    mReaders.erase(reader);
+  }
+  for (auto& outcome : outcomes) {
+    Step(request::UpstreamEvent{ CallId(aInput.mCall), std::move(outcome) });
+  }
+}
+
+void
+EntryDecider::On(PeerInput& aInput)
+{
+  std::visit([&](const auto& aAny) { OnPayload(aInput.mEnvelope.mFrom, aAny); },
+             aInput.mEnvelope.mPayload);
+}
+
+void
+EntryDecider::On(LeaveInput& /*aInput*/)
+{
+  Step(request::LeaveNodeEvent{});
+}
+
+void
+EntryDecider::OnPayload(const Address& /*aFrom*/,
+                        const control::ReplicaEnvelope& /*aOne*/)
+{
+  // Meant for a control replica.
+}
+
+void
+EntryDecider::OnPayload(const Address& /*aFrom*/,
+                        const membership::EntryEnvelope& /*aOne*/)
+{
+  // Meant for a control replica.
+}
+
+void
+EntryDecider::OnPayload(const Address& /*aFrom*/,
+                        const wire::ToEntryEnvelope& aOne)
+{
+  Step(request::FromControlReplicaEvent{ aOne.mTo, aOne.mMessage });
+}
+
+void
+EntryDecider::OnPayload(const Address& /*aFrom*/,
+                        const wire::MemberEnvelope& aOne)
+{
+  Step(request::FromMemberEvent{ aOne.mFrom, aOne.mTo, aOne.mMessage });
+}
+
+void
+EntryDecider::BeginExchange(http::ExchangeId aExchange,
+                            bool aStream,
+                            const RequestKey& aKey)
+{
+  mExchanges.emplace(aExchange,
+                     http::CallerExchange(aStream, aKey.mKey, mName));
+}
+
+void
+EntryDecider::RespondJson(http::ExchangeId aExchange, std::string aBody)
+{
+  mParts.mServer.Respond(aExchange, JsonResponse(std::move(aBody)));
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::DirectoryCommand& aCommand)
+{
+  RespondJson(aExchange, DirectoryJson(mNode.Directory(aCommand.mRegion)));
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::SubmitCommand& aCommand)
+{
+  BeginExchange(aExchange, aCommand.mStream, aCommand.mKey);
+  Step(request::CallerEvent{
+    request::SubmitEvent{ .mExchange = CallId(aExchange),
+                          .mKey = std::move(aCommand.mKey),
+                          .mTerms = std::move(aCommand.mTerms),
+                          .mRemaining = aCommand.mRemaining } });
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::AttachCommand& aCommand)
+{
+  BeginExchange(aExchange, aCommand.mStream, aCommand.mKey);
+  Step(request::CallerEvent{
+    request::AttachEvent{ .mExchange = CallId(aExchange),
+                          .mKey = std::move(aCommand.mKey),
+                          .mLineage = aCommand.mLineage,
+                          .mOffset = aCommand.mOffset } });
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::CancelCommand& aCommand)
+{
+  BeginExchange(aExchange, false, aCommand.mKey);
+  Step(request::CallerEvent{
+    request::CancelEvent{ CallId(aExchange), std::move(aCommand.mKey) } });
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::AcknowledgeCommand& aCommand)
+{
+  BeginExchange(aExchange, false, aCommand.mKey);
+  Step(request::CallerEvent{
+    request::AcknowledgeEvent{ CallId(aExchange), std::move(aCommand.mKey) } });
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::AnnounceCommand& aCommand)
+{
+  Step(request::AnnouncedEvent{ std::move(aCommand.mAnnouncement) });
+  RespondJson(aExchange, "{}");
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::StatusCommand& /*aCommand*/)
+{
+  RespondJson(
+    aExchange,
+    EntryStatusJson(mNode.Status(mNow), mName, mParts.mCounters.Read()));
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::ExplainCommand& aCommand)
+{
+  std::string body = mExplain.Json(aCommand.mKey);
+  if (body.empty()) {
+    body = R"({"reason":"not-kept-here","choices":[]})";
+  }
+  RespondJson(aExchange, std::move(body));
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::DrainCommand& /*aCommand*/)
+{
+  Step(request::LeaveNodeEvent{});
+  RespondJson(aExchange, R"({"leaving":true})");
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::MetricsCommand& /*aCommand*/)
+{
+  mParts.mServer.Respond(
+    aExchange,
+    http::HttpResponse{
+      .mStatus = 200,
+      .mHeaders = { { "content-type", "text/plain; version=0.0.4" } },
+      .mBody = RenderMetrics(mParts.mCounters.Read()) });
+}
+
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange,
+                        http::RefusedCommand& aCommand)
+{
+  mParts.mServer.Respond(aExchange, std::move(aCommand.mResponse));
+}
+
+void
+EntryDecider::SendPeer(const Address& aTo, wire::PeerPayload aPayload)
+{
+  const wire::PeerEnvelope envelope{ .mFrom = mParts.mTransport.LocalAddress(),
+                                     .mPayload = std::move(aPayload) };
+  mParts.mTransport.Send(aTo, wire::Encode(envelope));
+}
+
+void
+EntryDecider::Carry(const request::ToControlReplicaEffect& aEffect)
+{
+  SendPeer(aEffect.mTo, aEffect.mEnvelope);
+}
+
+void
+EntryDecider::Carry(const request::ToMemberEffect& aEffect)
+{
+  SendPeer(
+    aEffect.mTo,
+    wire::MemberEnvelope{ aEffect.mFrom, aEffect.mToMember, aEffect.mMessage });
+}
+
+void
+EntryDecider::Carry(const request::TakeSettingsEffect& aEffect)
+{
+  settings::SettingsErrors errors;
+  auto tree = settings::SettingsTree::Parse(
+    aEffect.mText,
+    "revision " + std::to_string(aEffect.mRevision.Value()),
+    errors);
+  if (tree) {
+    mParts.mSettings.Store(std::move(tree));
+    Step(request::SettingsTakenEvent{ aEffect.mRevision });
+  }
+  // A text that the control replicas took and this program can't read (it is
+  // older, say) stays out of force: the operators see this entry as missing.
+}
+
+void
+EntryDecider::Carry(const request::BecameMemberEffect& /*aEffect*/)
+{
+}
+
+void
+EntryDecider::Carry(const request::EpochTakenEffect& /*aEffect*/)
+{
+}
+
+void
+EntryDecider::Carry(const request::LostMembershipEffect& /*aEffect*/)
+{
+}
+
+void
+EntryDecider::Carry(const request::LeftEffect& /*aEffect*/)
+{
+  mLeft = true;
+}
+
+void
+EntryDecider::Carry(const request::StartUpstreamEffect& aEffect)
+{
+  const http::ClientCallId call = aEffect.mCall.Value();
+  mReaders.emplace(call, http::MakeAnswerReader(aEffect.mKind));
+  mParts.mClient.Start(
+    call, aEffect.mAddress, http::MakeUpstreamRequest(aEffect));
+}
+
+void
+EntryDecider::Carry(const request::DropUpstreamEffect& aEffect)
+{
+  mReaders.erase(aEffect.mCall.Value());
+  mParts.mClient.Cancel(aEffect.mCall.Value());
+}
+
+void
+EntryDecider::Carry(const request::CancelUpstreamEffect& aEffect)
+{
+  if (aEffect.mKind == routing::UpstreamKind::kModelEngine) {
+    mParts.mClient.Start(
+      ++mLastSideCall, aEffect.mAddress, http::MakeCancelRequest(aEffect));
+  }
+}
+
+void
+EntryDecider::Carry(const request::ReplyEffect& aEffect)
+{
+  const http::ExchangeId exchange = aEffect.mExchange.Value();
+  const auto found = mExchanges.find(exchange);
+  if (found == mExchanges.end()) {
+    return;
+  }
+  std::string executor;
+  if (const auto* final = std::get_if<request::FinalReply>(&aEffect.mReply)) {
+    executor = mNode.NameOf(final->mExecutor).Value();
+  }
+  Write(exchange, found->second.Take(aEffect.mReply, executor));
+}
+
+void
+EntryDecider::Write(http::ExchangeId aExchange, http::CallerOutput aOutput)
+{
+  if (aOutput.mWhole) {
+    mParts.mServer.Respond(aExchange, std::move(*aOutput.mWhole));
+    mExchanges.erase(aExchange);
+    return;
+  }
+  if (aOutput.mHead) {
+    mParts.mServer.BeginStream(aExchange, std::move(*aOutput.mHead));
+  }
+  if (!aOutput.mPiece.empty()) {
+    mParts.mServer.SendPiece(aExchange, std::move(aOutput.mPiece));
+  }
+  if (aOutput.mEnd) {
+    mParts.mServer.EndStream(aExchange);
+    mExchanges.erase(aExchange);
+  }
+}
+
+void
+EntryDecider::Carry(const request::CountEffect& aEffect)
+{
+  mParts.mCounters.Add(aEffect.mTally, aEffect.mAmount);
+}
+
+void
+EntryDecider::Carry(const request::ExplainEffect& aEffect)
+{
+  mExplain.Add(aEffect);
+}
+
+} // namespace peridotspool::runtime
--- /dev/null
+++ b/src/runtime/StatusJson.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "peridotspool/control/OperatorAnswer.h"
+#include "peridotspool/request/EntryNode.h"
+
+#include <boost/json.hpp>
+
+#include <string>
+
+namespace peridotspool::runtime {
+
+boost::json::object
+MemberJson(const membership::Member& aMember);
+
+/** An entry's status page. */
+std::string
+EntryStatusJson(const request::EntryNodeStatus& aStatus,
+                const std::string& aName,
+                const std::map<std::string, std::uint64_t>& aCounters);
+
+/** The answer of `GET /v1/entries`. */
+std::string
+DirectoryJson(const membership::DirectoryAnswer& aAnswer);
+
+} // namespace peridotspool::runtime
--- /dev/null
+++ b/src/runtime/StopSignal.cpp
@@ -0,0 +1,46 @@
+#include "peridotspool/runtime/StopSignal.h"
+
+#include <csignal>
+
+#include <unistd.h>
+
+namespace peridotspool::runtime {
+
+namespace {
+
+sigset_t
+StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+} // namespace
+
+void
+BlockStopSignals()
+{
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void
+WaitForStopSignal()
+{
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+void
+RequestStop()
+{
+  ::kill(::getpid(), SIGTERM);
+}
+
+} // namespace peridotspool::runtime
