Keep the request's body when its intent is committed

Cause: the ledger's answer to an intent leaves the terms out; the execution replaced its whole record by it, so a request that may run once was sent with an empty body. Ruled out: the adapter (a direct call kept the body). Change: only the intent is taken from such an answer. The kind of upstream in announcements now has the names of docs/INTERFACES.md. Left: the test comes with the manager's tests against a naive ledger.

--- a/src/http/AnnouncementJson.cpp
+++ b/src/http/AnnouncementJson.cpp
@@ -77,16 +77,17 @@
 {
   const std::string kind = TextField(aFields, "kind").value_or("");
   const std::string state = TextField(aFields, "state").value_or("serving");
-  if (kind != "model" && kind != "plain") {
-    aReason.Set("\"kind\" must be \"model\" or \"plain\"");
+  if (kind != "model-engine" && kind != "plain-service") {
+    aReason.Set("\"kind\" must be \"model-engine\" or "
+                "\"plain-service\"");
     return false;
   }
   if (state != "serving" && state != "leaving") {
     aReason.Set("\"state\" must be \"serving\" or \"leaving\"");
     return false;
   }
-  aAnnouncement.mKind =
-    kind == "model" ? UpstreamKind::kModelEngine : UpstreamKind::kPlainService;
+  aAnnouncement.mKind = kind == "model-engine" ? UpstreamKind::kModelEngine
+                                               : UpstreamKind::kPlainService;
   aAnnouncement.mState =
     state == "leaving" ? UpstreamState::kLeaving : UpstreamState::kServing;
   return true;
@@ -204,7 +205,7 @@
     { "sequence", aAnnouncement.mSequence },
     { "service", aAnnouncement.mService.Value() },
     { "domain", aAnnouncement.mDomain.Value() },
-    { "kind", engine ? "model" : "plain" },
+    { "kind", engine ? "model-engine" : "plain-service" },
     { "state", leaving ? "leaving" : "serving" },
     { "address", ToText(aAnnouncement.mAddress) },
     { "slots", aAnnouncement.mSlots },
--- a/src/request/Execution.cpp
+++ b/src/request/Execution.cpp
@@ -579,7 +579,7 @@
                            .mFromIndex = mAttempt->mFromIndex } });
     return;
   }
-  mRecord = aAnswer.mRecord.value_or(mRecord);
+  TakeIntent(aAnswer);
   if (aContext.mNow >= mDeadline) {
     RetryAfterNoRun(aContext, Tally::kRefusedDeadline);
     return;
@@ -589,6 +589,17 @@
        GenerateMode{ .mPrefix = mAnswer.mText, .mFromIndex = mNextIndex });
 }
 
+void
+Execution::TakeIntent(const ledger::OperationAnswer& aAnswer)
+{
+  // The ledger leaves the terms out of its answers to what an executor, which
+  // has them, proposes; only the intent is news.
+  if (aAnswer.mRecord) {
+    mRecord.mIntent = aAnswer.mRecord->mIntent;
+    mRecord.mIntentVoid = aAnswer.mRecord->mIntentVoid;
+  }
+}
+
 void
 Execution::OnVoidAnswer(StepContext& aContext,
                         const ledger::OperationAnswer& aAnswer)
@@ -600,7 +611,7 @@
     return;
   }
   mMayHaveRun = false;
-  mRecord = aAnswer.mRecord.value_or(mRecord);
+  TakeIntent(aAnswer);
   if (aContext.mNow >= mDeadline) {
     GiveUpOnDeadline(aContext);
     return;
--- a/src/request/Execution.h
+++ b/src/request/Execution.h
@@ -99,6 +99,7 @@
 
   void OnIntentAnswer(StepContext& aContext,
                       const ledger::OperationAnswer& aAnswer);
+  void TakeIntent(const ledger::OperationAnswer& aAnswer);
   void OnVoidAnswer(StepContext& aContext,
                     const ledger::OperationAnswer& aAnswer);
   void OnFinishAnswer(StepContext& aContext,
