--- a/include/peridotspool/http/SseParser.h
+++ b/include/peridotspool/http/SseParser.h
@@ -34,7 +34,7 @@
   void TakeField(std::string_view aName, std::string_view aValue);
   void EndEvent();
 
-  const std::size_t mMaxEventBytes;
+  std::size_t mMaxEventBytes;
   std::string mLine;
   bool mAfterCarriageReturn = false;
   bool mOverBound = false;
