--- a/include/peridotspool/http/CallerApi.h
+++ b/include/peridotspool/http/CallerApi.h
@@ -72,6 +72,12 @@
   RequestKey mKey;
 };
 
+/** `GET /v1/records/{customer}/{key}`, for operators. */
+struct ShowCommand
+{
+  RequestKey mKey;
+};
+
 /** `POST /v1/drain`, for operators. */
 struct DrainCommand
 {};
@@ -96,6 +102,7 @@
                                    AnnounceCommand,
                                    StatusCommand,
                                    ExplainCommand,
+                                   ShowCommand,
                                    DrainCommand,
                                    MetricsCommand,
                                    RefusedCommand>;
--- a/include/peridotspool/request/Effect.h
+++ b/include/peridotspool/request/Effect.h
@@ -109,6 +109,12 @@
 struct ConfirmedReply
 {};
 
+/** The record that an operator asked for. */
+struct RecordReply
+{
+  ledger::RequestRecord mRecord;
+};
+
 using Reply = std::variant<AcceptedReply,
                            PieceReply,
                            RestartReply,
@@ -116,7 +122,8 @@
                            MovedReply,
                            NoSuchRequestReply,
                            NoAnswerReply,
-                           ConfirmedReply>;
+                           ConfirmedReply,
+                           RecordReply>;
 
 struct ReplyEffect
 {
--- a/include/peridotspool/request/EntryNodeEvent.h
+++ b/include/peridotspool/request/EntryNodeEvent.h
@@ -35,6 +35,7 @@
                AttachEvent,
                CancelEvent,
                AcknowledgeEvent,
+               ShowEvent,
                CallerGoneEvent>
     mEvent;
 };
--- a/include/peridotspool/request/Event.h
+++ b/include/peridotspool/request/Event.h
@@ -42,6 +42,13 @@
   RequestKey mKey;
 };
 
+/** An operator wants to see the request's record. */
+struct ShowEvent
+{
+  CallId mExchange;
+  RequestKey mKey;
+};
+
 /** The caller's connection is gone; the request goes on. */
 struct CallerGoneEvent
 {
@@ -94,6 +101,7 @@
                            AttachEvent,
                            CancelEvent,
                            AcknowledgeEvent,
+                           ShowEvent,
                            CallerGoneEvent,
                            LedgerAnsweredEvent,
                            OrphanedEvent,
--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -151,9 +151,11 @@
   {
     const bool status = Is("GET", { "v1", "status" });
     const bool drain = Is("POST", { "v1", "drain" });
-    const bool explain = mRequest.mMethod == "GET" && mPath.size() == 4 &&
-                         mPath[0] == "v1" && mPath[1] == "explain";
-    if (!status && !drain && !explain) {
+    const bool byKey =
+      mRequest.mMethod == "GET" && mPath.size() == 4 && mPath[0] == "v1";
+    const bool explain = byKey && mPath[1] == "explain";
+    const bool show = byKey && mPath[1] == "records";
+    if (!status && !drain && !explain && !show) {
       return MakeNotFound();
     }
     const auto name = KeyName();
@@ -166,7 +168,11 @@
     if (drain) {
       return DrainCommand{};
     }
-    return ExplainCommand{ RequestKey{ CustomerName(mPath[2]), mPath[3] } };
+    const RequestKey key{ CustomerName(mPath[2]), mPath[3] };
+    if (show) {
+      return ShowCommand{ key };
+    }
+    return ExplainCommand{ key };
   }
 
   CallerCommand ReadCustomerRequest() const
--- a/src/http/CallerExchange.cpp
+++ b/src/http/CallerExchange.cpp
@@ -106,6 +106,31 @@
                        { "path", PathOf(aOutcome, aExecutor) } };
 }
 
+json::object
+RecordJson(const ledger::RequestRecord& aRecord)
+{
+  json::object fields{
+    { "customer", aRecord.mKey.mCustomer.Value() },
+    { "key", aRecord.mKey.mKey },
+    { "service", aRecord.mTerms.mService.Value() },
+    { "idempotent", aRecord.mTerms.mIdempotent },
+    { "priority", aRecord.mTerms.mPriority },
+    { "executor_member", aRecord.mExecutor.Value() },
+    { "executor_turn", aRecord.mExecutorTurn.Value() },
+    { "state", aRecord.mOutcome ? EventOf(aRecord.mOutcome->mKind) : "open" }
+  };
+  if (aRecord.mIntent) {
+    fields["attempt"] = aRecord.mIntent->mAttempt.Value();
+    fields["upstream"] = aRecord.mIntent->mUpstream.Value();
+    fields["attempt_void"] = aRecord.mIntentVoid;
+  }
+  if (aRecord.mOutcome) {
+    fields["reason"] = aRecord.mOutcome->mReason;
+    fields["answer_bytes"] = aRecord.mOutcome->mBody.size();
+  }
+  return fields;
+}
+
 std::uint32_t
 StatusOf(const Outcome& aOutcome)
 {
@@ -240,6 +265,11 @@
                                     { "retry_after_ms", 0 } });
     return output;
   }
+  if (const auto* shown = std::get_if<request::RecordReply>(&aReply)) {
+    output.mWhole = Head(kStatusOk, kJsonType);
+    output.mWhole->mBody = json::serialize(RecordJson(shown->mRecord));
+    return output;
+  }
   const auto* final = std::get_if<request::FinalReply>(&aReply);
   if (final == nullptr) {
     return output;
--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -112,15 +112,24 @@
 void
 EntryNodeState::OnCaller(const CancelEvent& aEvent)
 {
-  if (mRequests) {
-    StepRequests(aEvent);
-  } else {
-    ReplyTo(aEvent.mExchange, NoAnswerReply{});
-  }
+  PassOn(aEvent);
 }
 
 void
 EntryNodeState::OnCaller(const AcknowledgeEvent& aEvent)
+{
+  PassOn(aEvent);
+}
+
+void
+EntryNodeState::OnCaller(const ShowEvent& aEvent)
+{
+  PassOn(aEvent);
+}
+
+template<typename Asked>
+void
+EntryNodeState::PassOn(const Asked& aEvent)
 {
   if (mRequests) {
     StepRequests(aEvent);
--- a/src/request/EntryNodeState.h
+++ b/src/request/EntryNodeState.h
@@ -37,8 +37,13 @@
   void OnCaller(const AttachEvent& aEvent);
   void OnCaller(const CancelEvent& aEvent);
   void OnCaller(const AcknowledgeEvent& aEvent);
+  void OnCaller(const ShowEvent& aEvent);
   void OnCaller(const CallerGoneEvent& aEvent);
 
+  /** Passes an event on, or answers it while this entry is no member. */
+  template<typename Asked>
+  void PassOn(const Asked& aEvent);
+
   void StepSession(const membership::ControlSessionEvent& aEvent);
   void Carry(const membership::ToControlEffect& aEffect);
   void Carry(const membership::JoinedEffect& aEffect);
--- a/src/request/PendingProposal.h
+++ b/src/request/PendingProposal.h
@@ -30,6 +30,12 @@
   CallId mExchange;
 };
 
+/** An operator waits to see the record. */
+struct ShowPending
+{
+  CallId mExchange;
+};
+
 /** The proposal belongs to the request's execution. */
 struct ExecutionPending
 {};
@@ -42,6 +48,7 @@
                ResolvePending,
                TakeOverPending,
                ConfirmPending,
+               ShowPending,
                ExecutionPending>
     mPurpose;
 };
--- a/src/request/RequestManagerState.cpp
+++ b/src/request/RequestManagerState.cpp
@@ -105,6 +105,14 @@
           { aEvent.mKey, ConfirmPending{ aEvent.mExchange } });
 }
 
+void
+RequestManagerState::On(const ShowEvent& aEvent)
+{
+  Propose(aEvent.mKey,
+          ledger::ReadOperation{},
+          { aEvent.mKey, ShowPending{ aEvent.mExchange } });
+}
+
 void
 RequestManagerState::On(const CallerGoneEvent& aEvent)
 {
@@ -138,6 +146,7 @@
       [&](const ResolvePending&) { OnResolved(key, answer); },
       [&](const TakeOverPending& aTake) { OnTakenOver(key, aTake, answer); },
       [&](const ConfirmPending& aOne) { OnConfirmed(key, aOne, answer); },
+      [&](const ShowPending& aShow) { OnShown(aShow, answer); },
       [&](const ExecutionPending&) {
         OnExecutionAnswer(key, aEvent.mCall, answer);
       } },
@@ -426,6 +435,19 @@
   });
 }
 
+void
+RequestManagerState::OnShown(const ShowPending& aPending,
+                             const ledger::OperationAnswer& aAnswer)
+{
+  if (aAnswer.mRecord) {
+    ReplyTo(aPending.mExchange, RecordReply{ *aAnswer.mRecord });
+  } else if (aAnswer.mVerdict == ledger::Verdict::kNoSuchRequest) {
+    ReplyTo(aPending.mExchange, NoSuchRequestReply{});
+  } else {
+    ReplyTo(aPending.mExchange, NoAnswerReply{});
+  }
+}
+
 void
 RequestManagerState::OnExecutionAnswer(const RequestKey& aKey,
                                        CallId aCall,
--- a/src/request/RequestManagerState.h
+++ b/src/request/RequestManagerState.h
@@ -30,6 +30,7 @@
   void On(const AttachEvent& aEvent);
   void On(const CancelEvent& aEvent);
   void On(const AcknowledgeEvent& aEvent);
+  void On(const ShowEvent& aEvent);
   void On(const CallerGoneEvent& aEvent);
   void On(const LedgerAnsweredEvent& aEvent);
   void On(const OrphanedEvent& aEvent);
@@ -51,6 +52,8 @@
   void OnConfirmed(const RequestKey& aKey,
                    const ConfirmPending& aPending,
                    const ledger::OperationAnswer& aAnswer);
+  void OnShown(const ShowPending& aPending,
+               const ledger::OperationAnswer& aAnswer);
   void OnExecutionAnswer(const RequestKey& aKey,
                          CallId aCall,
                          const ledger::OperationAnswer& aAnswer);
--- /dev/null
+++ b/src/runtime/CtlCommands.cpp
@@ -0,0 +1,267 @@
+#include "peridotspool/runtime/CtlCommands.h"
+
+#include "http/JsonFields.h"
+#include "peridotspool/runtime/KeyFiles.h"
+#include "peridotspool/settings/SettingsTree.h"
+#include "runtime/TextTable.h"
+
+#include <boost/json.hpp>
+
+#include <iostream>
+
+namespace peridotspool::runtime {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint32_t kStatusOk = 200;
+constexpr std::uint32_t kStatusConflict = 409;
+constexpr std::uint32_t kStatusUnprocessable = 422;
+
+/** Returns a JSON value as a table's cell. */
+std::string
+Cell(const json::value& aValue)
+{
+  return aValue.is_string() ? std::string(aValue.get_string())
+                            : json::serialize(aValue);
+}
+
+/** Returns a table of the named fields of a list of objects. */
+std::string
+TableOf(const json::value& aList, const std::vector<std::string>& aFields)
+{
+  std::vector<std::vector<std::string>> rows{ aFields };
+  if (!aList.is_array()) {
+    return FormatTable(rows);
+  }
+  for (const json::value& item : aList.get_array()) {
+    std::vector<std::string> row;
+    for (const std::string& field : aFields) {
+      const json::value* value =
+        item.is_object() ? item.get_object().if_contains(field) : nullptr;
+      row.push_back(value == nullptr ? "-" : Cell(*value));
+    }
+    rows.push_back(std::move(row));
+  }
+  return FormatTable(rows);
+}
+
+/** Returns a table of an object's fields that are no lists. */
+std::string
+FieldsOf(const json::object& aObject)
+{
+  std::vector<std::vector<std::string>> rows{ { "field", "value" } };
+  for (const auto& field : aObject) {
+    if (!field.value().is_array()) {
+      rows.push_back({ std::string(field.key()), Cell(field.value()) });
+    }
+  }
+  return FormatTable(rows);
+}
+
+json::object
+ObjectOf(const http::HttpResponse& aResponse)
+{
+  const auto data = http::ParseJson(aResponse.mBody);
+  const json::object* fields = data ? data->if_object() : nullptr;
+  return fields == nullptr ? json::object() : *fields;
+}
+
+json::value
+FieldOf(const json::object& aObject, const char* aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  return value == nullptr ? json::value() : *value;
+}
+
+CtlExit
+PrintRefusal(const http::HttpResponse& aResponse)
+{
+  std::cerr << "refused (" << aResponse.mStatus << "): " << aResponse.mBody
+            << "\n";
+  return CtlExit::kRefused;
+}
+
+} // namespace
+
+std::optional<http::HttpResponse>
+CtlCommands::AskControl(const std::string& aMethod,
+                        const std::string& aPath,
+                        const std::string& aBody)
+{
+  LastReason reason;
+  const auto question = aPath.find('?');
+  http::HttpRequest request{ .mMethod = aMethod,
+                             .mPath = aPath.substr(0, question),
+                             .mBody = aBody };
+  if (question != std::string::npos) {
+    // Our own queries are plain name=number pairs.
+    std::string rest = aPath.substr(question + 1);
+    while (!rest.empty()) {
+      const auto end = std::min(rest.find('&'), rest.size());
+      const auto equals = rest.find('=');
+      request.mQuery[rest.substr(0, equals)] =
+        rest.substr(equals + 1, end - equals - 1);
+      rest.erase(0, end + 1);
+    }
+  }
+  auto response = mClient.AskControl(std::move(request), reason);
+  if (!response) {
+    std::cerr << "no answer: " << reason.Text() << "\n";
+  }
+  return response;
+}
+
+std::optional<http::HttpResponse>
+CtlCommands::AskEntry(const std::string& aPath)
+{
+  LastReason reason;
+  auto response =
+    mClient.AskEntry({ .mMethod = "GET", .mPath = aPath }, reason);
+  if (!response) {
+    std::cerr << "no answer: " << reason.Text() << "\n";
+  }
+  return response;
+}
+
+CtlExit
+CtlCommands::Status()
+{
+  const auto response = AskControl("GET", "/v1/status");
+  if (!response) {
+    return CtlExit::kUnreachable;
+  }
+  if (response->mStatus != kStatusOk) {
+    return PrintRefusal(*response);
+  }
+  if (mFormat == CtlFormat::kJson) {
+    std::cout << response->mBody << "\n";
+    return CtlExit::kDone;
+  }
+  const json::object status = ObjectOf(*response);
+  std::cout << FieldsOf(status) << "\ncontrol replicas\n"
+            << TableOf(FieldOf(status, "replicas"),
+                       { "id", "name", "domain", "voter", "leads", "match" })
+            << "\nentries\n"
+            << TableOf(FieldOf(status, "entries"),
+                       { "name",
+                         "domain",
+                         "address",
+                         "state",
+                         "revision",
+                         "epoch",
+                         "silent_ms" });
+  return CtlExit::kDone;
+}
+
+CtlExit
+CtlCommands::Entries()
+{
+  const auto response = AskControl("GET", "/v1/status");
+  if (!response) {
+    return CtlExit::kUnreachable;
+  }
+  if (response->mStatus != kStatusOk) {
+    return PrintRefusal(*response);
+  }
+  const json::value entries = FieldOf(ObjectOf(*response), "entries");
+  if (mFormat == CtlFormat::kJson) {
+    std::cout << json::serialize(entries) << "\n";
+  } else {
+    std::cout << TableOf(entries,
+                         { "member", "name", "domain", "address", "state" });
+  }
+  return CtlExit::kDone;
+}
+
+CtlExit
+CtlCommands::Upstreams()
+{
+  const auto response = AskEntry("/v1/status");
+  if (!response) {
+    return CtlExit::kUnreachable;
+  }
+  if (response->mStatus != kStatusOk) {
+    return PrintRefusal(*response);
+  }
+  const json::value upstreams = FieldOf(ObjectOf(*response), "upstreams");
+  if (mFormat == CtlFormat::kJson) {
+    std::cout << json::serialize(upstreams) << "\n";
+  } else {
+    std::cout << TableOf(upstreams,
+                         { "name",
+                           "service",
+                           "kind",
+                           "state",
+                           "domain",
+                           "address",
+                           "slots",
+                           "running",
+                           "waiting" });
+  }
+  return CtlExit::kDone;
+}
+
+CtlExit
+CtlCommands::Drain(const std::string& aEntry)
+{
+  const auto response = AskControl("POST", "/v1/entries/" + aEntry + "/drain");
+  if (!response) {
+    return CtlExit::kUnreachable;
+  }
+  if (response->mStatus != kStatusOk) {
+    return PrintRefusal(*response);
+  }
+  std::cout << response->mBody << "\n";
+  return CtlExit::kDone;
+}
+
+CtlExit
+CtlCommands::PrintEntryAnswer(const std::string& aPath)
+{
+  const auto response = AskEntry(aPath);
+  if (!response) {
+    return CtlExit::kUnreachable;
+  }
+  if (response->mStatus != kStatusOk) {
+    return PrintRefusal(*response);
+  }
+  const json::object answer = ObjectOf(*response);
+  if (mFormat == CtlFormat::kJson) {
+    std::cout << response->mBody << "\n";
+    return CtlExit::kDone;
+  }
+  std::cout << FieldsOf(answer);
+  const json::value choices = FieldOf(answer, "choices");
+  if (!choices.is_array()) {
+    return CtlExit::kDone;
+  }
+  for (const json::value& choice : choices.get_array()) {
+    const json::object& fields = choice.get_object();
+    std::cout << "\nattempt " << Cell(FieldOf(fields, "attempt")) << ": "
+              << Cell(FieldOf(fields, "upstream")) << "\n"
+              << TableOf(FieldOf(fields, "weighed"),
+                         { "upstream",
+                           "expected_first_token_ms",
+                           "cached_tokens",
+                           "latency_part",
+                           "cost_part",
+                           "total" });
+  }
+  return CtlExit::kDone;
+}
+
+CtlExit
+CtlCommands::ShowRequest(const std::string& aCustomer, const std::string& aKey)
+{
+  return PrintEntryAnswer("/v1/records/" + aCustomer + "/" + aKey);
+}
+
+CtlExit
+CtlCommands::Explain(const std::string& aCustomer, const std::string& aKey)
+{
+  return PrintEntryAnswer("/v1/explain/" + aCustomer + "/" + aKey);
+}
+
+} // namespace peridotspool::runtime
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -226,6 +226,14 @@
   RespondJson(aExchange, std::move(body));
 }
 
+void
+EntryDecider::OnCommand(http::ExchangeId aExchange, http::ShowCommand& aCommand)
+{
+  BeginExchange(aExchange, false, aCommand.mKey);
+  Step(request::CallerEvent{
+    request::ShowEvent{ CallId(aExchange), std::move(aCommand.mKey) } });
+}
+
 void
 EntryDecider::OnCommand(http::ExchangeId aExchange,
                         http::DrainCommand& /*aCommand*/)
--- a/src/runtime/EntryDecider.h
+++ b/src/runtime/EntryDecider.h
@@ -60,6 +60,7 @@
   void OnCommand(http::ExchangeId aExchange, http::AnnounceCommand& aCommand);
   void OnCommand(http::ExchangeId aExchange, http::StatusCommand& aCommand);
   void OnCommand(http::ExchangeId aExchange, http::ExplainCommand& aCommand);
+  void OnCommand(http::ExchangeId aExchange, http::ShowCommand& aCommand);
   void OnCommand(http::ExchangeId aExchange, http::DrainCommand& aCommand);
   void OnCommand(http::ExchangeId aExchange, http::MetricsCommand& aCommand);
   void OnCommand(http::ExchangeId aExchange, http::RefusedCommand& aCommand);
