--- a/daemon/controld.cpp
+++ b/daemon/controld.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <exception>
 #include <iostream>
 
 namespace {
@@ -39,10 +40,8 @@
   return 0;
 }
 
-} // namespace
-
 int
-main(int aCount, char** aArguments)
+RunProgram(int aCount, char** aArguments)
 {
   CLI::App app("One control replica of peridotspool: keeps its state.");
   std::string path;
@@ -65,3 +64,16 @@
   }
   return init->parsed() ? Initialise(*settings) : Run(*settings);
 }
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return RunProgram(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "stopped by an unexpected error: " << error.what() << "\n";
+    return 1;
+  }
+}
--- a/daemon/entryd.cpp
+++ b/daemon/entryd.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <exception>
 #include <iostream>
 
 namespace {
@@ -12,10 +13,8 @@
 
 constexpr int kExitBadSettings = 2;
 
-} // namespace
-
 int
-main(int aCount, char** aArguments)
+RunProgram(int aCount, char** aArguments)
 {
   CLI::App app("One entry of peridotspool: takes callers' requests.");
   std::string path;
@@ -46,3 +45,16 @@
   host.Wait();
   return 0;
 }
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return RunProgram(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "stopped by an unexpected error: " << error.what() << "\n";
+    return 1;
+  }
+}
--- a/daemon/peridotctl.cpp
+++ b/daemon/peridotctl.cpp
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <exception>
 #include <functional>
 #include <iostream>
 
@@ -146,10 +147,8 @@
                                          .mKey = key };
 }
 
-} // namespace
-
 int
-main(int aCount, char** aArguments)
+RunProgram(int aCount, char** aArguments)
 {
   CLI::App app(
     "Steers peridotspool.\n\n"
@@ -190,3 +189,16 @@
                          : runtime::CtlFormat::kTable);
   return static_cast<int>(command(commands));
 }
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return RunProgram(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "stopped by an unexpected error: " << error.what() << "\n";
+    return 1;
+  }
+}
--- a/include/peridotspool/runtime/OperatorClient.h
+++ b/include/peridotspool/runtime/OperatorClient.h
@@ -38,10 +38,11 @@
    * Asks the control replica that leads. A request whose fate is not known is
    * sent again as it is, which is safe: edits carry an edit id.
    */
-  std::optional<http::HttpResponse> AskControl(http::HttpRequest aRequest,
-                                               LastReason& aReason);
+  std::optional<http::HttpResponse> AskControl(
+    const http::HttpRequest& aRequest,
+    LastReason& aReason);
   /** Asks the first entry that answers. */
-  std::optional<http::HttpResponse> AskEntry(http::HttpRequest aRequest,
+  std::optional<http::HttpResponse> AskEntry(const http::HttpRequest& aRequest,
                                              LastReason& aReason);
   /** Asks one address, once. */
   std::optional<http::HttpResponse> Ask(const Address& aPeer,
--- a/src/http/ApiError.cpp
+++ b/src/http/ApiError.cpp
@@ -28,7 +28,9 @@
 }
 
 RefusedCommand
-MakeRefusal(std::uint32_t aStatus, std::string aReason, std::string aMessage)
+MakeRefusal(std::uint32_t aStatus,
+            std::string aReason,
+            const std::string& aMessage)
 {
   return RefusedCommand{ MakeErrorResponse(aStatus, aReason, aMessage),
                          std::move(aReason) };
--- a/src/http/ApiError.h
+++ b/src/http/ApiError.h
@@ -13,7 +13,9 @@
                   const std::string& aMessage);
 
 RefusedCommand
-MakeRefusal(std::uint32_t aStatus, std::string aReason, std::string aMessage);
+MakeRefusal(std::uint32_t aStatus,
+            std::string aReason,
+            const std::string& aMessage);
 RefusedCommand
 MakeUnauthorized(std::string aReason);
 RefusedCommand
--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -74,10 +74,10 @@
 }
 
 RefusedCommand
-BadRequest(std::string aReason, std::string aText)
+BadRequest(std::string aReason, const std::string& aText)
 {
   constexpr std::uint32_t kStatusBadRequest = 400;
-  return MakeRefusal(kStatusBadRequest, std::move(aReason), std::move(aText));
+  return MakeRefusal(kStatusBadRequest, std::move(aReason), aText);
 }
 
 /** Reads one request; each function below takes a part of its checks. */
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -147,13 +147,13 @@
       wire::PeerTransportOptions{ .mListen = mSettings.mPeerListen,
                                   .mSharedKey = aKey,
                                   .mMaxFrameBytes = bounds.mFrameBytes },
-      [this](std::string aFrame) { OnFrame(aFrame); });
+      [this](const std::string& aFrame) { OnFrame(aFrame); });
     mServer = std::make_unique<http::HttpServer>(
       http::HttpServerOptions{ .mListen = mSettings.mHttpListen,
                                .mMaxBodyBytes = kMaxOperatorBody,
                                .mMaxHeaderBytes = bounds.mHeaderBytes,
                                .mMaxConnections = bounds.mConnections },
-      [this](http::ExchangeId aExchange, http::HttpRequest aRequest) {
+      [this](http::ExchangeId aExchange, const http::HttpRequest& aRequest) {
         OnRequest(aExchange, aRequest);
       },
       [](http::ExchangeId) {});
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -130,13 +130,13 @@
       wire::PeerTransportOptions{ .mListen = mSettings.mPeerListen,
                                   .mSharedKey = aKey,
                                   .mMaxFrameBytes = bounds.mFrameBytes },
-      [this](std::string aFrame) { OnFrame(aFrame); });
+      [this](const std::string& aFrame) { OnFrame(aFrame); });
     mServer = std::make_unique<http::HttpServer>(
       http::HttpServerOptions{ .mListen = mSettings.mHttpListen,
                                .mMaxBodyBytes = bounds.mBodyBytes,
                                .mMaxHeaderBytes = bounds.mHeaderBytes,
                                .mMaxConnections = bounds.mConnections },
-      [this](http::ExchangeId aExchange, http::HttpRequest aRequest) {
+      [this](http::ExchangeId aExchange, const http::HttpRequest& aRequest) {
         OnRequest(aExchange, aRequest);
       },
       [this](http::ExchangeId aExchange) {
--- a/src/runtime/OperatorClient.cpp
+++ b/src/runtime/OperatorClient.cpp
@@ -75,7 +75,7 @@
 public:
   Calls()
     : mClient(http::HttpClientOptions{},
-              [this](http::ClientCallId aCall, http::CallEvent aEvent) {
+              [this](http::ClientCallId aCall, const http::CallEvent& aEvent) {
                 Take(aCall, aEvent);
               })
   {
@@ -149,7 +149,7 @@
 }
 
 std::optional<http::HttpResponse>
-OperatorClient::AskEntry(http::HttpRequest aRequest, LastReason& aReason)
+OperatorClient::AskEntry(const http::HttpRequest& aRequest, LastReason& aReason)
 {
   aReason.Set("no entry's address is given (--entries)");
   for (const Address& entry : mOptions.mEntries) {
@@ -161,7 +161,8 @@
 }
 
 std::optional<http::HttpResponse>
-OperatorClient::AskControl(http::HttpRequest aRequest, LastReason& aReason)
+OperatorClient::AskControl(const http::HttpRequest& aRequest,
+                           LastReason& aReason)
 {
   aReason.Set("no control replica's address is given (--control)");
   if (mOptions.mControls.empty()) {
--- a/test/request/AudienceTest.cpp
+++ b/test/request/AudienceTest.cpp
@@ -81,7 +81,7 @@
                        .mText = "use feeder 12" };
   Effects effects;
   audience.Publish(kKey, answer, effects);
-  CallerCopy copy{ .mText = "use ", .mLineage = AttemptNumber(1) };
+  CallerCopy copy{ .mText = "put ", .mLineage = AttemptNumber(1) };
   copy.Take(effects, CallId(7));
   CHECK(copy.mText == "use feeder 12");
   CHECK(copy.mLineage == AttemptNumber(1001));
