--- a/include/peridotspool/control/Consensus.h
+++ b/include/peridotspool/control/Consensus.h
@@ -39,8 +39,14 @@
 class Consensus
 {
 public:
-  /** aState must have an identity; an empty folder takes no part. */
-  Consensus(ConsensusOptions aOptions, RestoredState aState, TimePoint aNow);
+  /**
+   * aState must have an identity; an empty folder takes no part. Tokens of
+   * writes go on after aLastToken.
+   */
+  Consensus(ConsensusOptions aOptions,
+            RestoredState aState,
+            TimePoint aNow,
+            SyncToken aLastToken = SyncToken());
 
   /** Takes one event and returns what the host is to do, in order. */
   ConsensusEffects Step(const ConsensusEvent& aEvent, TimePoint aNow);
@@ -127,16 +133,16 @@
   void SendAppend(ReplicaId aTo, FollowerProgress& aProgress);
   void SendSnapshot(ReplicaId aTo, FollowerProgress& aProgress);
   void TakeAccepted(FollowerProgress& aProgress, LogIndex aIndex);
-  void TakeRefused(ReplicaId aFrom,
-                   FollowerProgress& aProgress,
-                   LogIndex aIndex);
+  void TakeRefused(FollowerProgress& aProgress, LogIndex aIndex);
   void AdvanceCommit();
   void CheckQuorum();
-  std::optional<TimePoint> QuorumAnsweredAt() const;
+  std::optional<TimePoint> QuorumAnsweredAt(TimePoint aNow) const;
   void RefreshProgress();
 
   // The follower's side.
   bool AcceptLeader(ReplicaId aFrom, Term aTerm);
+  /** Returns from where a leader's log may differ from this one. */
+  LogIndex FirstDoubtful(LogIndex aPrevious) const;
   void MergeEntries(const std::vector<LogEntry>& aEntries);
   void ReplyAppend(ReplicaId aTo,
                    RoundNumber aRound,
--- a/include/peridotspool/control/FollowerProgress.h
+++ b/include/peridotspool/control/FollowerProgress.h
@@ -14,8 +14,8 @@
   LogIndex mMatch;
   /** The next entry to send. */
   LogIndex mNext;
-  /** An append was refused or lost: send one batch and wait for its answer. */
-  bool mProbing = true;
+  /** Entries are on their way; more wait for the answer, as one batch. */
+  bool mAwaiting = false;
   /** When the last round that it answered was sent. */
   std::optional<TimePoint> mAnsweredAt;
   std::optional<TimePoint> mSnapshotSentAt;
--- a/include/peridotspool/control/ReplicaMessage.h
+++ b/include/peridotspool/control/ReplicaMessage.h
@@ -140,10 +140,14 @@
   SystemId mSystem;
   ReplicaId mFrom;
   ReplicaId mTo;
+  /** Where the sender is reached; a new learner knows no addresses yet. */
+  Address mReplyTo;
   ReplicaMessage mMessage;
 
   auto operator<=>(const ReplicaEnvelope&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(ReplicaEnvelope, (), (mSystem, mFrom, mTo, mMessage))
+BOOST_DESCRIBE_STRUCT(ReplicaEnvelope,
+                      (),
+                      (mSystem, mFrom, mTo, mReplyTo, mMessage))
 
 } // namespace peridotspool::control
--- a/include/peridotspool/membership/ControlSession.h
+++ b/include/peridotspool/membership/ControlSession.h
@@ -56,7 +56,7 @@
    */
   bool LeaseHolds(TimePoint aNow) const;
 
-  /** Unset before the process is a member. */
+  /** Unset until the process is a member. */
   MemberId Member() const { return mMember; }
   /** The newest epoch that was taken. */
   const EpochMap& Epoch() const { return mEpoch; }
@@ -67,6 +67,15 @@
   Revision ConfirmedRevision() const { return mConfirmed; }
 
 private:
+  /** A heartbeat whose answer may still come. */
+  struct SentHeartbeat
+  {
+    std::uint64_t mSequence;
+    TimePoint mSentAt;
+    /** The settings that it reported. */
+    Revision mInForce;
+  };
+
   void Take(const FromControlEvent& aEvent);
   void Take(const SettingsInForceEvent& aEvent);
   void Take(const LeaveEvent& aEvent);
@@ -78,22 +87,12 @@
   void TakeMessage(const SettingsPush& aPush);
   void TakeMessage(const EpochPush& aPush);
   void TakeStanding(const HeartbeatAnswer& aAnswer);
-  void TakeConfirmation(const HeartbeatAnswer& aAnswer, TimePoint aSentAt);
   std::optional<std::string> TextOf(const SettingsPush& aPush) const;
   void TakeChange(const EpochChange& aChange);
 
   void SendHeartbeat();
   void SendToAll(const FromEntryMessage& aMessage);
-  std::optional<TimePoint> SentAt(std::uint64_t aSequence) const;
-
-  /** A heartbeat whose answer may still come. */
-  struct SentHeartbeat
-  {
-    std::uint64_t mSequence;
-    TimePoint mSentAt;
-    /** The settings that it reported. */
-    Revision mInForce;
-  };
+  const SentHeartbeat* FindSent(std::uint64_t aSequence) const;
 
   ControlSessionOptions mOptions;
   ControlSessionEffects mEffects;
--- /dev/null
+++ b/src/control/ConsensusElection.cpp
@@ -0,0 +1,182 @@
+// Elections: timers, pre-votes and votes.
+
+#include "peridotspool/control/Consensus.h"
+
+namespace peridotspool::control {
+
+void
+Consensus::ResetElectionTimer()
+{
+  // Not std::uniform_int_distribution: its numbers differ between libraries.
+  const auto range =
+    static_cast<std::uint64_t>(mOptions.mElectionTimeout.count());
+  const auto extra = static_cast<Duration::rep>(mRandom() % range);
+  mElectionAt = mNow + mOptions.mElectionTimeout + Duration(extra);
+}
+
+bool
+Consensus::HearsLeader() const
+{
+  if (mRole == Role::kLeader) {
+    const std::optional<TimePoint> answered = QuorumAnsweredAt(mNow);
+    return answered && mNow - *answered < mOptions.mElectionTimeout;
+  }
+  return mNow - mHeardLeaderAt < mOptions.mElectionTimeout;
+}
+
+bool
+Consensus::IsUpToDate(const VoteRequest& aRequest) const
+{
+  if (aRequest.mLastTerm != mLog.LastTerm()) {
+    return aRequest.mLastTerm > mLog.LastTerm();
+  }
+  return aRequest.mLastIndex >= mLog.LastIndex();
+}
+
+// Without the pre-vote, a replica that was cut off raises its term over and
+// over, and pushes a healthy leader out when it comes back.
+void
+Consensus::StartPreVote()
+{
+  ResetElectionTimer();
+  if (!Replicas().IsVoter(mSelf)) {
+    return;
+  }
+  mRole = Role::kPreCandidate;
+  mLeader = ReplicaId();
+  mVotes.clear();
+  AskForVotes(true);
+  CountVote(mSelf);
+}
+
+void
+Consensus::StartElection()
+{
+  mRole = Role::kCandidate;
+  mLeader = ReplicaId();
+  mVotes.clear();
+  ResetElectionTimer();
+  // The own vote counts once it has synced; see Take(SyncedEvent).
+  SaveVote(mVote.mTerm.Next(), mSelf);
+  AskForVotes(false);
+}
+
+void
+Consensus::AskForVotes(bool aPreVote)
+{
+  const VoteRequest request{
+    .mTerm = aPreVote ? mVote.mTerm.Next() : mVote.mTerm,
+    .mPreVote = aPreVote,
+    .mLastIndex = mLog.LastIndex(),
+    .mLastTerm = mLog.LastTerm(),
+  };
+  for (const ReplicaInfo& replica : Replicas().mReplicas) {
+    if (replica.mId == mSelf || !replica.mVoter) {
+      continue;
+    }
+    if (aPreVote) {
+      Send(replica.mId, request);
+    } else {
+      SendAfterSync(replica.mId, request);
+    }
+  }
+}
+
+void
+Consensus::CountVote(ReplicaId aFrom)
+{
+  if (!Replicas().IsVoter(aFrom)) {
+    return;
+  }
+  mVotes.insert(aFrom);
+  if (mVotes.size() < Replicas().Majority()) {
+    return;
+  }
+  if (mRole == Role::kPreCandidate) {
+    StartElection();
+  } else if (mRole == Role::kCandidate) {
+    BecomeLeader();
+  }
+}
+
+void
+Consensus::TakeMessage(ReplicaId aFrom, const VoteRequest& aRequest)
+{
+  // While a leader may count on this replica, no other is helped: the leader's
+  // lease is worth something only because of this.
+  const bool hears = HearsLeader();
+  if (aRequest.mPreVote) {
+    const bool granted =
+      aRequest.mTerm > mVote.mTerm && !hears && IsUpToDate(aRequest);
+    Send(aFrom,
+         VoteReply{ .mTerm = granted ? aRequest.mTerm : mVote.mTerm,
+                    .mPreVote = true,
+                    .mGranted = granted });
+    return;
+  }
+  if (aRequest.mTerm > mVote.mTerm) {
+    if (hears) {
+      return;
+    }
+    BecomeFollower(aRequest.mTerm, ReplicaId());
+  }
+  const bool granted = aRequest.mTerm == mVote.mTerm &&
+                       mRole == Role::kFollower &&
+                       (!mVote.mVotedFor.IsSet() || mVote.mVotedFor == aFrom) &&
+                       !mLeader.IsSet() && IsUpToDate(aRequest);
+  if (granted) {
+    SaveVote(mVote.mTerm, aFrom);
+    ResetElectionTimer();
+  }
+  SendAfterSync(
+    aFrom,
+    VoteReply{ .mTerm = mVote.mTerm, .mPreVote = false, .mGranted = granted });
+}
+
+void
+Consensus::TakeMessage(ReplicaId aFrom, const VoteReply& aReply)
+{
+  const bool grantedPreVote = aReply.mPreVote && aReply.mGranted;
+  if (!grantedPreVote && aReply.mTerm > mVote.mTerm) {
+    BecomeFollower(aReply.mTerm, ReplicaId());
+    return;
+  }
+  const Role wanted = aReply.mPreVote ? Role::kPreCandidate : Role::kCandidate;
+  const Term term = aReply.mPreVote ? mVote.mTerm.Next() : mVote.mTerm;
+  if (aReply.mGranted && mRole == wanted && aReply.mTerm == term) {
+    CountVote(aFrom);
+  }
+}
+
+void
+Consensus::BecomeFollower(Term aTerm, ReplicaId aLeader)
+{
+  if (aTerm > mVote.mTerm) {
+    SaveVote(aTerm, ReplicaId());
+  }
+  mRole = Role::kFollower;
+  mLeader = aLeader;
+  mVotes.clear();
+  mProgress.clear();
+  mRounds.clear();
+  ResetElectionTimer();
+}
+
+void
+Consensus::BecomeLeader()
+{
+  mRole = Role::kLeader;
+  mLeader = mSelf;
+  mLeaderSince = mNow;
+  mVotes.clear();
+  mProgress.clear();
+  RefreshProgress();
+  // Entries of older terms are committed only together with one of this term.
+  mFirstOwnIndex = mLog.LastIndex().Next();
+  AppendEntry({ .mIndex = mFirstOwnIndex,
+                .mTerm = mVote.mTerm,
+                .mCommand = NoopCommand{} });
+  Broadcast();
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/ConsensusWrites.cpp
@@ -0,0 +1,65 @@
+// How messages wait for the disk.
+
+#include "peridotspool/base/Overloaded.h"
+#include "peridotspool/control/Consensus.h"
+
+namespace peridotspool::control {
+
+PersistEffect&
+Consensus::Write()
+{
+  return mWrite;
+}
+
+void
+Consensus::Send(ReplicaId aTo, ReplicaMessage aMessage)
+{
+  mEffects.emplace_back(SendReplicaEffect{ aTo, std::move(aMessage) });
+}
+
+// A promise (a vote, an acknowledged entry) that left before its sync would be
+// forgotten by a crash while others build on it: two leaders in one term, or a
+// committed edit that is gone. So promises wait behind the last write.
+void
+Consensus::SendAfterSync(ReplicaId aTo, ReplicaMessage aMessage)
+{
+  const SyncToken token = mWrite.IsEmpty() ? mLastToken : mLastToken.Next();
+  mHeld.push_back({ token, SendReplicaEffect{ aTo, std::move(aMessage) } });
+}
+
+void
+Consensus::FlushWrites()
+{
+  if (mWrite.IsEmpty()) {
+    return;
+  }
+  mLastToken = mLastToken.Next();
+  mWrite.mToken = mLastToken;
+  const bool ownVote = mWrite.mVote && mWrite.mVote->mVotedFor == mSelf;
+  mPendingSyncs.push_back({ .mToken = mLastToken,
+                            .mLastIndex = mLog.LastIndex(),
+                            .mTerm = mVote.mTerm,
+                            .mOwnVote = ownVote });
+  mEffects.emplace_back(std::exchange(mWrite, {}));
+}
+
+void
+Consensus::ReleaseHeld()
+{
+  while (!mHeld.empty() && mHeld.front().mToken <= mSyncedToken) {
+    HeldMessage held = std::move(mHeld.front());
+    mHeld.pop_front();
+    const auto termOf = Overloaded{
+      [](const VoteRequest& aMessage) { return aMessage.mTerm; },
+      [](const VoteReply& aMessage) { return aMessage.mTerm; },
+      [](const AppendReply& aMessage) { return aMessage.mTerm; },
+      [this](const auto&) { return mVote.mTerm; },
+    };
+    // A promise to an older term's leader is void once a newer term is known.
+    if (std::visit(termOf, held.mSend.mMessage) == mVote.mTerm) {
+      mEffects.emplace_back(std::move(held.mSend));
+    }
+  }
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/ControlEntries.cpp
@@ -0,0 +1,305 @@
+// Sessions with entries: heartbeats, leases, pushes and epochs.
+
+#include "control/ControlNodeState.h"
+#include "control/Pushes.h"
+
+#include <algorithm>
+
+namespace peridotspool::control {
+
+using membership::EntryHeartbeat;
+using membership::EntryNonce;
+using membership::EpochMap;
+using membership::HeartbeatAnswer;
+using membership::Member;
+using membership::MemberState;
+using membership::Standing;
+
+namespace {
+
+/** A member not heard for this long is reported to the leader. */
+constexpr Duration kReportSilenceAfter = std::chrono::milliseconds(650);
+constexpr Duration kReportPeriod = std::chrono::milliseconds(200);
+constexpr Duration kExpirePeriod = std::chrono::seconds(5);
+/** Pushes at once go to processes heard within this time. */
+constexpr Duration kHeardLately = std::chrono::seconds(1);
+
+const Member*
+FindMember(const EpochMap& aMap, MemberId aId)
+{
+  const auto found =
+    std::lower_bound(aMap.mMembers.begin(),
+                     aMap.mMembers.end(),
+                     aId,
+                     [](const Member& aMember, MemberId aWanted) {
+                       return aMember.mId < aWanted;
+                     });
+  return found != aMap.mMembers.end() && found->mId == aId ? &*found : nullptr;
+}
+
+} // namespace
+
+void
+ControlNodeState::Take(const FromEntryEvent& aEvent)
+{
+  std::visit(
+    [&](const auto& aMessage) { TakeEntry(aEvent.mEnvelope.mNonce, aMessage); },
+    aEvent.mEnvelope.mMessage);
+}
+
+void
+ControlNodeState::TakeEntry(EntryNonce aNonce, const EntryHeartbeat& aHeartbeat)
+{
+  if (!aNonce.IsSet()) {
+    return;
+  }
+  EntrySession* session = mSessions.Take(aNonce, aHeartbeat, mNow);
+  if (session == nullptr) {
+    return;
+  }
+  const HeartbeatAnswer answer = AnswerFor(aNonce, aHeartbeat);
+  mEffects.emplace_back(ToEntryEffect{ aNonce, answer });
+  if (answer.mLeads && answer.mStanding != Standing::kRemoved) {
+    PushIfBehind(aNonce, *session);
+  }
+}
+
+HeartbeatAnswer
+ControlNodeState::AnswerFor(EntryNonce aNonce, const EntryHeartbeat& aHeartbeat)
+{
+  HeartbeatAnswer answer;
+  answer.mSequence = aHeartbeat.mSequence;
+  answer.mLeaderHint = LeaderAddress();
+  // Without the lease another replica may lead and have committed newer
+  // settings: confirming the ones known here would let the entry serve by old
+  // ones.
+  if (!Leads(mNow)) {
+    return answer;
+  }
+  const auto& members = State().mMembership;
+  const auto member = members.mNonces.find(aNonce);
+  if (member != members.mNonces.end() &&
+      mEpochPlanner->IsWithheld(member->second)) {
+    return answer;
+  }
+  answer.mLeads = true;
+  answer.mConfirmed = State().mSettings.mRevision;
+  answer.mEpoch = members.mCurrent.mEpoch;
+  TakeStanding(aNonce, aHeartbeat, answer);
+  return answer;
+}
+
+void
+ControlNodeState::TakeStanding(EntryNonce aNonce,
+                               const EntryHeartbeat& aHeartbeat,
+                               HeartbeatAnswer& aAnswer)
+{
+  const auto& members = State().mMembership;
+  const auto member = members.mNonces.find(aNonce);
+  if (member == members.mNonces.end()) {
+    const auto& removed = members.mRemovedNonces;
+    const bool over =
+      aHeartbeat.mMember.IsSet() ||
+      std::find(removed.begin(), removed.end(), aNonce) != removed.end();
+    aAnswer.mStanding = over ? Standing::kRemoved : Standing::kUnknown;
+    return;
+  }
+  const Member* info = FindMember(members.mCurrent, member->second);
+  const bool draining =
+    info != nullptr && info->mState == MemberState::kDraining;
+  aAnswer.mStanding = draining ? Standing::kDraining : Standing::kActive;
+  aAnswer.mMember = member->second;
+  aAnswer.mLease = mOptions.mEntryLease;
+  if (MemberView* view = mSessions.Member(member->second)) {
+    view->mGrantedAt = mNow;
+  }
+}
+
+void
+ControlNodeState::PushIfBehind(EntryNonce aNonce, EntrySession& aSession)
+{
+  const Revision revision = State().mSettings.mRevision;
+  const bool settingsDue =
+    aSession.mPushedRevision < revision ||
+    mNow - aSession.mPushedRevisionAt >= mOptions.mPushResend;
+  if (aSession.mInForce < revision && settingsDue) {
+    PushSettings(aNonce, aSession, aSession.mInForce);
+  }
+  const EpochNumber epoch = State().mMembership.mCurrent.mEpoch;
+  const bool epochDue = aSession.mPushedEpoch < epoch ||
+                        mNow - aSession.mPushedEpochAt >= mOptions.mPushResend;
+  if (aSession.mEpoch < epoch && epochDue) {
+    PushEpochs(aNonce, aSession, aSession.mEpoch);
+  }
+}
+
+void
+ControlNodeState::PushSettings(EntryNonce aNonce,
+                               EntrySession& aSession,
+                               Revision aHave)
+{
+  aSession.mPushedRevision = State().mSettings.mRevision;
+  aSession.mPushedRevisionAt = mNow;
+  mEffects.emplace_back(ToEntryEffect{
+    aNonce,
+    MakeSettingsPush(State().mSettings, mMachine.SettingsDigest(), aHave) });
+}
+
+void
+ControlNodeState::PushEpochs(EntryNonce aNonce,
+                             EntrySession& aSession,
+                             EpochNumber aHave)
+{
+  aSession.mPushedEpoch = State().mMembership.mCurrent.mEpoch;
+  aSession.mPushedEpochAt = mNow;
+  mEffects.emplace_back(
+    ToEntryEffect{ aNonce, MakeEpochPush(State().mMembership, aHave) });
+}
+
+// Right after a commit, entries that are nearly up to date get the change at
+// once. The others get what they lack with their next heartbeats, spread over
+// a heartbeat period, so that a whole tree isn't copied for all of them at the
+// same moment.
+void
+ControlNodeState::PushToAll()
+{
+  if (!Leads(mNow)) {
+    return;
+  }
+  constexpr std::uint64_t kNearlyUpToDate = 4;
+  const Revision revision = State().mSettings.mRevision;
+  const EpochNumber epoch = State().mMembership.mCurrent.mEpoch;
+  for (auto& [nonce, session] : mSessions.All()) {
+    if (mNow - session.mHeardAt > kHeardLately) {
+      continue;
+    }
+    const Revision settings =
+      std::max(session.mInForce, session.mPushedRevision);
+    if (settings.IsSet() && settings < revision &&
+        settings.Value() + kNearlyUpToDate >= revision.Value()) {
+      PushSettings(nonce, session, settings);
+    }
+    const EpochNumber known = std::max(session.mEpoch, session.mPushedEpoch);
+    if (known.IsSet() && known < epoch) {
+      PushEpochs(nonce, session, known);
+    }
+  }
+}
+
+void
+ControlNodeState::TakeEntry(EntryNonce aNonce,
+                            const membership::SettingsPull& aPull)
+{
+  EntrySession* session = mSessions.Find(aNonce);
+  if (session != nullptr && aPull.mHave < State().mSettings.mRevision) {
+    PushSettings(aNonce, *session, aPull.mHave);
+  }
+}
+
+void
+ControlNodeState::TakeEntry(EntryNonce aNonce,
+                            const membership::EpochPull& aPull)
+{
+  EntrySession* session = mSessions.Find(aNonce);
+  if (session != nullptr && aPull.mHave < State().mMembership.mCurrent.mEpoch) {
+    PushEpochs(aNonce, *session, aPull.mHave);
+  }
+}
+
+void
+ControlNodeState::TakeEpochMade(const EpochMap& aBefore)
+{
+  const auto& members = State().mMembership;
+  for (const Member& member : aBefore.mMembers) {
+    if (FindMember(members.mCurrent, member.mId) == nullptr) {
+      NoteDeparted(member);
+    }
+  }
+  mSessions.TakeMembers(members.mNonces, mNow);
+  if (mEpochPlanner) {
+    mEpochPlanner->TakeEpoch(members.mChanges.back(), aBefore, mNow);
+  }
+  Notice(ControlNotice::kEpochMade,
+         "epoch=" + std::to_string(members.mCurrent.mEpoch.Value()) +
+           " members=" + std::to_string(members.mCurrent.mMembers.size()));
+  // Drains that waited for this epoch, or whose member is gone.
+  std::erase_if(mPendingDrains, [&](const auto& aPair) {
+    const Member* member = FindMember(members.mCurrent, aPair.first);
+    if (member != nullptr && member->mState == MemberState::kActive) {
+      return false;
+    }
+    for (const CallId call : aPair.second) {
+      Answer(call,
+             DrainAnswer{ .mMember = aPair.first,
+                          .mEpoch = members.mCurrent.mEpoch });
+    }
+    return true;
+  });
+}
+
+// A removed entry that is cut off goes on by its old settings until its last
+// confirmation is too old. If it were forgotten at once, an edit would be
+// called in force while somebody still works by the settings before it.
+void
+ControlNodeState::NoteDeparted(const Member& aMember)
+{
+  const EntrySession* session = mSessions.SessionOf(aMember.mId);
+  if (session != nullptr && session->mDone) {
+    return;
+  }
+  const MemberView* view = mSessions.Member(aMember.mId);
+  const bool granted = mEpochPlanner && view != nullptr && view->mGrantedAt;
+  const TimePoint confirmed = granted ? *view->mGrantedAt : mNow;
+  const double rate = 1.0 + 2.0 * mOptions.mConsensus.mClockRateBound;
+  const Duration grace(static_cast<Duration::rep>(
+    static_cast<double>(mOptions.mConfirmationGrace.count()) * rate));
+  mDeparted.push_back(
+    Departed{ .mName = aMember.mName,
+              .mInForce = session == nullptr ? Revision() : session->mInForce,
+              .mUntil = confirmed + grace });
+}
+
+void
+ControlNodeState::PlanEpoch()
+{
+  if (mNow - mExpiredAt >= kExpirePeriod) {
+    mExpiredAt = mNow;
+    mSessions.Expire(mNow);
+  }
+  std::erase_if(mDeparted, [&](const Departed& aDeparted) {
+    return aDeparted.mUntil <= mNow;
+  });
+  if (mEpochProposed) {
+    return;
+  }
+  auto command = mEpochPlanner->Plan(
+    mSessions, State().mMembership, mConsensus->Replicas(), mNow);
+  if (command) {
+    mEpochProposed = Propose(std::move(*command));
+  }
+}
+
+void
+ControlNodeState::ReportSilence()
+{
+  const ReplicaId leader = mConsensus->Leader();
+  if (!leader.IsSet() || leader == Self() ||
+      mNow - mReportedAt < kReportPeriod) {
+    return;
+  }
+  mReportedAt = mNow;
+  SilenceReport report{ .mTerm = mConsensus->CurrentTerm(),
+                        .mEpoch = State().mMembership.mCurrent.mEpoch,
+                        .mSilent = {} };
+  for (const auto& [member, view] : mSessions.Members()) {
+    if (mNow - view.mHeardAt >= kReportSilenceAfter) {
+      report.mSilent.push_back(
+        { .mMember = member, .mSilentFor = mNow - view.mHeardAt });
+    }
+  }
+  if (const auto address = AddressOf(leader)) {
+    SendTo(*address, leader, std::move(report));
+  }
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/ControlJoin.cpp
@@ -0,0 +1,111 @@
+// Replicas without an identity, and changes of the replica set.
+
+#include "control/ControlNodeState.h"
+
+#include <algorithm>
+
+namespace peridotspool::control {
+
+void
+ControlNodeState::StartConsensus(RestoredState aState, SyncToken aLastToken)
+{
+  mIdentity = aState.mIdentity;
+  mApplied = aState.mSnapshot ? aState.mSnapshot->mIndex : LogIndex();
+  mCompactedAt = mApplied;
+  mConsensus.emplace(mOptions.mConsensus, std::move(aState), mNow, aLastToken);
+  mSessions.TakeMembers(State().mMembership.mNonces, mNow);
+}
+
+// An empty folder may belong to a replica that lost its disk, and with it its
+// votes and acknowledged entries. If it came back under its old identity, a
+// majority could be made of replicas that have all forgotten a committed edit.
+// So it gets a new identity from the log, and counts in no majority before it
+// has the whole log again.
+void
+ControlNodeState::AskForIdentity()
+{
+  constexpr Duration kAskPeriod = std::chrono::milliseconds(250);
+  const bool asked = mAskedAt != TimePoint() && mNow - mAskedAt < kAskPeriod;
+  if (mNewIdentity || asked) {
+    return;
+  }
+  mAskedAt = mNow;
+  for (const Address& seed : mSeeds) {
+    SendTo(seed,
+           ReplicaId(),
+           JoinRequest{ .mName = mOptions.mName,
+                        .mDomain = mOptions.mDomain,
+                        .mAddress = mOptions.mAddress,
+                        .mNonce = mOptions.mNonce });
+  }
+}
+
+void
+ControlNodeState::TakeJoin(const Address& aReplyTo, const JoinRequest& aRequest)
+{
+  if (!mConsensus) {
+    return;
+  }
+  if (Leads(mNow)) {
+    mReplicaPlanner->TakeJoin(aRequest, aReplyTo, mNow);
+    return;
+  }
+  if (const auto leader = LeaderAddress();
+      leader && *leader != mOptions.mAddress) {
+    SendTo(aReplyTo,
+           ReplicaId(),
+           JoinReply{ .mNonce = aRequest.mNonce,
+                      .mReplica = {},
+                      .mLeader = leader,
+                      .mReason = "not the leader" });
+  }
+}
+
+void
+ControlNodeState::TakeJoinReply(SystemId aSystem, const JoinReply& aReply)
+{
+  if (mConsensus || mNewIdentity || aReply.mNonce != mOptions.mNonce) {
+    return;
+  }
+  if (aReply.mLeader &&
+      std::find(mSeeds.begin(), mSeeds.end(), *aReply.mLeader) ==
+        mSeeds.end()) {
+    mSeeds.push_back(*aReply.mLeader);
+  }
+  if (!aReply.mReplica) {
+    if (!aReply.mLeader) {
+      Notice(ControlNotice::kReplicaJoinRefused, "reason=" + aReply.mReason);
+    }
+    return;
+  }
+  const ReplicaIdentity identity{ .mSystem = aSystem,
+                                  .mReplica = *aReply.mReplica };
+  mNewIdentity = Identity{ .mIdentity = identity, .mToken = SyncToken(1) };
+  PersistEffect write;
+  write.mToken = mNewIdentity->mToken;
+  write.mIdentity = identity;
+  mEffects.emplace_back(std::move(write));
+}
+
+void
+ControlNodeState::PlanReplicas()
+{
+  for (JoinVerdict& verdict : mReplicaPlanner->Verdicts(*mConsensus, mNow)) {
+    if (!verdict.mReplica) {
+      Notice(ControlNotice::kReplicaJoinRefused,
+             "name=" + verdict.mRequest.mName.Value() +
+               " reason=" + verdict.mReason);
+    }
+    SendTo(verdict.mReplyTo,
+           ReplicaId(),
+           JoinReply{ .mNonce = verdict.mRequest.mNonce,
+                      .mReplica = verdict.mReplica,
+                      .mLeader = {},
+                      .mReason = std::move(verdict.mReason) });
+  }
+  if (auto set = mReplicaPlanner->Plan(*mConsensus, mNow)) {
+    Propose(ReplicaSetCommand{ std::move(*set) });
+  }
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/ControlNodeState.cpp
@@ -0,0 +1,308 @@
+#include "control/ControlNodeState.h"
+
+#include "peridotspool/base/Overloaded.h"
+
+#include <algorithm>
+
+namespace peridotspool::control {
+
+namespace {
+
+MachineState
+StateOf(const RestoredState& aState)
+{
+  return aState.mSnapshot ? aState.mSnapshot->mState : MachineState{};
+}
+
+} // namespace
+
+ControlNodeState::ControlNodeState(ControlOptions aOptions,
+                                   RestoredState aState,
+                                   TimePoint aNow)
+  : mOptions(std::move(aOptions))
+  , mNow(aNow)
+  , mSeeds(mOptions.mSeeds)
+  , mMachine(mOptions.mStateMachine, StateOf(aState))
+  , mSessions(mOptions.mMaxSessions)
+{
+  if (aState.mIdentity) {
+    StartConsensus(std::move(aState), SyncToken());
+  }
+}
+
+ControlEffects
+ControlNodeState::Step(const ControlEvent& aEvent, TimePoint aNow)
+{
+  mNow = std::max(mNow, aNow);
+  std::visit([this](const auto& aOne) { Take(aOne); }, aEvent);
+  NoteRole();
+  return std::exchange(mEffects, {});
+}
+
+bool
+ControlNodeState::Leads(TimePoint aNow) const
+{
+  return mConsensus && mConsensus->LeaseHolds(aNow);
+}
+
+const ReplicaSet&
+ControlNodeState::Replicas() const
+{
+  static const ReplicaSet sNone;
+  return mConsensus ? mConsensus->Replicas() : sNone;
+}
+
+ReplicaId
+ControlNodeState::Self() const
+{
+  return mIdentity ? mIdentity->mReplica : ReplicaId();
+}
+
+void
+ControlNodeState::Take(const FromReplicaEvent& aEvent)
+{
+  const ReplicaEnvelope& envelope = aEvent.mEnvelope;
+  if (const auto* join = std::get_if<JoinRequest>(&envelope.mMessage)) {
+    TakeJoin(envelope.mReplyTo, *join);
+    return;
+  }
+  if (const auto* reply = std::get_if<JoinReply>(&envelope.mMessage)) {
+    TakeJoinReply(envelope.mSystem, *reply);
+    return;
+  }
+  // A message of another system, or for an identity that was lost with its
+  // disk, must not count as this replica's: it never made those promises.
+  if (!mConsensus || envelope.mSystem != mIdentity->mSystem ||
+      envelope.mTo != mIdentity->mReplica) {
+    return;
+  }
+  mLearnedAddresses[envelope.mFrom] = envelope.mReplyTo;
+  if (const auto* report = std::get_if<SilenceReport>(&envelope.mMessage)) {
+    if (mEpochPlanner && report->mTerm == mConsensus->CurrentTerm()) {
+      mEpochPlanner->TakeReport(envelope.mFrom, *report, mNow);
+    }
+    return;
+  }
+  RunConsensus(ReplicaMessageEvent{ envelope.mFrom, envelope.mMessage });
+}
+
+void
+ControlNodeState::Take(const SyncedEvent& aEvent)
+{
+  if (mNewIdentity && aEvent.mToken >= mNewIdentity->mToken) {
+    RestoredState state;
+    state.mIdentity = mNewIdentity->mIdentity;
+    mNewIdentity.reset();
+    StartConsensus(std::move(state), aEvent.mToken);
+    return;
+  }
+  if (mConsensus) {
+    RunConsensus(aEvent);
+  }
+}
+
+void
+ControlNodeState::Take(const TickEvent& aEvent)
+{
+  constexpr Duration kPlanPeriod = std::chrono::milliseconds(50);
+  if (!mConsensus) {
+    AskForIdentity();
+    return;
+  }
+  RunConsensus(aEvent);
+  if (mNow - mPlannedAt < kPlanPeriod) {
+    return;
+  }
+  mPlannedAt = mNow;
+  ReportSilence();
+  if (Leads(mNow)) {
+    PlanReplicas();
+    PlanEpoch();
+    AnswerInForce();
+  }
+}
+
+void
+ControlNodeState::RunConsensus(const ConsensusEvent& aEvent)
+{
+  ConsensusEffects effects = mConsensus->Step(aEvent, mNow);
+  for (ConsensusEffect& effect : effects) {
+    std::visit([this](auto& aOne) { TakeEffect(std::move(aOne)); }, effect);
+  }
+  CompactIfDue();
+}
+
+void
+ControlNodeState::TakeEffect(SendReplicaEffect aEffect)
+{
+  if (const auto address = AddressOf(aEffect.mTo)) {
+    SendTo(*address, aEffect.mTo, std::move(aEffect.mMessage));
+  }
+}
+
+void
+ControlNodeState::TakeEffect(PersistEffect aEffect)
+{
+  mEffects.emplace_back(std::move(aEffect));
+}
+
+void
+ControlNodeState::TakeEffect(const CommittedEffect& aEffect)
+{
+  for (const LogEntry& entry : aEffect.mEntries) {
+    ApplyEntry(entry);
+  }
+  PushToAll();
+}
+
+void
+ControlNodeState::TakeEffect(const InstalledEffect& aEffect)
+{
+  mMachine = StateMachine(mOptions.mStateMachine, aEffect.mSnapshot.mState);
+  mApplied = aEffect.mSnapshot.mIndex;
+  mCompactedAt = mApplied;
+  mSessions.TakeMembers(State().mMembership.mNonces, mNow);
+  Notice(ControlNotice::kSnapshotInstalled,
+         "index=" + std::to_string(mApplied.Value()));
+}
+
+void
+ControlNodeState::ApplyEntry(const LogEntry& aEntry)
+{
+  const bool membership =
+    std::holds_alternative<MembershipCommand>(aEntry.mCommand);
+  const membership::EpochMap before =
+    membership ? State().mMembership.mCurrent : membership::EpochMap{};
+  const ApplyResult result = mMachine.Apply(aEntry.mCommand);
+  mApplied = aEntry.mIndex;
+  if (membership && State().mMembership.mCurrent.mEpoch != before.mEpoch) {
+    TakeEpochMade(before);
+  }
+  if (mEpochProposed && *mEpochProposed <= aEntry.mIndex) {
+    mEpochProposed.reset();
+  }
+  if (const auto* change = std::get_if<ReplicaSetCommand>(&aEntry.mCommand)) {
+    Notice(ControlNotice::kReplicaSetChanged,
+           "voters=" + std::to_string(change->mSet.VoterCount()) +
+             " replicas=" + std::to_string(change->mSet.mReplicas.size()));
+  }
+  FinishCall(aEntry, result);
+}
+
+void
+ControlNodeState::FinishCall(const LogEntry& aEntry, const ApplyResult& aResult)
+{
+  const auto found = mPendingCalls.find(aEntry.mIndex);
+  if (found == mPendingCalls.end()) {
+    return;
+  }
+  const PendingCall pending = found->second;
+  mPendingCalls.erase(found);
+  // Another leader's entry took the place: the proposal may be in the log
+  // elsewhere or nowhere. Only a resend tells.
+  if (pending.mTerm != aEntry.mTerm) {
+    Answer(pending.mCall, UncertainAnswer{ LeaderAddress() });
+    return;
+  }
+  std::visit(
+    Overloaded{
+      [&](const EditAnswer& aAnswer) { Answer(pending.mCall, aAnswer); },
+      [&](FencingNumber aNumber) {
+        Answer(pending.mCall, FencingAnswer{ aNumber });
+      },
+      [&](const auto&) {
+        Answer(pending.mCall, RefusedAnswer{ "nothing was changed" });
+      },
+    },
+    aResult);
+}
+
+void
+ControlNodeState::CompactIfDue()
+{
+  if (mApplied.Value() < mCompactedAt.Value() + mOptions.mSnapshotEvery) {
+    return;
+  }
+  mCompactedAt = mApplied;
+  Notice(ControlNotice::kSnapshotMade,
+         "index=" + std::to_string(mApplied.Value()));
+  RunConsensus(CompactEvent{ mApplied, State() });
+}
+
+void
+ControlNodeState::NoteRole()
+{
+  const bool leads = mConsensus && mConsensus->CurrentRole() == Role::kLeader;
+  if (leads == mHadLead) {
+    return;
+  }
+  mHadLead = leads;
+  const std::string term =
+    "term=" + std::to_string(mConsensus->CurrentTerm().Value());
+  if (leads) {
+    mEpochPlanner.emplace(mOptions, Self(), mNow);
+    mReplicaPlanner.emplace(
+      mOptions.mVoters, 4 * mOptions.mConsensus.mElectionTimeout, mNow);
+    Notice(ControlNotice::kTookLead, term);
+  } else {
+    mEpochPlanner.reset();
+    mReplicaPlanner.reset();
+    mEpochProposed.reset();
+    FailPendingCalls();
+    Notice(ControlNotice::kLostLead, term);
+  }
+}
+
+std::optional<LogIndex>
+ControlNodeState::Propose(Command aCommand)
+{
+  const LogIndex before = mConsensus->LastIndex();
+  ConsensusEvent event;
+  event.emplace<ProposeEvent>().mCommand = std::move(aCommand);
+  RunConsensus(event);
+  const LogIndex after = mConsensus->LastIndex();
+  return after > before ? std::optional(after) : std::nullopt;
+}
+
+std::optional<Address>
+ControlNodeState::LeaderAddress() const
+{
+  if (!mConsensus || !mConsensus->Leader().IsSet()) {
+    return std::nullopt;
+  }
+  return mConsensus->Leader() == Self() ? mOptions.mAddress
+                                        : AddressOf(mConsensus->Leader());
+}
+
+std::optional<Address>
+ControlNodeState::AddressOf(ReplicaId aReplica) const
+{
+  const auto learned = mLearnedAddresses.find(aReplica);
+  if (learned != mLearnedAddresses.end()) {
+    return learned->second;
+  }
+  const ReplicaInfo* replica = Replicas().Find(aReplica);
+  return replica == nullptr ? std::nullopt : std::optional(replica->mAddress);
+}
+
+void
+ControlNodeState::SendTo(const Address& aTo,
+                         ReplicaId aReplica,
+                         ReplicaMessage aMessage)
+{
+  mEffects.emplace_back(ToReplicaEffect{
+    aTo,
+    ReplicaEnvelope{ .mSystem = mIdentity ? mIdentity->mSystem : SystemId(),
+                     .mFrom = Self(),
+                     .mTo = aReplica,
+                     .mReplyTo = mOptions.mAddress,
+                     .mMessage = std::move(aMessage) } });
+}
+
+void
+ControlNodeState::Notice(ControlNotice aNotice, std::string aText)
+{
+  mEffects.emplace_back(NoticeEffect{ aNotice, std::move(aText) });
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/ControlOperators.cpp
@@ -0,0 +1,274 @@
+// Operators' requests.
+
+#include "control/ControlNodeState.h"
+
+#include <algorithm>
+
+namespace peridotspool::control {
+
+using membership::Member;
+
+void
+ControlNodeState::Take(const OperatorEvent& aEvent)
+{
+  const bool anyReplica =
+    std::holds_alternative<StatusRequest>(aEvent.mRequest);
+  // Only the lease makes an answer surely the newest: a leader that was cut
+  // off without knowing it would show old settings as current ones.
+  if (!anyReplica && !Leads(mNow)) {
+    Answer(aEvent.mCall, NotLeaderAnswer{ LeaderAddress() });
+    return;
+  }
+  const std::size_t pending = mPendingCalls.size() + mPendingInForce.size();
+  if (!anyReplica && pending >= mOptions.mMaxPending) {
+    Answer(aEvent.mCall, RefusedAnswer{ "too many requests under way" });
+    return;
+  }
+  std::visit([&](const auto& aRequest) { TakeRequest(aEvent.mCall, aRequest); },
+             aEvent.mRequest);
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const EditRequest& aRequest)
+{
+  const std::uint64_t digest = EditDigest(aRequest.mBase, aRequest.mText);
+  if (const auto answer = AnswerWithoutLog(aRequest, digest)) {
+    Answer(aCall, *answer);
+    return;
+  }
+  EditCommand command{ .mEdit = aRequest.mEdit,
+                       .mBase = aRequest.mBase,
+                       .mDelta = {},
+                       .mDigest = digest,
+                       .mAuthor = aRequest.mAuthor };
+  if (aRequest.mBase == State().mSettings.mRevision) {
+    command.mDelta = MakeDelta(State().mSettings.mText, aRequest.mText);
+  }
+  ProposeFor(aCall, std::move(command));
+}
+
+std::optional<EditAnswer>
+ControlNodeState::AnswerWithoutLog(const EditRequest& aRequest,
+                                   std::uint64_t aDigest) const
+{
+  if (auto known = mMachine.KnownEdit(aRequest.mEdit, aDigest)) {
+    return known;
+  }
+  EditAnswer invalid{ .mVerdict = EditVerdict::kInvalid,
+                      .mRevision = State().mSettings.mRevision,
+                      .mWinner = EditId(),
+                      .mReason = {} };
+  if (!aRequest.mEdit.IsSet()) {
+    invalid.mReason = "an edit needs an edit id";
+    return invalid;
+  }
+  if (aRequest.mText.size() > mOptions.mMaxSettingsBytes) {
+    invalid.mReason =
+      "the settings have " + std::to_string(aRequest.mText.size()) +
+      " bytes; " + std::to_string(mOptions.mMaxSettingsBytes) + " are the most";
+    return invalid;
+  }
+  if (auto problem =
+        mOptions.mChecker ? mOptions.mChecker(aRequest.mText) : std::nullopt) {
+    invalid.mReason = std::move(*problem);
+    return invalid;
+  }
+  return std::nullopt;
+}
+
+void
+ControlNodeState::ProposeFor(CallId aCall, Command aCommand)
+{
+  const Term term = mConsensus->CurrentTerm();
+  if (const auto index = Propose(std::move(aCommand))) {
+    mPendingCalls[*index] = PendingCall{ .mCall = aCall, .mTerm = term };
+  } else {
+    Answer(aCall, NotLeaderAnswer{ LeaderAddress() });
+  }
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const FencingRequest&)
+{
+  ProposeFor(aCall, FencingCommand{});
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const InForceRequest& aRequest)
+{
+  if (aRequest.mRevision > State().mSettings.mRevision) {
+    Answer(aCall, RefusedAnswer{ "that revision does not exist" });
+    return;
+  }
+  mPendingInForce.push_back({ .mCall = aCall,
+                              .mRevision = aRequest.mRevision,
+                              .mDeadline = mNow + aRequest.mWait });
+  AnswerInForce();
+}
+
+InForceAnswer
+ControlNodeState::InForce(Revision aRevision) const
+{
+  InForceAnswer answer{ .mRevision = aRevision,
+                        .mInForce = false,
+                        .mMissing = {} };
+  for (const Member& member : State().mMembership.mCurrent.mMembers) {
+    const EntrySession* session = mSessions.SessionOf(member.mId);
+    if (session == nullptr || session->mInForce < aRevision) {
+      answer.mMissing.push_back(member.mName);
+    }
+  }
+  for (const Departed& departed : mDeparted) {
+    if (departed.mInForce < aRevision && departed.mUntil > mNow) {
+      answer.mMissing.push_back(departed.mName);
+    }
+  }
+  answer.mInForce = answer.mMissing.empty();
+  return answer;
+}
+
+void
+ControlNodeState::AnswerInForce()
+{
+  std::erase_if(mPendingInForce, [&](const PendingInForce& aPending) {
+    InForceAnswer answer = InForce(aPending.mRevision);
+    if (!answer.mInForce && mNow < aPending.mDeadline) {
+      return false;
+    }
+    Answer(aPending.mCall, std::move(answer));
+    return true;
+  });
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const SettingsRequest& aRequest)
+{
+  const Revision revision =
+    aRequest.mRevision.value_or(State().mSettings.mRevision);
+  LastReason reason;
+  if (auto text = mMachine.TextAt(revision, reason)) {
+    Answer(aCall,
+           SettingsAnswer{ .mRevision = revision, .mText = std::move(*text) });
+  } else {
+    Answer(aCall, RefusedAnswer{ reason.Text() });
+  }
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const HistoryRequest& aRequest)
+{
+  const auto& history = State().mSettings.mHistory;
+  HistoryAnswer answer;
+  for (auto change = history.rbegin();
+       change != history.rend() && answer.mChanges.size() < aRequest.mLimit;
+       ++change) {
+    answer.mChanges.push_back(*change);
+  }
+  Answer(aCall, std::move(answer));
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const DiffRequest& aRequest)
+{
+  LastReason reason;
+  auto from = mMachine.TextAt(aRequest.mFrom, reason);
+  auto to = from ? mMachine.TextAt(aRequest.mTo, reason) : std::nullopt;
+  if (!to) {
+    Answer(aCall, RefusedAnswer{ reason.Text() });
+    return;
+  }
+  Answer(
+    aCall,
+    DiffAnswer{ .mFromText = std::move(*from), .mToText = std::move(*to) });
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const DrainRequest& aRequest)
+{
+  const auto& current = State().mMembership.mCurrent;
+  const auto member = std::find_if(
+    current.mMembers.begin(), current.mMembers.end(), [&](const auto& aMember) {
+      return aMember.mName == aRequest.mEntry;
+    });
+  if (member == current.mMembers.end()) {
+    Answer(aCall,
+           RefusedAnswer{ "no entry " + aRequest.mEntry.Value() +
+                          " among the members" });
+  } else if (member->mState == membership::MemberState::kDraining) {
+    Answer(aCall,
+           DrainAnswer{ .mMember = member->mId, .mEpoch = current.mEpoch });
+  } else {
+    mEpochPlanner->TakeDrain(member->mId);
+    mPendingDrains[member->mId].push_back(aCall);
+    PlanEpoch();
+  }
+}
+
+void
+ControlNodeState::TakeRequest(CallId aCall, const StatusRequest&)
+{
+  Answer(aCall, Status());
+}
+
+StatusAnswer
+ControlNodeState::Status() const
+{
+  StatusAnswer status;
+  status.mSelf = Self();
+  status.mRevision = State().mSettings.mRevision;
+  status.mEpoch = State().mMembership.mCurrent.mEpoch;
+  status.mLastFencing = State().mLastFencing;
+  if (!mConsensus) {
+    return status;
+  }
+  status.mLeader = mConsensus->Leader();
+  status.mLeads = Leads(mNow);
+  status.mTerm = mConsensus->CurrentTerm();
+  status.mCommit = mConsensus->Commit();
+  for (const ReplicaInfo& replica : mConsensus->Replicas().mReplicas) {
+    const auto progress = mConsensus->Progress().find(replica.mId);
+    const LogIndex match = replica.mId == Self() ? mConsensus->LastIndex()
+                           : progress == mConsensus->Progress().end()
+                             ? LogIndex()
+                             : progress->second.mMatch;
+    status.mReplicas.push_back({ .mInfo = replica, .mMatch = match });
+  }
+  for (const Member& member : State().mMembership.mCurrent.mMembers) {
+    const EntrySession* session = mSessions.SessionOf(member.mId);
+    const MemberView* view = mSessions.Member(member.mId);
+    status.mEntries.push_back(
+      { .mMember = member,
+        .mInForce = session == nullptr ? Revision() : session->mInForce,
+        .mEpoch = session == nullptr ? EpochNumber() : session->mEpoch,
+        .mSilentFor = view == nullptr ? Duration(0) : mNow - view->mHeardAt });
+  }
+  return status;
+}
+
+void
+ControlNodeState::Answer(CallId aCall, OperatorAnswer aAnswer)
+{
+  mEffects.emplace_back(AnswerEffect{ aCall, std::move(aAnswer) });
+}
+
+void
+ControlNodeState::FailPendingCalls()
+{
+  const auto uncertain = [&](CallId aCall) {
+    Answer(aCall, UncertainAnswer{ LeaderAddress() });
+  };
+  for (const auto& [index, pending] : mPendingCalls) {
+    uncertain(pending.mCall);
+  }
+  for (const auto& [member, calls] : mPendingDrains) {
+    std::for_each(calls.begin(), calls.end(), uncertain);
+  }
+  for (const PendingInForce& pending : mPendingInForce) {
+    Answer(pending.mCall, NotLeaderAnswer{ LeaderAddress() });
+  }
+  mPendingCalls.clear();
+  mPendingDrains.clear();
+  mPendingInForce.clear();
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/EpochPlanner.cpp
@@ -0,0 +1,235 @@
+#include "control/EpochPlanner.h"
+
+#include <algorithm>
+
+namespace peridotspool::control {
+
+using membership::Member;
+using membership::MemberState;
+
+namespace {
+
+/** A report of another replica counts for this long. */
+constexpr Duration kReportAge = std::chrono::seconds(1);
+/** A process heard within this time is taken for alive. */
+constexpr Duration kHeardLately = std::chrono::milliseconds(650);
+/** A name that stayed for this long starts without backoff again. */
+constexpr Duration kForgetRejoin = std::chrono::minutes(2);
+
+} // namespace
+
+EpochPlanner::EpochPlanner(const ControlOptions& aOptions,
+                           ReplicaId aSelf,
+                           TimePoint aLeaderSince)
+  : mOptions(aOptions)
+  , mSelf(aSelf)
+  , mLeaderSince(aLeaderSince)
+  , mNow(aLeaderSince)
+{
+}
+
+void
+EpochPlanner::TakeReport(ReplicaId aFrom,
+                         const SilenceReport& aReport,
+                         TimePoint aNow)
+{
+  Report& report = mReports[aFrom];
+  report.mReceivedAt = aNow;
+  report.mSilent.clear();
+  for (const SilentMember& silent : aReport.mSilent) {
+    report.mSilent[silent.mMember] = silent.mSilentFor;
+  }
+}
+
+void
+EpochPlanner::TakeDrain(MemberId aMember)
+{
+  mDrains.insert(aMember);
+}
+
+void
+EpochPlanner::TakeEpoch(const membership::EpochChange& aChange,
+                        const membership::EpochMap& aBefore,
+                        TimePoint aNow)
+{
+  mLastEpochAt = aNow;
+  for (const MemberId removed : aChange.mRemoved) {
+    mWithheld.erase(removed);
+    mDrains.erase(removed);
+    const auto member = std::find_if(
+      aBefore.mMembers.begin(),
+      aBefore.mMembers.end(),
+      [&](const Member& aMember) { return aMember.mId == removed; });
+    if (member == aBefore.mMembers.end()) {
+      continue;
+    }
+    // A process that comes and goes would make two epochs for each flap, and
+    // every epoch moves shards. It waits longer each time.
+    Rejoin& rejoin = mRejoins[member->mName];
+    const bool quiet = aNow > rejoin.mNotBefore + kForgetRejoin;
+    rejoin.mBackoff =
+      quiet || rejoin.mBackoff == Duration(0)
+        ? mOptions.mRejoinBackoff
+        : std::min(rejoin.mBackoff * 2, mOptions.mRejoinBackoffMost);
+    rejoin.mNotBefore = aNow + rejoin.mBackoff;
+  }
+}
+
+bool
+EpochPlanner::IsWithheld(MemberId aMember) const
+{
+  return mWithheld.contains(aMember);
+}
+
+std::optional<MembershipCommand>
+EpochPlanner::Plan(EntrySessions& aSessions,
+                   const MembershipState& aState,
+                   const ReplicaSet& aReplicas,
+                   TimePoint aNow)
+{
+  mNow = aNow;
+  MembershipCommand command;
+  AddRemovals(aSessions, aState, aReplicas, command);
+  AddDrains(aSessions, aState, command);
+  AddJoins(aSessions, aState, command);
+  if (!IsDue(command)) {
+    return std::nullopt;
+  }
+  mFirstWantedAt.reset();
+  return command;
+}
+
+// One bad link between a member and one control replica must take nobody out,
+// so a majority of the voters has to miss it, each by its own hearing.
+bool
+EpochPlanner::IsSilent(MemberId aMember,
+                       const MemberView& aView,
+                       const ReplicaSet& aReplicas) const
+{
+  std::size_t missing =
+    aReplicas.IsVoter(mSelf) && mNow - aView.mHeardAt >= mOptions.mMemberTimeout
+      ? 1
+      : 0;
+  for (const auto& [replica, report] : mReports) {
+    if (!aReplicas.IsVoter(replica) || mNow - report.mReceivedAt > kReportAge) {
+      continue;
+    }
+    const auto silent = report.mSilent.find(aMember);
+    if (silent != report.mSilent.end() &&
+        silent->second >= mOptions.mMemberTimeout) {
+      ++missing;
+    }
+  }
+  return missing >= aReplicas.Majority();
+}
+
+void
+EpochPlanner::AddRemovals(const EntrySessions& aSessions,
+                          const MembershipState& aState,
+                          const ReplicaSet& aReplicas,
+                          MembershipCommand& aCommand)
+{
+  for (const Member& member : aState.mCurrent.mMembers) {
+    const MemberView* view = aSessions.Member(member.mId);
+    if (view == nullptr) {
+      continue;
+    }
+    const EntrySession* session = aSessions.SessionOf(member.mId);
+    if (session != nullptr && session->mDone) {
+      aCommand.mRemovals.push_back(member.mId);
+      continue;
+    }
+    if (!IsSilent(member.mId, *view, aReplicas)) {
+      mWithheld.erase(member.mId);
+      continue;
+    }
+    // The member may still work on a lease from here or from the leader
+    // before. It gets no further one, and goes once the last has surely ended.
+    mWithheld.insert(member.mId);
+    const TimePoint granted =
+      std::max(mLeaderSince, view->mGrantedAt.value_or(mLeaderSince));
+    if (mNow - granted >= mOptions.mMemberTimeout) {
+      aCommand.mRemovals.push_back(member.mId);
+    }
+  }
+}
+
+void
+EpochPlanner::AddDrains(const EntrySessions& aSessions,
+                        const MembershipState& aState,
+                        MembershipCommand& aCommand)
+{
+  for (const Member& member : aState.mCurrent.mMembers) {
+    const EntrySession* session = aSessions.SessionOf(member.mId);
+    const bool leaving = session != nullptr && session->mLeaving;
+    if (member.mState == MemberState::kActive &&
+        (leaving || mDrains.contains(member.mId))) {
+      aCommand.mDrains.push_back(member.mId);
+    }
+  }
+}
+
+void
+EpochPlanner::AddJoins(EntrySessions& aSessions,
+                       const MembershipState& aState,
+                       MembershipCommand& aCommand)
+{
+  std::set<EntryName> names;
+  for (const auto& [nonce, session] : aSessions.All()) {
+    const bool known = aState.mNonces.contains(nonce) ||
+                       std::find(aState.mRemovedNonces.begin(),
+                                 aState.mRemovedNonces.end(),
+                                 nonce) != aState.mRemovedNonces.end();
+    if (!known && MayJoin(session, aSessions, aState) &&
+        names.insert(session.mProfile->mName).second) {
+      aCommand.mJoins.push_back(
+        { .mNonce = nonce, .mProfile = *session.mProfile });
+    }
+  }
+  // The table has no order of its own; ids are to be given out in a stable one.
+  std::sort(aCommand.mJoins.begin(),
+            aCommand.mJoins.end(),
+            [](const MemberJoin& aLeft, const MemberJoin& aRight) {
+              return aLeft.mProfile.mName < aRight.mProfile.mName;
+            });
+}
+
+bool
+EpochPlanner::MayJoin(const EntrySession& aSession,
+                      const EntrySessions& aSessions,
+                      const MembershipState& aState) const
+{
+  if (!aSession.mProfile || aSession.mLeaving ||
+      mNow - aSession.mHeardAt > kHeardLately) {
+    return false;
+  }
+  const EntryName& name = aSession.mProfile->mName;
+  const auto rejoin = mRejoins.find(name);
+  if (rejoin != mRejoins.end() && mNow < rejoin->second.mNotBefore) {
+    return false;
+  }
+  const auto& members = aState.mCurrent.mMembers;
+  return std::none_of(
+    members.begin(), members.end(), [&](const Member& aMember) {
+      const MemberView* view = aSessions.Member(aMember.mId);
+      return aMember.mName == name && view != nullptr &&
+             mNow - view->mHeardAt <= kHeardLately;
+    });
+}
+
+bool
+EpochPlanner::IsDue(const MembershipCommand& aCommand)
+{
+  const bool leaving = !aCommand.mDrains.empty();
+  if (aCommand.mJoins.empty() && aCommand.mRemovals.empty() && !leaving) {
+    mFirstWantedAt.reset();
+    return false;
+  }
+  mFirstWantedAt = mFirstWantedAt.value_or(mNow);
+  const bool gathered = mNow - *mFirstWantedAt >= mOptions.mEpochDelay;
+  const bool spaced =
+    !mLastEpochAt || mNow - *mLastEpochAt >= mOptions.mEpochSpacing;
+  return leaving || (gathered && spaced);
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/StateMachine.cpp
@@ -0,0 +1,40 @@
+#include "peridotspool/control/StateMachine.h"
+
+#include <utility>
+
+namespace peridotspool::control {
+
+StateMachine::StateMachine(StateMachineOptions aOptions, MachineState aState)
+  : mOptions(aOptions)
+  , mState(std::move(aState))
+  , mSettingsDigest(DigestOf(mState.mSettings.mText))
+{
+}
+
+ApplyResult
+StateMachine::Apply(const Command& aCommand)
+{
+  return std::visit([this](const auto& aOne) { return ApplyOne(aOne); },
+                    aCommand);
+}
+
+ApplyResult
+StateMachine::ApplyOne(const NoopCommand&)
+{
+  return NothingApplied{};
+}
+
+ApplyResult
+StateMachine::ApplyOne(const ReplicaSetCommand&)
+{
+  return NothingApplied{};
+}
+
+ApplyResult
+StateMachine::ApplyOne(const FencingCommand&)
+{
+  mState.mLastFencing = mState.mLastFencing.Next();
+  return mState.mLastFencing;
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/control/StateMachineSettings.cpp
@@ -0,0 +1,169 @@
+// Settings edits in the replicated state.
+
+#include "peridotspool/control/StateMachine.h"
+
+#include <algorithm>
+
+namespace peridotspool::control {
+
+ApplyResult
+StateMachine::ApplyOne(const EditCommand& aCommand)
+{
+  // A resent edit must not be judged anew: its base is old by now, so it would
+  // be told that it lost, to itself. The kept answer survives a leader change
+  // and a snapshot, because it is part of the replicated state.
+  if (const auto known = KnownEdit(aCommand.mEdit, aCommand.mDigest)) {
+    return *known;
+  }
+  const EditAnswer answer = Judge(aCommand);
+  Remember(aCommand, answer);
+  return answer;
+}
+
+EditAnswer
+StateMachine::Judge(const EditCommand& aCommand)
+{
+  SettingsState& settings = mState.mSettings;
+  if (aCommand.mBase != settings.mRevision) {
+    return ConflictOf(aCommand.mBase);
+  }
+  LastReason reason;
+  auto text = ApplyDelta(settings.mText, aCommand.mDelta, reason);
+  if (!text) {
+    return EditAnswer{ .mVerdict = EditVerdict::kInvalid,
+                       .mRevision = settings.mRevision,
+                       .mWinner = EditId(),
+                       .mReason = reason.Text() };
+  }
+  settings.mText = std::move(*text);
+  settings.mRevision = settings.mRevision.Next();
+  mSettingsDigest = DigestOf(settings.mText);
+  settings.mHistory.push_back({ .mRevision = settings.mRevision,
+                                .mEdit = aCommand.mEdit,
+                                .mAuthor = aCommand.mAuthor,
+                                .mDelta = aCommand.mDelta });
+  TrimHistory();
+  return EditAnswer{ .mVerdict = EditVerdict::kCommitted,
+                     .mRevision = settings.mRevision,
+                     .mWinner = EditId(),
+                     .mReason = {} };
+}
+
+EditAnswer
+StateMachine::ConflictOf(Revision aBase) const
+{
+  const SettingsState& settings = mState.mSettings;
+  EditAnswer answer{ .mVerdict = EditVerdict::kConflict,
+                     .mRevision = settings.mRevision,
+                     .mWinner = EditId(),
+                     .mReason = "the base is too old to say who replaced it" };
+  if (aBase > settings.mRevision) {
+    answer.mVerdict = EditVerdict::kInvalid;
+    answer.mReason = "revision " + std::to_string(aBase.Value()) +
+                     " does not exist; the newest is " +
+                     std::to_string(settings.mRevision.Value());
+    return answer;
+  }
+  const auto winner = std::find_if(
+    settings.mHistory.begin(),
+    settings.mHistory.end(),
+    [&](const auto& aChange) { return aChange.mRevision == aBase.Next(); });
+  if (winner != settings.mHistory.end()) {
+    answer.mRevision = winner->mRevision;
+    answer.mWinner = winner->mEdit;
+    answer.mReason = "another edit replaced the base first";
+  }
+  return answer;
+}
+
+std::optional<EditAnswer>
+StateMachine::KnownEdit(const EditId& aEdit, std::uint64_t aDigest) const
+{
+  const auto known = mState.mSettings.mEdits.find(aEdit);
+  if (known == mState.mSettings.mEdits.end()) {
+    return std::nullopt;
+  }
+  if (known->second.mDigest != aDigest) {
+    return EditAnswer{ .mVerdict = EditVerdict::kEditIdReused,
+                       .mRevision = mState.mSettings.mRevision,
+                       .mWinner = EditId(),
+                       .mReason = "edit id " + aEdit.Value() +
+                                  " belongs to another edit" };
+  }
+  return known->second.mAnswer;
+}
+
+void
+StateMachine::Remember(const EditCommand& aCommand, const EditAnswer& aAnswer)
+{
+  SettingsState& settings = mState.mSettings;
+  settings.mEdits[aCommand.mEdit] = { .mDigest = aCommand.mDigest,
+                                      .mAnswer = aAnswer };
+  settings.mEditOrder.push_back(aCommand.mEdit);
+  // Dropped by quarters: erasing at the front of a vector moves the rest.
+  if (settings.mEditOrder.size() <= mOptions.mMaxEditIds) {
+    return;
+  }
+  const std::size_t drop = std::max<std::size_t>(1, mOptions.mMaxEditIds / 4);
+  const auto end =
+    settings.mEditOrder.begin() + static_cast<std::ptrdiff_t>(drop);
+  std::for_each(settings.mEditOrder.begin(), end, [&](const EditId& aEdit) {
+    settings.mEdits.erase(aEdit);
+  });
+  settings.mEditOrder.erase(settings.mEditOrder.begin(), end);
+}
+
+void
+StateMachine::TrimHistory()
+{
+  std::vector<SettingsChange>& history = mState.mSettings.mHistory;
+  std::size_t bytes = 0;
+  for (const SettingsChange& change : history) {
+    bytes += change.mDelta.mRemoved.size() + change.mDelta.mInserted.size();
+  }
+  auto keepFrom = history.begin();
+  const std::size_t most = mOptions.mMaxHistory;
+  if (history.size() > most) {
+    keepFrom += static_cast<std::ptrdiff_t>(
+      std::min(history.size() - most + most / 4, history.size() - 1));
+  }
+  std::for_each(history.begin(), keepFrom, [&](const auto& aChange) {
+    bytes -= aChange.mDelta.mRemoved.size() + aChange.mDelta.mInserted.size();
+  });
+  // The last change is always kept: it tells a loser who won.
+  while (bytes > mOptions.mMaxHistoryBytes && keepFrom + 1 != history.end()) {
+    bytes -= keepFrom->mDelta.mRemoved.size();
+    bytes -= keepFrom->mDelta.mInserted.size();
+    ++keepFrom;
+  }
+  history.erase(history.begin(), keepFrom);
+}
+
+std::optional<std::string>
+StateMachine::TextAt(Revision aRevision, LastReason& aReason) const
+{
+  const SettingsState& settings = mState.mSettings;
+  std::optional<std::string> text = settings.mText;
+  Revision at = settings.mRevision;
+  auto change = settings.mHistory.rbegin();
+  while (at > aRevision && text && change != settings.mHistory.rend()) {
+    text = ApplyDelta(*text, Inverse(change->mDelta), aReason);
+    at = Revision(at.Value() - 1);
+    ++change;
+  }
+  if (at != aRevision) {
+    aReason.Set("revision " + std::to_string(aRevision.Value()) +
+                " is not kept; the newest is " +
+                std::to_string(settings.mRevision.Value()));
+    return std::nullopt;
+  }
+  return text;
+}
+
+std::uint64_t
+EditDigest(Revision aBase, const std::string& aText)
+{
+  return DigestOf(std::to_string(aBase.Value()) + ":" + aText);
+}
+
+} // namespace peridotspool::control
--- /dev/null
+++ b/src/storage/ControlStore.cpp
@@ -0,0 +1,124 @@
+#include "peridotspool/storage/ControlStore.h"
+
+#include "peridotspool/wire/Codec.h"
+
+namespace peridotspool::storage {
+
+using control::PersistEffect;
+using control::ReplicaIdentity;
+using control::RestoredState;
+
+namespace {
+
+/** Puts the checkpoint and the writes after it together. */
+bool
+Replay(const FolderContents& aContents,
+       RestoredState& aState,
+       LastReason& aReason)
+{
+  if (aContents.mCheckpoint) {
+    auto state = wire::Decode<RestoredState>(*aContents.mCheckpoint, aReason);
+    if (!state) {
+      return false;
+    }
+    aState = std::move(*state);
+  }
+  for (const std::string& record : aContents.mRecords) {
+    const auto write = wire::Decode<PersistEffect>(record, aReason);
+    if (!write) {
+      return false;
+    }
+    ApplyPersist(aState, *write);
+  }
+  return true;
+}
+
+// Somebody may have removed one of the files, or put them together from two
+// folders. A replica that then came up with its old identity and without its
+// votes and entries would break promises that others build on.
+bool
+CheckIdentity(const FolderContents& aContents,
+              const RestoredState& aState,
+              LastReason& aReason)
+{
+  if (!aContents.mIdentity) {
+    return true;
+  }
+  const auto identity =
+    wire::Decode<ReplicaIdentity>(*aContents.mIdentity, aReason);
+  if (identity && aState.mIdentity == identity) {
+    return true;
+  }
+  aReason.Set("the data folder's identity file and its journal do not belong "
+              "together; start with an empty folder");
+  return false;
+}
+
+} // namespace
+
+ControlStore::ControlStore(DataFolder aFolder)
+  : mFolder(std::move(aFolder))
+{
+}
+
+std::optional<ControlStore>
+ControlStore::Open(std::string aPath,
+                   RestoredState& aState,
+                   LastReason& aReason,
+                   SyncFunction aSync)
+{
+  FolderContents contents;
+  auto folder =
+    DataFolder::Open(std::move(aPath), std::move(aSync), contents, aReason);
+  if (!folder) {
+    return std::nullopt;
+  }
+  ControlStore store(std::move(*folder));
+  if (!Replay(contents, store.mOnDisk, aReason) ||
+      !CheckIdentity(contents, store.mOnDisk, aReason)) {
+    return std::nullopt;
+  }
+  aState = store.mOnDisk;
+  return store;
+}
+
+bool
+ControlStore::Initialise(std::string aPath,
+                         const RestoredState& aState,
+                         LastReason& aReason)
+{
+  RestoredState before;
+  auto store = Open(std::move(aPath), before, aReason);
+  if (!store) {
+    return false;
+  }
+  if (before.mIdentity) {
+    aReason.Set("the data folder belongs to replica " +
+                std::to_string(before.mIdentity->mReplica.Value()) +
+                " of a system already");
+    return false;
+  }
+  PersistEffect write;
+  write.mIdentity = aState.mIdentity;
+  write.mSnapshot = aState.mSnapshot;
+  write.mAppend = aState.mEntries;
+  write.mVote = aState.mVote;
+  return store->Write(write, aReason);
+}
+
+bool
+ControlStore::Write(const PersistEffect& aWrite, LastReason& aReason)
+{
+  ApplyPersist(mOnDisk, aWrite);
+  if (aWrite.mIdentity) {
+    // The journal comes first: an identity without a journal is refused.
+    return mFolder.Checkpoint(wire::Encode(mOnDisk), aReason) &&
+           mFolder.WriteIdentity(wire::Encode(*aWrite.mIdentity), aReason);
+  }
+  if (aWrite.mSnapshot) {
+    return mFolder.Checkpoint(wire::Encode(mOnDisk), aReason);
+  }
+  return mFolder.Append({ wire::Encode(aWrite) }, aReason);
+}
+
+} // namespace peridotspool::storage
