--- a/include/peridotspool/wire/FieldKinds.h
+++ b/include/peridotspool/wire/FieldKinds.h
@@ -92,8 +92,6 @@
     return ZigZag(aValue.count());
   } else if constexpr (IsNumberId<T>::value) {
     return aValue.Value();
-  } else if constexpr (std::is_enum_v<T>) {
-    return static_cast<std::uint64_t>(aValue);
   } else if constexpr (std::signed_integral<T>) {
     return ZigZag(aValue);
   } else {
