--- a/test/settings/ExamplesTest.cpp
+++ b/test/settings/ExamplesTest.cpp
@@ -3,11 +3,11 @@
 #include "peridotspool/settings/ProcessSettings.h"
 #include "peridotspool/settings/SettingsTree.h"
 
+#include "support/TextOf.h"
+
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 namespace peridotspool::settings {
 
@@ -16,15 +16,6 @@
 const std::filesystem::path kExamples =
   std::filesystem::path(PERIDOTSPOOL_SOURCE_DIR) / "examples";
 
-std::string
-TextOf(const std::filesystem::path& aPath)
-{
-  std::ifstream file(aPath);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 std::shared_ptr<const SettingsTree>
 TreeOf(const std::string& aCompany)
 {
