--- a/test/fakes/support/LoadReportJson.h
+++ b/test/fakes/support/LoadReportJson.h
@@ -67,6 +67,7 @@
            { "missing", faults.mMissing },
            { "connected_again", aRun.Reattached() },
            { "resubmitted", aRun.Resubmitted() },
+           { "restarted", aRun.Restarted() },
            { "first_token_ms", Percentiles(firstToken) },
            { "stream_ms", Percentiles(stream) },
            { "call_ms", Percentiles(call) } };
