--- a/scripts/demo_system.py
+++ b/scripts/demo_system.py
@@ -100,6 +100,12 @@
     def entries(self):
         return {d: self.listen_address(f"entryd-{d}") for d in DOMAINS}
 
+    @property
+    def living_entries(self):
+        """The addresses of the entries that run."""
+        return [address for domain, address in self.entries.items()
+                if f"entryd-{domain}" in self.processes]
+
     @property
     def controls(self):
         return {d: self.listen_address(f"controld-{d}") for d in CONTROL_DOMAINS}
