--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -1,5 +1,6 @@
 #include "request/EntryNodeState.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace peridotspool::request {
@@ -336,9 +337,11 @@
   if (!mLeaving || mLeft) {
     return;
   }
-  const bool handedOver = mDrainStarted && mRequests->Running() == 0 &&
-                          mRequests->Callers() == 0 &&
-                          mLedger->Counters().mHeldShards == 0;
+  // When every entry leaves, as in a planned stop of the whole system, nobody
+  // is left to take the ledger's copies: only the work is waited for.
+  const bool handedOver =
+    mDrainStarted && mRequests->Running() == 0 && mRequests->Callers() == 0 &&
+    (mLedger->Counters().mHeldShards == 0 || !AnyActiveMember());
   if (handedOver && !mToldDone) {
     mToldDone = true;
     StepSession(membership::LeftNothingEvent{});
@@ -350,6 +353,14 @@
   }
 }
 
+bool
+EntryNodeState::AnyActiveMember() const
+{
+  return std::any_of(mMembers.begin(), mMembers.end(), [](const auto& aPair) {
+    return aPair.second.mState == membership::MemberState::kActive;
+  });
+}
+
 void
 EntryNodeState::SpreadAnnouncement(
   const routing::UpstreamAnnouncement& aAnnouncement)
--- a/src/request/EntryNodeState.h
+++ b/src/request/EntryNodeState.h
@@ -66,6 +66,7 @@
   void BeginLife();
   void BeginLeaving();
   void CheckLeft();
+  bool AnyActiveMember() const;
   void SpreadAnnouncement(const routing::UpstreamAnnouncement& aAnnouncement);
   void SendToMember(MemberId aTo, FromMemberMessage aMessage);
   void ReplyTo(CallId aExchange, Reply aReply);
