Write the hosts' counters, histograms and numbered events

Change: the entries' and control replicas' hosts use observe's counters (one for each refusal and retry reason), latency histograms and event log in place of the interim tallies; /metrics and the status page show them.

--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -2,10 +2,6 @@
 
 #include "peridotspool/wire/Codec.h"
 
-#include <spdlog/spdlog.h>
-
-#include <boost/describe/enum_to_string.hpp>
-
 #include <utility>
 
 namespace peridotspool::runtime {
@@ -15,6 +11,34 @@
 /** Addresses of entry processes kept; old lives are dropped beyond it. */
 constexpr std::size_t kMaxEntryAddresses = 8192;
 
+observe::EventId
+EventOf(control::ControlNotice aNotice)
+{
+  using control::ControlNotice;
+  using observe::EventId;
+  switch (aNotice) {
+    case ControlNotice::kTookLead:
+      return EventId::kLeaderElected;
+    case ControlNotice::kLostLead:
+      return EventId::kLeaderSteppedDown;
+    case ControlNotice::kEpochMade:
+      return EventId::kEpochChanged;
+    case ControlNotice::kSettingsCommitted:
+      return EventId::kSettingsCommitted;
+    case ControlNotice::kReplicaSetChanged:
+      return EventId::kReplicaSetChanged;
+    case ControlNotice::kReplicaJoinRefused:
+      return EventId::kReplicaJoinRefused;
+    case ControlNotice::kMemberSilent:
+      return EventId::kMemberSilent;
+    case ControlNotice::kSnapshotMade:
+      return EventId::kSnapshotTaken;
+    case ControlNotice::kSnapshotInstalled:
+      return EventId::kSnapshotInstalled;
+  }
+  return EventId::kEpochChanged;
+}
+
 } // namespace
 
 ControlDecider::ControlDecider(control::ControlNode aNode, ControlParts aParts)
@@ -127,9 +151,7 @@
 void
 ControlDecider::Carry(const control::NoticeEffect& aEffect)
 {
-  spdlog::info("{} {}",
-               boost::describe::enum_to_string(aEffect.mNotice, "notice"),
-               aEffect.mText);
+  mParts.mLogger.Log(EventOf(aEffect.mNotice), { { "text", aEffect.mText } });
 }
 
 } // namespace peridotspool::runtime
--- a/src/runtime/ControlDecider.h
+++ b/src/runtime/ControlDecider.h
@@ -3,6 +3,7 @@
 #include "peridotspool/control/ControlNode.h"
 #include "peridotspool/http/HttpServer.h"
 #include "peridotspool/http/OperatorApi.h"
+#include "peridotspool/observe/Logger.h"
 #include "peridotspool/runtime/BoundedRing.h"
 #include "peridotspool/wire/PeerTransport.h"
 #include "runtime/ControlInput.h"
@@ -18,6 +19,7 @@
   wire::PeerTransport& mTransport;
   BoundedRing<control::PersistEffect>& mDisk;
   http::FindHttpAddress mFindHttp;
+  observe::Logger& mLogger;
 };
 
 /**
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -10,8 +10,6 @@
 #include "runtime/ControlDecider.h"
 
 #include <atomic>
-#include <cstdio>
-#include <cstdlib>
 #include <random>
 #include <thread>
 #include <utility>
@@ -102,6 +100,11 @@
 
   bool Start(LastReason& aReason)
   {
+    mLogger =
+      observe::Logger::Open(mSettings.mLog, mSettings.mName.Value(), aReason);
+    if (!mLogger) {
+      return false;
+    }
     const auto key = ReadPeerKey(mSettings.mPeerKeyFile, aReason);
     if (!key) {
       return false;
@@ -121,13 +124,21 @@
     if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
       return false;
     }
+    mLogger->Log(observe::EventId::kProcessStarted,
+                 { { "http", ToText(mServer->LocalAddress()) },
+                   { "peer", ToText(mTransport->LocalAddress()) },
+                   { "cut_bytes", mStore->CutBytes() } });
     mWriting = std::thread([this] { WriteToDisk(); });
     mDeciding = std::thread(
       [this, state = std::move(restored)]() mutable { Decide(state); });
     return true;
   }
 
-  void Leave() { mRing.Push(StopInput{}); }
+  void Leave()
+  {
+    mLogger->Log(observe::EventId::kProcessStopping);
+    mRing.Push(StopInput{});
+  }
 
   bool Wait()
   {
@@ -136,6 +147,7 @@
     mWriting.join();
     mServer->Stop();
     mTransport->Stop();
+    mLogger->Log(observe::EventId::kProcessStopped);
     return !mDiskFailed;
   }
 
@@ -204,9 +216,11 @@
     ControlDecider decider(
       control::ControlNode(
         NodeOptions(mSettings, self), std::move(aRestored), now),
-      ControlParts{ *mServer, *mTransport, mDisk, [this](const Address& aPeer) {
-                     return FindHttp(aPeer);
-                   } });
+      ControlParts{ *mServer,
+                    *mTransport,
+                    mDisk,
+                    [this](const Address& aPeer) { return FindHttp(aPeer); },
+                    *mLogger });
     TimePoint nextTick = now;
     while (!decider.Stopped() && !mDiskFailed) {
       auto input = mRing.Pop(std::max(Duration(0), nextTick - now));
@@ -238,7 +252,8 @@
       if (!mStore->Write(*write, reason)) {
         // After a failed sync nobody knows what the disk holds: going on could
         // acknowledge what a restart forgets.
-        std::fprintf(stderr, "data folder: %s\n", reason.Text().c_str());
+        mLogger->Log(observe::EventId::kStorageFault,
+                     { { "reason", reason.Text() } });
         mDiskFailed = true;
         mRing.Close();
         mDisk.Close();
@@ -256,6 +271,7 @@
   std::optional<storage::ControlStore> mStore;
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
+  std::unique_ptr<observe::Logger> mLogger;
   std::atomic<bool> mDiskFailed{ false };
   std::thread mDeciding;
   std::thread mWriting;
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -3,6 +3,8 @@
 #include "peridotspool/wire/Codec.h"
 #include "runtime/StatusJson.h"
 
+#include <boost/describe/enum_to_string.hpp>
+
 #include <utility>
 
 namespace peridotspool::runtime {
@@ -68,7 +70,8 @@
 void
 EntryDecider::On(GoneInput& aInput)
 {
-  if (mExchanges.erase(aInput.mExchange) > 0) {
+  if (mExchanges.count(aInput.mExchange) > 0) {
+    Forget(aInput.mExchange);
     Step(request::CallerEvent{
       request::CallerGoneEvent{ CallId(aInput.mExchange) } });
   }
@@ -141,6 +144,7 @@
 {
   mExchanges.emplace(aExchange,
                      http::CallerExchange(aStream, aKey.mKey, mName));
+  mTimes.emplace(aExchange, ExchangeTimes{ .mBegan = mNow });
 }
 
 void
@@ -210,9 +214,8 @@
 EntryDecider::OnCommand(http::ExchangeId aExchange,
                         http::StatusCommand& /*aCommand*/)
 {
-  RespondJson(
-    aExchange,
-    EntryStatusJson(mNode.Status(mNow), mName, mParts.mCounters.Read()));
+  RespondJson(aExchange,
+              EntryStatusJson(mNode.Status(mNow), mName, mParts.mCounters));
 }
 
 void
@@ -246,12 +249,13 @@
 EntryDecider::OnCommand(http::ExchangeId aExchange,
                         http::MetricsCommand& /*aCommand*/)
 {
+  SetGauges();
   mParts.mServer.Respond(
     aExchange,
     http::HttpResponse{
       .mStatus = 200,
       .mHeaders = { { "content-type", "text/plain; version=0.0.4" } },
-      .mBody = RenderMetrics(mParts.mCounters.Read()) });
+      .mBody = mParts.mCounters.MetricsText() });
 }
 
 void
@@ -300,24 +304,31 @@
 }
 
 void
-EntryDecider::Carry(const request::BecameMemberEffect& /*aEffect*/)
+EntryDecider::Carry(const request::BecameMemberEffect& aEffect)
 {
+  mParts.mLogger.Log(observe::EventId::kEntryJoined,
+                     { { "member", aEffect.mMember } });
 }
 
 void
-EntryDecider::Carry(const request::EpochTakenEffect& /*aEffect*/)
+EntryDecider::Carry(const request::EpochTakenEffect& aEffect)
 {
+  mParts.mLogger.Log(
+    observe::EventId::kEpochChanged,
+    { { "epoch", aEffect.mEpoch }, { "members", aEffect.mMembers } });
 }
 
 void
 EntryDecider::Carry(const request::LostMembershipEffect& /*aEffect*/)
 {
+  mParts.mLogger.Log(observe::EventId::kLeaseLost);
 }
 
 void
 EntryDecider::Carry(const request::LeftEffect& /*aEffect*/)
 {
   mLeft = true;
+  mParts.mLogger.Log(observe::EventId::kEntryLeft);
 }
 
 void
@@ -357,15 +368,43 @@
   if (const auto* final = std::get_if<request::FinalReply>(&aEffect.mReply)) {
     executor = mNode.NameOf(final->mExecutor).Value();
   }
+  Measure(exchange, aEffect.mReply);
   Write(exchange, found->second.Take(aEffect.mReply, executor));
 }
 
+void
+EntryDecider::Measure(http::ExchangeId aExchange, const request::Reply& aReply)
+{
+  ExchangeTimes& times = mTimes[aExchange];
+  const Duration sinceBegin = mNow - times.mBegan;
+  const auto observe = [this](observe::HistogramId aId, Duration aTime) {
+    mParts.mCounters.Histogram(aId).Observe(aTime);
+  };
+  if (std::holds_alternative<request::AcceptedReply>(aReply)) {
+    observe(observe::HistogramId::kAcceptTime, sinceBegin);
+  } else if (std::holds_alternative<request::PieceReply>(aReply)) {
+    observe(times.mLastPiece ? observe::HistogramId::kTokenGap
+                             : observe::HistogramId::kFirstTokenTime,
+            times.mLastPiece ? mNow - *times.mLastPiece : sinceBegin);
+    times.mLastPiece = mNow;
+  } else if (std::holds_alternative<request::FinalReply>(aReply)) {
+    observe(observe::HistogramId::kAnswerTime, sinceBegin);
+  }
+}
+
+void
+EntryDecider::Forget(http::ExchangeId aExchange)
+{
+  mExchanges.erase(aExchange);
+  mTimes.erase(aExchange);
+}
+
 void
 EntryDecider::Write(http::ExchangeId aExchange, http::CallerOutput aOutput)
 {
   if (aOutput.mWhole) {
     mParts.mServer.Respond(aExchange, std::move(*aOutput.mWhole));
-    mExchanges.erase(aExchange);
+    Forget(aExchange);
     return;
   }
   if (aOutput.mHead) {
@@ -376,14 +415,59 @@
   }
   if (aOutput.mEnd) {
     mParts.mServer.EndStream(aExchange);
-    mExchanges.erase(aExchange);
+    Forget(aExchange);
   }
 }
 
 void
 EntryDecider::Carry(const request::CountEffect& aEffect)
 {
-  mParts.mCounters.Add(aEffect.mTally, aEffect.mAmount);
+  mParts.mCounters.Add(observe::CounterOf(aEffect.mTally), aEffect.mAmount);
+  LogTally(aEffect.mTally);
+}
+
+void
+EntryDecider::LogTally(request::Tally aTally)
+{
+  const std::string name = boost::describe::enum_to_string(aTally, "kUnknown");
+  const auto begins = [&](std::string_view aStart) {
+    return name.compare(0, aStart.size(), aStart) == 0;
+  };
+  constexpr std::string_view kRefused = "kRefused";
+  constexpr std::string_view kRetry = "kRetry";
+  if (begins(kRefused)) {
+    mParts.mLogger.Log(observe::EventId::kRequestRefused,
+                       { { "reason", name.substr(kRefused.size()) } });
+  } else if (begins(kRetry)) {
+    mParts.mLogger.Log(observe::EventId::kRequestRetried,
+                       { { "reason", name.substr(kRetry.size()) } });
+  } else if (aTally == request::Tally::kTakenOver) {
+    mParts.mLogger.Log(observe::EventId::kRequestTakenOver);
+  } else if (aTally == request::Tally::kUnknownOutcome) {
+    mParts.mLogger.Log(observe::EventId::kOutcomeUnknown);
+  } else if (aTally == request::Tally::kCrossedPieceDropped) {
+    mParts.mLogger.Log(observe::EventId::kCrossedPieceDropped);
+  }
+}
+
+void
+EntryDecider::SetGauges()
+{
+  const request::EntryNodeStatus status = mNode.Status(mNow);
+  const wire::PeerTransportCounts peers = mParts.mTransport.Counts();
+  observe::Counters& counters = mParts.mCounters;
+  using observe::CounterId;
+  counters.Set(CounterId::kUpstreamsKnown, status.mUpstreams.size());
+  counters.Set(CounterId::kMembersKnown, status.mEpoch.mMembers.size());
+  counters.Set(CounterId::kRequestsRunning, status.mRunning);
+  counters.Set(CounterId::kCallersWaiting, status.mCallers);
+  counters.Set(CounterId::kSettingsRevision, status.mInForce.Value());
+  counters.Set(CounterId::kEpoch, status.mEpoch.mEpoch.Value());
+  counters.Set(CounterId::kPeerBytesSent, peers.mBytesSent);
+  counters.Set(CounterId::kPeerBytesReceived, peers.mBytesReceived);
+  counters.Set(CounterId::kPeerMessagesDropped, peers.mFramesDropped);
+  counters.Set(CounterId::kPeerAuthFailed, peers.mHandshakesRefused);
+  counters.Set(CounterId::kLogLinesDropped, mParts.mLogger.Dropped());
 }
 
 void
--- a/src/runtime/EntryDecider.h
+++ b/src/runtime/EntryDecider.h
@@ -4,12 +4,13 @@
 #include "peridotspool/http/HttpClient.h"
 #include "peridotspool/http/HttpServer.h"
 #include "peridotspool/http/UpstreamAdapter.h"
+#include "peridotspool/observe/Counters.h"
+#include "peridotspool/observe/Logger.h"
 #include "peridotspool/request/EntryNode.h"
 #include "peridotspool/wire/PeerTransport.h"
 #include "runtime/EntryInput.h"
 #include "runtime/ExplainLog.h"
 #include "runtime/SettingsHolder.h"
-#include "runtime/TallyCounters.h"
 
 #include <memory>
 #include <string>
@@ -17,6 +18,13 @@
 
 namespace peridotspool::runtime {
 
+/** When things happened on a caller's exchange. */
+struct ExchangeTimes
+{
+  TimePoint mBegan;
+  std::optional<TimePoint> mLastPiece;
+};
+
 /** The parts around the node that its effects are carried out with. */
 struct EntryParts
 {
@@ -24,7 +32,8 @@
   http::HttpClient& mClient;
   wire::PeerTransport& mTransport;
   SettingsHolder& mSettings;
-  TallyCounters& mCounters;
+  observe::Counters& mCounters;
+  observe::Logger& mLogger;
 };
 
 /**
@@ -85,7 +94,11 @@
   void Carry(const request::CountEffect& aEffect);
   void Carry(const request::ExplainEffect& aEffect);
 
+  void LogTally(request::Tally aTally);
+  void SetGauges();
   void SendPeer(const Address& aTo, wire::PeerPayload aPayload);
+  void Measure(http::ExchangeId aExchange, const request::Reply& aReply);
+  void Forget(http::ExchangeId aExchange);
   void Write(http::ExchangeId aExchange, http::CallerOutput aOutput);
   void BeginExchange(http::ExchangeId aExchange,
                      bool aStream,
@@ -95,6 +108,8 @@
   std::string mName;
   EntryParts mParts;
   request::EntryNode mNode;
+  /** When each exchange of a request began, for the histograms. */
+  std::unordered_map<http::ExchangeId, ExchangeTimes> mTimes;
   std::unordered_map<http::ExchangeId, http::CallerExchange> mExchanges;
   std::unordered_map<http::ClientCallId, http::AnswerReader> mReaders;
   ExplainLog mExplain;
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -92,6 +92,11 @@
 
   bool Start(LastReason& aReason)
   {
+    mLogger =
+      observe::Logger::Open(mSettings.mLog, mSettings.mName.Value(), aReason);
+    if (!mLogger) {
+      return false;
+    }
     const auto key = ReadPeerKey(mSettings.mPeerKeyFile, aReason);
     if (!key) {
       return false;
@@ -105,11 +110,18 @@
     if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
       return false;
     }
+    mLogger->Log(observe::EventId::kProcessStarted,
+                 { { "http", ToText(mServer->LocalAddress()) },
+                   { "peer", ToText(mTransport->LocalAddress()) } });
     mDeciding = std::thread([this] { Decide(); });
     return true;
   }
 
-  void Leave() { mRing.Push(LeaveInput{}); }
+  void Leave()
+  {
+    mLogger->Log(observe::EventId::kProcessStopping);
+    mRing.Push(LeaveInput{});
+  }
 
   void Wait()
   {
@@ -120,6 +132,7 @@
     mServer->Stop();
     mClient->Stop();
     mTransport->Stop();
+    mLogger->Log(observe::EventId::kProcessStopped);
   }
 
 private:
@@ -170,10 +183,12 @@
                                           .mFreshKey = FreshKey() };
     http::CallerCommand command = http::ReadCallerRequest(aRequest, context);
     if (auto* refused = std::get_if<http::RefusedCommand>(&command)) {
+      CountRefusal(*refused);
       mServer->Respond(aExchange, std::move(refused->mResponse));
       return;
     }
     if (!mRing.TryPush(CommandInput{ aExchange, std::move(command) })) {
+      mCounters.Add(observe::CounterId::kRingFull);
       auto response = http::MakeErrorResponse(
         kStatusUnavailable, "overloaded", "too much waits to be decided");
       response.mHeaders["retry-after"] = "1";
@@ -181,6 +196,23 @@
     }
   }
 
+  void CountRefusal(const http::RefusedCommand& aRefused)
+  {
+    constexpr std::uint32_t kStatusUnauthorized = 401;
+    constexpr std::uint32_t kStatusNotFound = 404;
+    auto counter = observe::CounterId::kRefusedMalformed;
+    if (aRefused.mResponse.mStatus == kStatusUnauthorized) {
+      counter = observe::CounterId::kRefusedWrongKey;
+      mLogger->Log(observe::EventId::kKeyRefused,
+                   { { "kind", aRefused.mReason } });
+    } else if (aRefused.mResponse.mStatus == kStatusNotFound) {
+      counter = observe::CounterId::kRefusedUnknownService;
+    } else if (aRefused.mResponse.mStatus == kStatusUnavailable) {
+      counter = observe::CounterId::kRefusedNotConfirmed;
+    }
+    mCounters.Add(counter);
+  }
+
   std::string FreshKey() { return wire::ToHex(wire::MakeNonce()); }
 
   void Decide()
@@ -192,7 +224,7 @@
         Advertised(mSettings.mPeerAdvertise, mTransport->LocalAddress()),
         Advertised(mSettings.mHttpAdvertise, mServer->LocalAddress())),
       mSettings.mName.Value(),
-      EntryParts{ *mServer, *mClient, *mTransport, mTree, mCounters },
+      EntryParts{ *mServer, *mClient, *mTransport, mTree, mCounters, *mLogger },
       now);
     TimePoint nextTick = now;
     while (!decider.Left() && !mStopping) {
@@ -217,7 +249,8 @@
   settings::ProcessSettings mSettings;
   http::KeyHashes mKeys;
   SettingsHolder mTree;
-  TallyCounters mCounters;
+  observe::Counters mCounters;
+  std::unique_ptr<observe::Logger> mLogger;
   BoundedRing<EntryInput> mRing;
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
--- a/src/runtime/StatusJson.cpp
+++ b/src/runtime/StatusJson.cpp
@@ -24,7 +24,7 @@
 std::string
 EntryStatusJson(const request::EntryNodeStatus& aStatus,
                 const std::string& aName,
-                const std::map<std::string, std::uint64_t>& aCounters)
+                const observe::Counters& aCounters)
 {
   json::array members;
   for (const auto& member : aStatus.mEpoch.mMembers) {
@@ -35,8 +35,9 @@
     upstreams.push_back(http::WriteAnnouncementJson(upstream));
   }
   json::object counters;
-  for (const auto& [name, count] : aCounters) {
-    counters[name] = count;
+  for (const observe::CounterRow& row : observe::kCounterRows) {
+    // Without the enumerator's leading k.
+    counters[row.mName.substr(1)] = aCounters.Value(row.mId);
   }
   const char* serving =
     boost::describe::enum_to_string(aStatus.mServing, "unknown");
--- a/src/runtime/StatusJson.h
+++ b/src/runtime/StatusJson.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/control/OperatorAnswer.h"
+#include "peridotspool/observe/Counters.h"
 #include "peridotspool/request/EntryNode.h"
 
 #include <boost/json.hpp>
@@ -16,7 +17,7 @@
 std::string
 EntryStatusJson(const request::EntryNodeStatus& aStatus,
                 const std::string& aName,
-                const std::map<std::string, std::uint64_t>& aCounters);
+                const observe::Counters& aCounters);
 
 /** The answer of `GET /v1/entries`. */
 std::string
