Choose upstreams by lag-corrected load, prefix affinity and price

Why: the thin router took the least loaded of all by its own sends, scanned every upstream for each request, trusted an announcement for as long as it said, and let later news of the same life revive a leaving upstream.

What: a directory of leases (incarnation, then sequence; leaving is final within a life; no announcement holds longer than 2 s; a gone upstream is remembered for 10 min so that late news does not revive it); a load estimate of report + own sends since - own ends since the report's time (new field mLoadAge in the announcement); random candidates plus holders of the prompt's prefix; a score of expected first-token time against deadline and target, then price; ejection with doubling time, at most 30% of a service; SpreadTargets (rendezvous, 16 entries an upstream). Before a refusal up to 32 candidates are weighed. The interface grows by Cached, Answered, SetWeights, Ejections and RouteQuery::mFirstTokenTarget.

Tests: differential against a full scan over the whole history.

Failed first tries: dropping a load report whose reckoned time is older than the last one's loses newer reports when the way takes longer; the sequence decides instead. Found by the differential test.

Bound: a leaving upstream whose leaving announcement is lost gets no new work 2 s after the last serving one ARRIVED; the time an announcement was on its way adds to it, except where who passed it on took it off the lease.

--- a/include/peridotspool/routing/RouteQuery.h
+++ b/include/peridotspool/routing/RouteQuery.h
@@ -22,6 +22,8 @@
   std::uint64_t mPromptTokens = 0;
   /** Upstreams that this request must not go to again. */
   std::vector<UpstreamName> mAvoid;
+  /** Waiting beyond this weighs more; zero for no target. */
+  Duration mFirstTokenTarget{ 0 };
 };
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/Router.h
+++ b/include/peridotspool/routing/Router.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/LastReason.h"
 #include "peridotspool/base/Time.h"
+#include "peridotspool/routing/CacheReport.h"
 #include "peridotspool/routing/RouteChoice.h"
 #include "peridotspool/routing/RouteQuery.h"
 #include "peridotspool/routing/RouterOptions.h"
@@ -62,6 +63,23 @@
   /** Counts the end of a request that was sent. */
   void Ended(const UpstreamName& aUpstream, AttemptEnd aEnd, TimePoint aNow);
 
+  /** Takes news of an engine's cache; late and gappy ones are fine. */
+  void Cached(const CacheReport& aReport);
+
+  /**
+   * Takes what the engine said of the request's prompt: how many of its tokens
+   * were cached. Corrects the prefix index.
+   */
+  void Answered(const UpstreamName& aUpstream,
+                const RouteQuery& aQuery,
+                std::uint64_t aCachedTokens);
+
+  /** Changes the weights, when the settings do. */
+  void SetWeights(double aLatencyWeight, double aCostWeight);
+
+  /** How often an upstream was ejected so far. */
+  std::uint64_t Ejections() const;
+
   /** Returns the announcement that holds for an upstream now, if any. */
   std::optional<UpstreamAnnouncement> Find(const UpstreamName& aUpstream,
                                            TimePoint aNow) const;
--- a/include/peridotspool/routing/RouterOptions.h
+++ b/include/peridotspool/routing/RouterOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Time.h"
+#include "peridotspool/routing/EjectionOptions.h"
 
 #include <cstdint>
 
@@ -15,7 +16,25 @@
   double mCostWeight = 0.1;
   /** How many upstreams are compared for one request. */
   std::uint32_t mCandidates = 4;
+  /** Candidates weighed before a request is refused. */
+  std::uint32_t mLastLook = 32;
   std::uint64_t mRandomSeed = 1;
+  /**
+   * No announcement holds longer, whatever it says, so that a leaving upstream
+   * gets no new work from an entry that missed its leaving for longer.
+   */
+  Duration mMaxLease = std::chrono::seconds(2);
+  /** How long an upstream that is gone is remembered, against late news. */
+  Duration mForgetAfter = std::chrono::minutes(10);
+  /** Upstreams known at once; more are not taken. */
+  std::uint32_t mMaxUpstreams = 8192;
+  /** Requests waiting inside an upstream, for each of its slots. */
+  double mMaxWaitingPerSlot = 4;
+  /** Expected time of a request before one has ended. */
+  Duration mFirstHold = std::chrono::milliseconds(500);
+  /** Blocks of prompts that the prefix index holds (a power of two). */
+  std::uint32_t mPrefixBlocks = 1 << 16;
+  EjectionOptions mEjection;
 };
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/UpstreamReport.h
+++ b/include/peridotspool/routing/UpstreamReport.h
@@ -51,12 +51,17 @@
   /** Load as of the moment of the announcement. */
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
-  /** Measured time to first token and between tokens. */
+  /** Measured time to first token, without waiting, and between tokens. */
   Duration mFirstToken{ 0 };
   Duration mTokenGap{ 0 };
   std::vector<std::string> mModels;
-  /** How long this announcement holds without renewal. */
+  /**
+   * How long this announcement holds without renewal. Whoever passes it on
+   * takes off how long it held it.
+   */
   Duration mLease{ 0 };
+  /** How old the load is; whoever passes it on adds how long it held it. */
+  Duration mLoadAge{ 0 };
 
   auto operator<=>(const UpstreamAnnouncement&) const = default;
 };
@@ -79,6 +84,7 @@
                        mFirstToken,
                        mTokenGap,
                        mModels,
-                       mLease))
+                       mLease,
+                       mLoadAge))
 
 } // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/LoadEstimate.cpp
@@ -0,0 +1,74 @@
+#include "routing/LoadEstimate.h"
+
+#include <algorithm>
+
+namespace peridotspool::routing {
+
+namespace {
+
+/** Steps kept for one upstream; older ones count as part of the report. */
+constexpr std::size_t kMaxSteps = 4096;
+
+} // namespace
+
+void
+LoadEstimate::Report(std::uint32_t aLoad, TimePoint aReportTime)
+{
+  mReported = aLoad;
+  // The time is reckoned from the arrival and may err by the way it took; the
+  // steps up to the last report's time are gone, so it never goes back.
+  mReportTime = std::max(mReportTime, aReportTime);
+  while (!mSteps.empty() && mSteps.front().mAt <= mReportTime) {
+    mChanged -= mSteps.front().mChange;
+    mSteps.pop_front();
+  }
+}
+
+void
+LoadEstimate::Sent(TimePoint aNow)
+{
+  Add(aNow, 1);
+  mOwnSince.push_back(aNow);
+}
+
+Duration
+LoadEstimate::Ended(TimePoint aNow)
+{
+  if (mOwnSince.empty()) {
+    return Duration(0);
+  }
+  Add(aNow, -1);
+  const Duration took = aNow - mOwnSince.front();
+  mOwnSince.pop_front();
+  return took;
+}
+
+void
+LoadEstimate::Reset()
+{
+  *this = LoadEstimate();
+}
+
+std::uint32_t
+LoadEstimate::Load() const
+{
+  const std::int64_t load =
+    static_cast<std::int64_t>(mReported) + static_cast<std::int64_t>(mChanged);
+  return static_cast<std::uint32_t>(
+    std::max<std::int64_t>(load, static_cast<std::int64_t>(Own())));
+}
+
+void
+LoadEstimate::Add(TimePoint aNow, std::int32_t aChange)
+{
+  if (mSteps.size() == kMaxSteps) {
+    mReported = static_cast<std::uint32_t>(std::max<std::int64_t>(
+      0, static_cast<std::int64_t>(mReported) + mSteps.front().mChange));
+    mChanged -= mSteps.front().mChange;
+    mSteps.pop_front();
+  }
+  mSteps.push_back({ aNow, aChange });
+  mChanged += aChange;
+}
+
+} // namespace peridotspool::routing
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -1,30 +1,11 @@
 #include "peridotspool/routing/Router.h"
 
-#include <algorithm>
-#include <map>
+#include "routing/RouterState.h"
 
 namespace peridotspool::routing {
 
-namespace {
-
-struct Known
-{
-  UpstreamAnnouncement mAnnouncement;
-  TimePoint mExpires;
-  std::uint32_t mSent = 0;
-};
-
-} // namespace
-
-/** Thin: least loaded of all that serve; replaced by the measured router. */
-class RouterState
-{
-public:
-  std::map<UpstreamName, Known> mKnown;
-};
-
-Router::Router(RouterOptions /*aOptions*/)
-  : mState(std::make_unique<RouterState>())
+Router::Router(RouterOptions aOptions)
+  : mState(std::make_unique<RouterState>(aOptions))
 {
 }
 
@@ -33,84 +14,87 @@
 bool
 Router::Announce(const UpstreamAnnouncement& aAnnouncement, TimePoint aNow)
 {
-  Known& known = mState->mKnown[aAnnouncement.mName];
-  const bool newer =
-    std::pair(aAnnouncement.mIncarnation, aAnnouncement.mSequence) >
-    std::pair(known.mAnnouncement.mIncarnation, known.mAnnouncement.mSequence);
-  if (!newer) {
-    return false;
+  const auto taken = mState->mTable.Announce(aAnnouncement, aNow);
+  if (taken && taken->mNewLife) {
+    mState->mPrefixes.Clear(taken->mIndex);
   }
-  known.mAnnouncement = aAnnouncement;
-  known.mExpires = aNow + aAnnouncement.mLease;
-  return true;
+  return taken.has_value();
 }
 
 void
-Router::Tick(TimePoint /*aNow*/)
+Router::Tick(TimePoint aNow)
 {
+  mState->mTable.Tick(aNow);
 }
 
 std::optional<RouteChoice>
 Router::Choose(const RouteQuery& aQuery, TimePoint aNow, NoRoute& aWhyNot)
 {
-  const Known* best = nullptr;
-  for (const auto& [name, known] : mState->mKnown) {
-    const bool usable =
-      known.mAnnouncement.mService == aQuery.mService &&
-      known.mAnnouncement.mState == UpstreamState::kServing &&
-      aNow < known.mExpires &&
-      std::count(aQuery.mAvoid.begin(), aQuery.mAvoid.end(), name) == 0;
-    if (usable && (best == nullptr || known.mSent < best->mSent)) {
-      best = &known;
-    }
+  return mState->Choose(aQuery, aNow, aWhyNot);
+}
+
+void
+Router::Sent(const UpstreamName& aUpstream,
+             const RouteQuery& aQuery,
+             TimePoint aNow)
+{
+  if (const auto index = mState->mTable.Find(aUpstream)) {
+    mState->mTable.Sent(*index, aNow);
+    mState->GuessCached(*index, aQuery);
   }
-  if (best == nullptr) {
-    aWhyNot = NoRoute::kNoUpstream;
-    return std::nullopt;
+}
+
+void
+Router::Ended(const UpstreamName& aUpstream, AttemptEnd aEnd, TimePoint aNow)
+{
+  if (const auto index = mState->mTable.Find(aUpstream)) {
+    mState->mTable.Ended(*index, aEnd, aNow);
   }
-  return RouteChoice{ .mUpstream = best->mAnnouncement.mName,
-                      .mIncarnation = best->mAnnouncement.mIncarnation,
-                      .mKind = best->mAnnouncement.mKind,
-                      .mAddress = best->mAnnouncement.mAddress };
 }
 
 void
-Router::Sent(const UpstreamName& aUpstream,
-             const RouteQuery& /*aQuery*/,
-             TimePoint /*aNow*/)
+Router::Cached(const CacheReport& aReport)
 {
-  ++mState->mKnown[aUpstream].mSent;
+  mState->Cached(aReport);
 }
 
 void
-Router::Ended(const UpstreamName& aUpstream,
-              AttemptEnd /*aEnd*/,
-              TimePoint /*aNow*/)
+Router::Answered(const UpstreamName& aUpstream,
+                 const RouteQuery& aQuery,
+                 std::uint64_t aCachedTokens)
 {
-  Known& known = mState->mKnown[aUpstream];
-  known.mSent -= known.mSent > 0 ? 1 : 0;
+  if (const auto index = mState->mTable.Find(aUpstream)) {
+    mState->Answered(*index, aQuery, aCachedTokens);
+  }
+}
+
+void
+Router::SetWeights(double aLatencyWeight, double aCostWeight)
+{
+  mState->mOptions.mLatencyWeight = aLatencyWeight;
+  mState->mOptions.mCostWeight = aCostWeight;
+}
+
+std::uint64_t
+Router::Ejections() const
+{
+  return mState->mTable.Ejections();
 }
 
 std::optional<UpstreamAnnouncement>
 Router::Find(const UpstreamName& aUpstream, TimePoint aNow) const
 {
-  const auto found = mState->mKnown.find(aUpstream);
-  if (found == mState->mKnown.end() || aNow >= found->second.mExpires) {
+  const auto index = mState->mTable.Find(aUpstream);
+  if (!index || mState->mTable.Figures(*index).mExpires <= aNow) {
     return std::nullopt;
   }
-  return found->second.mAnnouncement;
+  return mState->mTable.Detail(*index).mAnnouncement;
 }
 
 std::vector<UpstreamAnnouncement>
 Router::Upstreams(TimePoint aNow) const
 {
-  std::vector<UpstreamAnnouncement> all;
-  for (const auto& [name, known] : mState->mKnown) {
-    if (aNow < known.mExpires) {
-      all.push_back(known.mAnnouncement);
-    }
-  }
-  return all;
+  return mState->mTable.Present(aNow);
 }
 
 } // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/RouterState.cpp
@@ -0,0 +1,268 @@
+#include "routing/RouterState.h"
+
+#include <algorithm>
+
+namespace peridotspool::routing {
+
+namespace {
+
+/** Weight of the newest answer in the share of guesses that were right. */
+constexpr float kGuessLearnRate = 0.1F;
+
+bool
+Avoids(const RouteQuery& aQuery, const UpstreamName& aName)
+{
+  return std::find(aQuery.mAvoid.begin(), aQuery.mAvoid.end(), aName) !=
+         aQuery.mAvoid.end();
+}
+
+double
+TokensOf(const RouteQuery& aQuery, std::size_t aBlocks)
+{
+  return static_cast<double>(aQuery.mPromptTokens) *
+         static_cast<double>(aBlocks) /
+         static_cast<double>(aQuery.mPrefixBlocks.size());
+}
+
+} // namespace
+
+RouterState::RouterState(RouterOptions aOptions)
+  : mOptions(aOptions)
+  , mTable(mOptions)
+  , mPrefixes(mOptions.mPrefixBlocks)
+  , mRandom(mOptions.mRandomSeed)
+{
+}
+
+std::optional<RouteChoice>
+RouterState::Choose(const RouteQuery& aQuery, TimePoint aNow, NoRoute& aWhyNot)
+{
+  const ServicePool* pool = mTable.Pool(aQuery.mService);
+  if (pool == nullptr) {
+    aWhyNot = NoRoute::kNoUpstream;
+    return std::nullopt;
+  }
+  Weighing weighing;
+  WeighHolders(weighing, *pool, aQuery, aNow);
+  WeighSome(weighing, mOptions.mCandidates, *pool, aQuery, aNow);
+  const Candidate* best = Best(weighing);
+  if (best == nullptr) {
+    // A few bad candidates are no ground for a refusal: look at more.
+    WeighSome(weighing, mOptions.mLastLook, *pool, aQuery, aNow);
+    best = Best(weighing);
+  }
+  if (best == nullptr) {
+    aWhyNot = WhyNot(weighing, *pool);
+    return std::nullopt;
+  }
+  return Describe(weighing, *best);
+}
+
+bool
+RouterState::Holds(const Weighing& aWeighing, UpstreamIndex aIndex) const
+{
+  for (std::size_t at = 0; at < aWeighing.mCount; ++at) {
+    if (aWeighing.mCandidates[at].mIndex == aIndex) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+RouterState::WeighHolders(Weighing& aWeighing,
+                          const ServicePool& aPool,
+                          const RouteQuery& aQuery,
+                          TimePoint aNow)
+{
+  if (aQuery.mPrefixBlocks.empty()) {
+    return;
+  }
+  aWeighing.mMatch = mPrefixes.Find(aQuery.mPrefixBlocks);
+  for (std::size_t at = 0; at < aWeighing.mMatch.mCount; ++at) {
+    const UpstreamIndex index = aWeighing.mMatch.mHolders[at].mUpstream;
+    const UpstreamDetail& detail = mTable.Detail(index);
+    if (detail.mServingAt != kNotServing &&
+        detail.mAnnouncement.mService == aQuery.mService) {
+      Weigh(aWeighing, index, aPool, aQuery, aNow);
+    }
+  }
+}
+
+void
+RouterState::WeighSome(Weighing& aWeighing,
+                       std::uint32_t aWanted,
+                       const ServicePool& aPool,
+                       const RouteQuery& aQuery,
+                       TimePoint aNow)
+{
+  const auto size = static_cast<std::uint32_t>(aPool.mServing.size());
+  if (size == 0) {
+    return;
+  }
+  // A small service is weighed whole; of a large one, random ones: every entry
+  // taking the best of the same stale reports would send them all to one.
+  const bool whole = size <= aWanted;
+  const std::uint32_t tries = whole ? size : aWanted;
+  for (std::uint32_t at = 0; at < tries; ++at) {
+    const std::uint32_t place = whole ? at : mRandom.Below(size);
+    const UpstreamIndex index = aPool.mServing[place];
+    if (!Holds(aWeighing, index)) {
+      Weigh(aWeighing, index, aPool, aQuery, aNow);
+    }
+  }
+}
+
+void
+RouterState::Weigh(Weighing& aWeighing,
+                   UpstreamIndex aIndex,
+                   const ServicePool& aPool,
+                   const RouteQuery& aQuery,
+                   TimePoint aNow)
+{
+  const UpstreamFigures& figures = mTable.Figures(aIndex);
+  const bool gone = figures.mExpires <= aNow;
+  if (gone || aWeighing.mCount == kMaxCandidates ||
+      (!aQuery.mAvoid.empty() &&
+       Avoids(aQuery, mTable.Detail(aIndex).mAnnouncement.mName))) {
+    return;
+  }
+  Candidate& candidate = aWeighing.mCandidates[aWeighing.mCount++];
+  candidate.mIndex = aIndex;
+  candidate.mCachedTokens = CachedTokens(aWeighing, aIndex, aQuery);
+  candidate.mParts =
+    ScoreCandidate({ .mFigures = figures,
+                     .mServiceHoldMicros = aPool.mHoldMicros,
+                     .mCachedTokens = candidate.mCachedTokens },
+                   aQuery,
+                   mOptions,
+                   aNow);
+}
+
+double
+RouterState::CachedTokens(const Weighing& aWeighing,
+                          UpstreamIndex aIndex,
+                          const RouteQuery& aQuery) const
+{
+  for (std::size_t at = 0; at < aWeighing.mMatch.mCount; ++at) {
+    const PrefixHolder& holder = aWeighing.mMatch.mHolders[at];
+    if (holder.mUpstream == aIndex) {
+      const double sure = holder.mKnown ? 1 : mTable.Figures(aIndex).mGuessRate;
+      return sure * TokensOf(aQuery, holder.mBlocks);
+    }
+  }
+  return 0;
+}
+
+const RouterState::Candidate*
+RouterState::Best(const Weighing& aWeighing)
+{
+  const Candidate* best = nullptr;
+  for (std::size_t at = 0; at < aWeighing.mCount; ++at) {
+    const Candidate& candidate = aWeighing.mCandidates[at];
+    const bool better =
+      best == nullptr || candidate.mParts.Total() < best->mParts.Total();
+    if (candidate.mParts.IsUsable() && better) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+NoRoute
+RouterState::WhyNot(const Weighing& aWeighing, const ServicePool& aPool)
+{
+  if (aWeighing.mCount == 0) {
+    return aPool.mEjected > 0 ? NoRoute::kAllEjected : NoRoute::kNoUpstream;
+  }
+  for (std::size_t at = 0; at < aWeighing.mCount; ++at) {
+    if (!aWeighing.mCandidates[at].mParts.mTooLate) {
+      return NoRoute::kQueueFull;
+    }
+  }
+  return NoRoute::kDeadlineTooNear;
+}
+
+RouteChoice
+RouterState::Describe(const Weighing& aWeighing, const Candidate& aBest) const
+{
+  const UpstreamAnnouncement& chosen =
+    mTable.Detail(aBest.mIndex).mAnnouncement;
+  RouteChoice choice{ .mUpstream = chosen.mName,
+                      .mIncarnation = chosen.mIncarnation,
+                      .mKind = chosen.mKind,
+                      .mAddress = chosen.mAddress,
+                      .mWeighed = {} };
+  choice.mWeighed.reserve(aWeighing.mCount);
+  for (std::size_t at = 0; at < aWeighing.mCount; ++at) {
+    const Candidate& candidate = aWeighing.mCandidates[at];
+    choice.mWeighed.push_back(
+      { .mUpstream = mTable.Detail(candidate.mIndex).mAnnouncement.mName,
+        .mExpectedFirstToken = Duration(
+          static_cast<Duration::rep>(candidate.mParts.mFirstTokenMicros)),
+        .mCachedTokens = static_cast<std::uint64_t>(candidate.mCachedTokens),
+        .mLatencyPart = candidate.mParts.mLatencyPart,
+        .mCostPart = candidate.mParts.mCostPart,
+        .mTotal = candidate.mParts.Total() });
+  }
+  return choice;
+}
+
+void
+RouterState::Cached(const CacheReport& aReport)
+{
+  const auto index = mTable.Find(aReport.mUpstream);
+  if (!index) {
+    return;
+  }
+  UpstreamDetail& detail = mTable.Detail(*index);
+  if (aReport.mIncarnation != detail.mAnnouncement.mIncarnation ||
+      aReport.mSequence <= detail.mCacheSequence) {
+    return;
+  }
+  // After a gap a block that we believe held may have been removed; believing
+  // on would send prompts to an upstream that computes them all again.
+  if (detail.mCacheSequence != 0 &&
+      aReport.mSequence != detail.mCacheSequence + 1) {
+    mPrefixes.LoseTrack(*index);
+  }
+  detail.mCacheSequence = aReport.mSequence;
+  for (const std::uint64_t block : aReport.mRemovedBlocks) {
+    mPrefixes.Remove(block, *index);
+  }
+  for (const std::uint64_t block : aReport.mAddedBlocks) {
+    mPrefixes.Add(block, *index, true);
+  }
+}
+
+void
+RouterState::Answered(UpstreamIndex aIndex,
+                      const RouteQuery& aQuery,
+                      std::uint64_t aCachedTokens)
+{
+  if (aQuery.mPrefixBlocks.empty() || aQuery.mPromptTokens == 0) {
+    return;
+  }
+  const PrefixMatch match = mPrefixes.Find(aQuery.mPrefixBlocks);
+  for (std::size_t at = 0; at < match.mCount; ++at) {
+    const PrefixHolder& holder = match.mHolders[at];
+    if (holder.mUpstream != aIndex || holder.mKnown) {
+      continue;
+    }
+    const double believed = TokensOf(aQuery, holder.mBlocks);
+    const float right =
+      static_cast<double>(aCachedTokens) >= believed ? 1.0F : 0.0F;
+    float& rate = mTable.Figures(aIndex).mGuessRate;
+    rate += kGuessLearnRate * (right - rate);
+  }
+  // The whole prompt is in the engine's cache now: it has just computed it.
+  mPrefixes.AddPrompt(aQuery.mPrefixBlocks, aIndex, true);
+}
+
+void
+RouterState::GuessCached(UpstreamIndex aIndex, const RouteQuery& aQuery)
+{
+  mPrefixes.AddPrompt(aQuery.mPrefixBlocks, aIndex, false);
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/RouterState.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "peridotspool/routing/Router.h"
+#include "routing/PrefixIndex.h"
+#include "routing/RandomSource.h"
+#include "routing/Score.h"
+#include "routing/UpstreamTable.h"
+
+#include <array>
+
+namespace peridotspool::routing {
+
+/** Most candidates that one decision weighs. */
+inline constexpr std::size_t kMaxCandidates = 64;
+
+/** The router's parts, and one decision over them. */
+class RouterState
+{
+public:
+  explicit RouterState(RouterOptions aOptions);
+
+  std::optional<RouteChoice> Choose(const RouteQuery& aQuery,
+                                    TimePoint aNow,
+                                    NoRoute& aWhyNot);
+  void Cached(const CacheReport& aReport);
+  void Answered(UpstreamIndex aIndex,
+                const RouteQuery& aQuery,
+                std::uint64_t aCachedTokens);
+  /** The prompt will be in the upstream's cache, as far as we can guess. */
+  void GuessCached(UpstreamIndex aIndex, const RouteQuery& aQuery);
+
+  RouterOptions mOptions;
+  UpstreamTable mTable;
+  PrefixIndex mPrefixes;
+
+private:
+  struct Candidate
+  {
+    UpstreamIndex mIndex = 0;
+    ScoreParts mParts;
+    double mCachedTokens = 0;
+  };
+  /** The candidates of one decision. */
+  struct Weighing
+  {
+    std::array<Candidate, kMaxCandidates> mCandidates;
+    std::size_t mCount = 0;
+    PrefixMatch mMatch;
+  };
+
+  bool Holds(const Weighing& aWeighing, UpstreamIndex aIndex) const;
+  void Weigh(Weighing& aWeighing,
+             UpstreamIndex aIndex,
+             const ServicePool& aPool,
+             const RouteQuery& aQuery,
+             TimePoint aNow);
+  void WeighHolders(Weighing& aWeighing,
+                    const ServicePool& aPool,
+                    const RouteQuery& aQuery,
+                    TimePoint aNow);
+  void WeighSome(Weighing& aWeighing,
+                 std::uint32_t aWanted,
+                 const ServicePool& aPool,
+                 const RouteQuery& aQuery,
+                 TimePoint aNow);
+  double CachedTokens(const Weighing& aWeighing,
+                      UpstreamIndex aIndex,
+                      const RouteQuery& aQuery) const;
+  static const Candidate* Best(const Weighing& aWeighing);
+  static NoRoute WhyNot(const Weighing& aWeighing, const ServicePool& aPool);
+  RouteChoice Describe(const Weighing& aWeighing, const Candidate& aBest) const;
+
+  RandomSource mRandom;
+};
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/Score.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "peridotspool/routing/RouteQuery.h"
+#include "peridotspool/routing/RouterOptions.h"
+#include "routing/Upstream.h"
+
+namespace peridotspool::routing {
+
+/** What a decision knows of one candidate besides its figures. */
+struct CandidateFacts
+{
+  UpstreamFigures mFigures;
+  /** Mean time of the service's requests; zero if none has ended. */
+  double mServiceHoldMicros = 0;
+  /** Tokens of the prompt expected in its cache. */
+  double mCachedTokens = 0;
+};
+
+/** The parts of one candidate's score; less is better. */
+struct ScoreParts
+{
+  double mFirstTokenMicros = 0;
+  double mLatencyPart = 0;
+  double mCostPart = 0;
+  bool mQueueFull = false;
+  /** True iff even the first token is expected after the deadline. */
+  bool mTooLate = false;
+
+  double Total() const { return mLatencyPart + mCostPart; }
+  bool IsUsable() const { return !mQueueFull && !mTooLate; }
+};
+
+/** Scores one candidate: the expected time first, then its price. */
+ScoreParts
+ScoreCandidate(const CandidateFacts& aFacts,
+               const RouteQuery& aQuery,
+               const RouterOptions& aOptions,
+               TimePoint aNow);
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/UpstreamTable.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "peridotspool/routing/Router.h"
+#include "routing/Upstream.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotspool::routing {
+
+/** The upstreams of one service that may be chosen. */
+struct ServicePool
+{
+  std::vector<UpstreamIndex> mServing;
+  /** Present but ejected. */
+  std::uint32_t mEjected = 0;
+  /** Mean time that a request takes at any of them; zero before one ended. */
+  double mHoldMicros = 0;
+};
+
+/** What an announcement changed. */
+struct AnnouncementTaken
+{
+  UpstreamIndex mIndex = 0;
+  bool mNewLife = false;
+};
+
+/**
+ * The directory of upstreams: announcements as leases, and for each service
+ * the list of those that may be chosen.
+ */
+class UpstreamTable
+{
+public:
+  explicit UpstreamTable(const RouterOptions& aOptions);
+
+  /** Empty iff the announcement is not newer than what is known. */
+  std::optional<AnnouncementTaken> Announce(
+    const UpstreamAnnouncement& aAnnouncement,
+    TimePoint aNow);
+
+  /** Takes out what has expired and lets ejected ones back in. */
+  void Tick(TimePoint aNow);
+  void Sent(UpstreamIndex aIndex, TimePoint aNow);
+  void Ended(UpstreamIndex aIndex, AttemptEnd aEnd, TimePoint aNow);
+
+  std::optional<UpstreamIndex> Find(const UpstreamName& aName) const;
+  const ServicePool* Pool(const ServiceName& aService) const;
+  const UpstreamFigures& Figures(UpstreamIndex aIndex) const
+  {
+    return mFigures[aIndex];
+  }
+  UpstreamFigures& Figures(UpstreamIndex aIndex) { return mFigures[aIndex]; }
+  const UpstreamDetail& Detail(UpstreamIndex aIndex) const
+  {
+    return mDetails[aIndex];
+  }
+  UpstreamDetail& Detail(UpstreamIndex aIndex) { return mDetails[aIndex]; }
+  std::vector<UpstreamAnnouncement> Present(TimePoint aNow) const;
+  std::uint64_t Ejections() const { return mEjections; }
+
+private:
+  /** Returns true iff it is newer than what is known of its upstream. */
+  bool IsNews(const UpstreamAnnouncement& aAnnouncement) const;
+  UpstreamIndex IndexOf(const UpstreamAnnouncement& aAnnouncement);
+  void TakeFigures(UpstreamIndex aIndex, TimePoint aNow);
+  void UpdateServing(UpstreamIndex aIndex, TimePoint aNow);
+  void StopServing(UpstreamIndex aIndex);
+  void Learn(UpstreamIndex aIndex, Duration aTook);
+  void TryEject(UpstreamIndex aIndex, TimePoint aNow);
+  void EndEjection(UpstreamIndex aIndex);
+  void Forget(UpstreamIndex aIndex);
+  ServicePool& PoolOf(UpstreamIndex aIndex);
+
+  const RouterOptions& mOptions;
+  std::vector<UpstreamFigures> mFigures;
+  std::vector<UpstreamDetail> mDetails;
+  std::vector<UpstreamIndex> mFree;
+  std::unordered_map<UpstreamName, UpstreamIndex> mByName;
+  std::unordered_map<ServiceName, ServicePool> mPools;
+  std::uint64_t mEjections = 0;
+};
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/test/routing/RoutingFixture.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "peridotspool/routing/Router.h"
+
+namespace peridotspool::routing {
+
+inline constexpr TimePoint kStart{ std::chrono::hours(1) };
+inline const ServiceName kAssistant("assistant");
+
+/** Returns a serving upstream's first announcement, to be changed. */
+inline UpstreamAnnouncement
+Announcement(const std::string& aName, std::uint64_t aSequence = 1)
+{
+  UpstreamAnnouncement news;
+  news.mName = UpstreamName(aName);
+  news.mIncarnation = Incarnation(1);
+  news.mSequence = aSequence;
+  news.mService = kAssistant;
+  news.mAddress = { "10.0.0.1", 9000 };
+  news.mSlots = 4;
+  news.mFirstToken = std::chrono::milliseconds(100);
+  news.mLease = std::chrono::seconds(2);
+  return news;
+}
+
+/** Returns a request whose deadline is far. */
+inline RouteQuery
+Query()
+{
+  RouteQuery query;
+  query.mService = kAssistant;
+  query.mDeadline = kStart + std::chrono::hours(2);
+  return query;
+}
+
+/** Returns the chosen upstream's name; empty if none. */
+inline std::string
+Chosen(Router& aRouter, const RouteQuery& aQuery, TimePoint aNow)
+{
+  NoRoute whyNot = NoRoute::kNoUpstream;
+  const auto choice = aRouter.Choose(aQuery, aNow, whyNot);
+  return choice ? choice->mUpstream.Value() : "";
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/test/routing/SpreadTargetsTest.cpp
@@ -0,0 +1,62 @@
+// ctest-labels: unit
+#include "peridotspool/routing/SpreadTargets.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace peridotspool::routing {
+
+namespace {
+
+std::vector<MemberId>
+Members(std::uint64_t aCount)
+{
+  std::vector<MemberId> members;
+  for (std::uint64_t at = 1; at <= aCount; ++at) {
+    members.emplace_back(at);
+  }
+  return members;
+}
+
+} // namespace
+
+TEST_CASE("SmallSystemTellsEveryEntry")
+{
+  CHECK(SpreadTargets(UpstreamName("u1"), Members(11)) == Members(11));
+  CHECK(SpreadTargets(UpstreamName("u1"), {}).empty());
+}
+
+TEST_CASE("LargeSystemTellsSixteenEntriesAndSpreadsEvenly")
+{
+  std::map<MemberId, int> told;
+  for (int at = 0; at < 3000; ++at) {
+    const auto targets =
+      SpreadTargets(UpstreamName("u" + std::to_string(at)), Members(380));
+    REQUIRE(targets.size() == kSpreadTargets);
+    for (const MemberId target : targets) {
+      ++told[target];
+    }
+  }
+  CHECK(told.size() == 380);
+  for (const auto& [member, count] : told) {
+    CHECK(count > 60);
+    CHECK(count < 200);
+  }
+}
+
+TEST_CASE("OneMemberMoreOrLessChangesAtMostOneTarget")
+{
+  const UpstreamName upstream("u1");
+  const auto before = SpreadTargets(upstream, Members(100));
+  const auto after = SpreadTargets(upstream, Members(101));
+  std::vector<MemberId> added;
+  std::set_difference(after.begin(),
+                      after.end(),
+                      before.begin(),
+                      before.end(),
+                      std::back_inserter(added));
+  CHECK(added.size() <= 1);
+}
+
+} // namespace peridotspool::routing
