--- /dev/null
+++ b/src/routing/Router.cpp
@@ -0,0 +1,100 @@
+#include "peridotspool/routing/Router.h"
+
+#include "routing/RouterState.h"
+
+namespace peridotspool::routing {
+
+Router::Router(RouterOptions aOptions)
+  : mState(std::make_unique<RouterState>(aOptions))
+{
+}
+
+Router::~Router() = default;
+
+bool
+Router::Announce(const UpstreamAnnouncement& aAnnouncement, TimePoint aNow)
+{
+  const auto taken = mState->mTable.Announce(aAnnouncement, aNow);
+  if (taken && taken->mNewLife) {
+    mState->mPrefixes.Clear(taken->mIndex);
+  }
+  return taken.has_value();
+}
+
+void
+Router::Tick(TimePoint aNow)
+{
+  mState->mTable.Tick(aNow);
+}
+
+std::optional<RouteChoice>
+Router::Choose(const RouteQuery& aQuery, TimePoint aNow, NoRoute& aWhyNot)
+{
+  return mState->Choose(aQuery, aNow, aWhyNot);
+}
+
+void
+Router::Sent(const UpstreamName& aUpstream,
+             const RouteQuery& aQuery,
+             TimePoint aNow)
+{
+  if (const auto index = mState->mTable.Find(aUpstream)) {
+    mState->mTable.Sent(*index, aNow);
+    mState->GuessCached(*index, aQuery);
+  }
+}
+
+void
+Router::Ended(const UpstreamName& aUpstream, AttemptEnd aEnd, TimePoint aNow)
+{
+  if (const auto index = mState->mTable.Find(aUpstream)) {
+    mState->mTable.Ended(*index, aEnd, aNow);
+  }
+}
+
+void
+Router::Cached(const CacheReport& aReport)
+{
+  mState->Cached(aReport);
+}
+
+void
+Router::Answered(const UpstreamName& aUpstream,
+                 const RouteQuery& aQuery,
+                 std::uint64_t aCachedTokens)
+{
+  if (const auto index = mState->mTable.Find(aUpstream)) {
+    mState->Answered(*index, aQuery, aCachedTokens);
+  }
+}
+
+void
+Router::SetWeights(double aLatencyWeight, double aCostWeight)
+{
+  mState->mOptions.mLatencyWeight = aLatencyWeight;
+  mState->mOptions.mCostWeight = aCostWeight;
+}
+
+std::uint64_t
+Router::Ejections() const
+{
+  return mState->mTable.Ejections();
+}
+
+std::optional<UpstreamAnnouncement>
+Router::Find(const UpstreamName& aUpstream, TimePoint aNow) const
+{
+  const auto index = mState->mTable.Find(aUpstream);
+  if (!index || mState->mTable.Figures(*index).mExpires <= aNow) {
+    return std::nullopt;
+  }
+  return mState->mTable.Detail(*index).mAnnouncement;
+}
+
+std::vector<UpstreamAnnouncement>
+Router::Upstreams(TimePoint aNow) const
+{
+  return mState->mTable.Present(aNow);
+}
+
+} // namespace peridotspool::routing
