--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -45,3 +45,14 @@
                  "RC_PARAMS=seed=20261202")
   endforeach()
 endforeach()
+
+# The tests of real processes run these programs.
+if(TARGET test_process)
+  add_dependencies(
+    test_process
+    peridotspool-entryd
+    peridotspool-controld
+    fake-engine
+    fake-service
+    fake-relay)
+endif()
--- /dev/null
+++ b/test/process/EntryLossTest.cpp
@@ -0,0 +1,97 @@
+// ctest-labels: promise-survives-reclaim promise-whole-own-answer
+#include "http/Eventually.h"
+#include "process/StreamCaller.h"
+#include "process/TestSystem.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+namespace peridotspool::test {
+
+namespace {
+
+const std::string kPrompt = "placement fault on SMT-3, head 2, feeder 12";
+/** Longer than every lease by far. */
+constexpr std::chrono::seconds kLongFreeze{ 6 };
+
+/** The process name of the entry that ran the request. */
+std::string
+ExecutorOf(const StreamCaller& aCaller)
+{
+  return "entryd-" + fakes::TextOf(aCaller.Path(), "entry").substr(6);
+}
+
+} // namespace
+
+TEST_CASE("EntryKilledMidStreamLosesNothing")
+{
+  // Symptom: a technician must retype a long fault log.
+  // Sequence: an entry takes a request, streams a part of the answer and is
+  // killed without notice; the caller attaches at another.
+  // Cause: the accepted request, or what was answered, lived on one machine.
+  TestSystem system;
+  system.Start();
+  system.StartEngine("engine-1");
+  system.StartEngine("engine-2");
+  StreamCaller caller("killed-entry", kPrompt, 100);
+  const std::string first =
+    GENERATE(std::string("entryd-piraeus-a"), std::string("entryd-elefsina"));
+  caller.Connect(system.Entry(first));
+  caller.WaitForBytes(200);
+  system.Process(first).Kill();
+  caller.FollowToEnd(system.EntriesBut({ first }));
+  caller.RequireWholeAnswer();
+}
+
+TEST_CASE("EveryEntryKilledInTurnLosesNothing")
+{
+  // Symptom: the second loss, right after a repair, takes the request along.
+  // Sequence: the entry that runs a request is killed; as soon as another has
+  // taken over, that one is killed too.
+  // Cause: the repair did not bring the record back to full strength.
+  TestSystem system;
+  system.Start();
+  system.StartEngine("engine-1");
+  StreamCaller caller("killed-twice", kPrompt, 400);
+  std::vector<std::string> killed{ "entryd-piraeus-a" };
+  caller.Connect(system.Entry(killed[0]));
+  caller.WaitForBytes(200);
+  system.Process(killed[0]).Kill();
+  const std::vector<Address> left = system.EntriesBut(killed);
+  while (caller.Text().size() < 1200) {
+    caller.Connect(left[0]);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  }
+  killed.push_back(EntryNames()[1]);
+  system.Process(killed[1]).Kill();
+  caller.FollowToEnd(system.EntriesBut(killed));
+  caller.RequireWholeAnswer();
+}
+
+TEST_CASE("EntryFrozenLongerThanItsLeasesDoesNoHarm")
+{
+  // Symptom: a caller gets pieces twice, or an answer stops for ever.
+  // Sequence: an entry stands still for longer than every lease, others take
+  // over and finish; it wakes and goes on where it was.
+  // Cause: the woken entry still believes that it is in charge.
+  TestSystem system;
+  system.Start();
+  system.StartEngine("engine-1");
+  StreamCaller caller("frozen-entry", kPrompt, 100);
+  const std::string frozen = "entryd-piraeus-a";
+  caller.Connect(system.Entry(frozen));
+  caller.WaitForBytes(200);
+  system.Process(frozen).Signal(SIGSTOP);
+  caller.FollowToEnd(system.EntriesBut({ frozen }));
+  caller.RequireWholeAnswer();
+  std::this_thread::sleep_for(kLongFreeze);
+  system.Process(frozen).Signal(SIGCONT);
+  // What the woken entry knows of it must be the same answer, or nothing.
+  StreamCaller again("frozen-entry", kPrompt, 100);
+  again.Connect(system.Entry(frozen));
+  again.FollowToEnd({ system.Entry(frozen) });
+  again.RequireWholeAnswer();
+  CHECK(ExecutorOf(again) == ExecutorOf(caller));
+}
+
+} // namespace peridotspool::test
--- /dev/null
+++ b/test/process/SystemFiles.cpp
@@ -0,0 +1,186 @@
+#include "process/SystemFiles.h"
+
+#include "peridotspool/settings/KeyHash.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <netinet/in.h>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace peridotspool::test {
+
+namespace {
+
+std::string
+TextOfFile(const std::filesystem::path& aPath)
+{
+  std::ostringstream text;
+  text << std::ifstream(aPath).rdbuf();
+  INFO(aPath << " must be there");
+  REQUIRE_FALSE(text.str().empty());
+  return text.str();
+}
+
+/** Takes all ports before it frees the first, so that they differ. */
+std::vector<std::string>
+FreePorts(std::size_t aCount)
+{
+  std::vector<int> sockets;
+  std::vector<std::string> ports;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    sockets.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(::bind(sockets.back(), generic, length) == 0);
+    REQUIRE(::getsockname(sockets.back(), generic, &length) == 0);
+    ports.push_back(std::to_string(ntohs(address.sin_port)));
+  }
+  for (const int one : sockets) {
+    ::close(one);
+  }
+  return ports;
+}
+
+std::string
+ReplaceAll(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  for (std::size_t at = aText.find(aOld); at != std::string::npos;
+       at = aText.find(aOld, at + aNew.size())) {
+    aText.replace(at, aOld.size(), aNew);
+  }
+  return aText;
+}
+
+} // namespace
+
+const std::vector<std::string>&
+EntryNames()
+{
+  static const std::vector<std::string> sNames{
+    "entryd-piraeus-a", "entryd-piraeus-b", "entryd-marousi", "entryd-elefsina"
+  };
+  return sNames;
+}
+
+const std::vector<std::string>&
+ControlNames()
+{
+  static const std::vector<std::string> sNames{ "controld-piraeus-a",
+                                                "controld-piraeus-b",
+                                                "controld-marousi" };
+  return sNames;
+}
+
+std::string
+ExampleText(const std::string& aName)
+{
+  return TextOfFile(std::filesystem::path(PERIDOTSPOOL_SOURCE_DIR) /
+                    "examples" / "lefkada" / aName);
+}
+
+SystemFiles::SystemFiles()
+{
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "peridotspool-test-XXXXXX")
+      .string();
+  REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+  mFolder = pattern;
+  WriteKeys();
+  CopySettings();
+}
+
+SystemFiles::~SystemFiles()
+{
+  std::error_code ignored;
+  std::filesystem::remove_all(mFolder, ignored);
+}
+
+std::string
+SystemFiles::Read(const std::string& aName) const
+{
+  return TextOfFile(mFolder / aName);
+}
+
+void
+SystemFiles::Write(const std::string& aName, const std::string& aText) const
+{
+  std::ofstream(mFolder / aName) << aText;
+}
+
+void
+SystemFiles::Replace(const std::string& aName,
+                     const std::string& aOld,
+                     const std::string& aNew) const
+{
+  const std::string text = Read(aName);
+  INFO(aName << " must have " << aOld << ":\n" << text);
+  REQUIRE(text.find(aOld) != std::string::npos);
+  Write(aName, ReplaceAll(text, aOld, aNew));
+}
+
+std::string
+SystemFiles::Listen(const std::string& aProcess,
+                    const std::string& aWhich) const
+{
+  const std::string text = Read(aProcess + ".yaml");
+  const std::size_t listen = text.find("listen:");
+  const std::string field = aWhich + ": ";
+  const std::size_t begin = text.find(field, listen) + field.size();
+  return text.substr(begin, text.find('\n', begin) - begin);
+}
+
+void
+SystemFiles::WriteKeys()
+{
+  std::filesystem::create_directory(mFolder / "keys");
+  const std::string tag = mFolder.filename().string();
+  mOperatorKey = "operator-" + tag;
+  const std::string upstreamKey = "upstream-" + tag;
+  Write("keys/operator.key", mOperatorKey + "\n");
+  Write("keys/upstream.key", upstreamKey + "\n");
+  Write("keys/customer.key", std::string(kCustomerKey) + "\n");
+  Write("keys/peer.key", "peers-of-" + tag + "\n");
+  Write("keys/operators",
+        "operator " + settings::KeyHash(mOperatorKey) + "\nupstream " +
+          settings::KeyHash(upstreamKey) + "\n");
+}
+
+void
+SystemFiles::CopySettings() const
+{
+  std::map<std::string, std::string> texts;
+  std::set<std::string> ports;
+  static const std::regex sAddress(R"(127\.0\.0\.1:(\d+))");
+  for (const auto* names : { &EntryNames(), &ControlNames() }) {
+    for (const std::string& name : *names) {
+      const std::string text = texts[name] = ExampleText(name + ".yaml");
+      for (std::sregex_iterator at(text.begin(), text.end(), sAddress), end;
+           at != end;
+           ++at) {
+        ports.insert((*at)[1]);
+      }
+    }
+  }
+  const std::vector<std::string> free = FreePorts(ports.size());
+  for (auto& [name, text] : texts) {
+    std::size_t next = 0;
+    for (const std::string& port : ports) {
+      // The mark keeps a port that was put in from being taken for one of the
+      // example's.
+      text =
+        ReplaceAll(text, "127.0.0.1:" + port, "127.0.0.1:*" + free[next++]);
+    }
+    Write(name + ".yaml", ReplaceAll(text, ":*", ":"));
+  }
+}
+
+} // namespace peridotspool::test
