Spread announcements only to the entries that use the upstream

Change: an entry that takes an announcement passes it to the rendezvous subset of 16 entries; with today's 9 to 11 entries that is all of them.

--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -1,5 +1,7 @@
 #include "request/EntryNodeState.h"
 
+#include "peridotspool/routing/SpreadTargets.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -365,9 +367,15 @@
 EntryNodeState::SpreadAnnouncement(
   const routing::UpstreamAnnouncement& aAnnouncement)
 {
+  std::vector<MemberId> members;
   for (const auto& [id, member] : mMembers) {
-    if (id != mSelf) {
-      SendToMember(id, aAnnouncement);
+    members.push_back(id);
+  }
+  // A report to every entry would grow with entries times upstreams.
+  for (const MemberId target :
+       routing::SpreadTargets(aAnnouncement.mName, members)) {
+    if (target != mSelf) {
+      SendToMember(target, aAnnouncement);
     }
   }
 }
