--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -208,6 +208,12 @@
   mLedger.emplace(mSelf, mOptions.mLedger);
   mRequests.emplace(mSelf, mOptions.mRequests, mRouter);
   mEffects->emplace_back(BecameMemberEffect{ mSelf });
+  // The member list may come before the answer that gives us our id. A ledger
+  // that never heard of the list answers no query of its peers: each shard that
+  // this entry is in would stand still until the next epoch, unless it is told.
+  if (mSession->Epoch().mEpoch.IsSet()) {
+    HandOn(mSession->Epoch());
+  }
 }
 
 void
@@ -247,8 +253,7 @@
   }
   mDirectory.TakeEpoch(map);
   mEffects->emplace_back(EpochTakenEffect{ map.mEpoch, map.mMembers.size() });
-  StepLedger(ledger::EpochChangedEvent{ map });
-  StepRequests(MembersEvent{ map });
+  HandOn(map);
   const auto self = mMembers.find(mSelf);
   const bool draining =
     self != mMembers.end() &&
@@ -260,6 +265,13 @@
   }
 }
 
+void
+EntryNodeState::HandOn(const membership::EpochMap& aMap)
+{
+  StepLedger(ledger::EpochChangedEvent{ aMap });
+  StepRequests(MembersEvent{ aMap });
+}
+
 void
 EntryNodeState::StepLedger(const ledger::Event& aEvent)
 {
--- a/src/request/EntryNodeState.h
+++ b/src/request/EntryNodeState.h
@@ -52,6 +52,8 @@
   void Carry(const membership::NewSettingsEffect& aEffect);
   void Carry(const membership::NewEpochEffect& aEffect);
 
+  /** Tells the parts that hold requests who the members are. */
+  void HandOn(const membership::EpochMap& aMap);
   void StepLedger(const ledger::Event& aEvent);
   void Carry(const ledger::SendEffect& aEffect);
   void Carry(const ledger::AnsweredEffect& aEffect);
--- a/test/process/CutTest.cpp
+++ b/test/process/CutTest.cpp
@@ -64,6 +64,10 @@
   CHECK(Eventually(
     [&] { return system.DirectoryOf("entryd-elefsina").size() == 4; },
     kPatience));
+  StreamCaller after("after-the-cut", "fault 14", 10);
+  after.Connect(system.Entry("entryd-marousi"));
+  after.FollowToEnd({ system.Entry("entryd-marousi") });
+  after.RequireWholeAnswer();
 }
 
 TEST_CASE("WrongPeerKeyIsRefused")
--- a/test/process/EntryLossTest.cpp
+++ b/test/process/EntryLossTest.cpp
@@ -21,6 +21,36 @@
   return "entryd-" + fakes::TextOf(aCaller.Path(), "entry").substr(6);
 }
 
+/** Sends requests through each entry, of many shards; all must be answered. */
+void
+RequireThatAllServe(TestSystem& aSystem, const std::string& aPrefix)
+{
+  constexpr int kRequests = 12;
+  for (const std::string& name : EntryNames()) {
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string key = aPrefix + name + "-" + std::to_string(i);
+      StreamCaller caller(key, kPrompt + key, 2);
+      caller.Connect(aSystem.Entry(name));
+      caller.FollowToEnd({ aSystem.Entry(name) });
+      caller.RequireWholeAnswer();
+    }
+  }
+}
+
+/** Waits until each entry names all four to callers. */
+void
+WaitUntilAllAreMembers(TestSystem& aSystem)
+{
+  REQUIRE(Eventually(
+    [&] {
+      return std::all_of(
+        EntryNames().begin(), EntryNames().end(), [&](const auto& aName) {
+          return aSystem.DirectoryOf(aName).size() == EntryNames().size();
+        });
+    },
+    std::chrono::seconds(30)));
+}
+
 } // namespace
 
 TEST_CASE("EntryKilledMidStreamLosesNothing")
@@ -68,6 +98,26 @@
   caller.RequireWholeAnswer();
 }
 
+TEST_CASE("RestartedEntryServesAgain")
+{
+  // Symptom: after a restart, requests of half of the shards hang for good.
+  // Sequence: an entry is killed and started again; the member list reaches it
+  // before the answer that gives it its new id.
+  // Cause: its ledger is made after the list came, never hears of it, and
+  // answers no query of the shards' primaries.
+  TestSystem system;
+  system.Start();
+  system.StartEngine("engine-1");
+  const std::string restarted = "entryd-piraeus-b";
+  system.Process(restarted).Kill();
+  REQUIRE(
+    Eventually([&] { return system.DirectoryOf("entryd-marousi").size() == 3; },
+               std::chrono::seconds(30)));
+  system.StartOwn(restarted);
+  WaitUntilAllAreMembers(system);
+  RequireThatAllServe(system, "restarted-");
+}
+
 TEST_CASE("EntryFrozenLongerThanItsLeasesDoesNoHarm")
 {
   // Symptom: a caller gets pieces twice, or an answer stops for ever.
@@ -92,6 +142,8 @@
   again.FollowToEnd({ system.Entry(frozen) });
   again.RequireWholeAnswer();
   CHECK(ExecutorOf(again) == ExecutorOf(caller));
+  WaitUntilAllAreMembers(system);
+  RequireThatAllServe(system, "woken-");
 }
 
 } // namespace peridotspool::test
