--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -1,6 +1,7 @@
 #include "peridotspool/runtime/ControlHost.h"
 
 #include "http/ApiError.h"
+#include "peridotspool/observe/Counters.h"
 #include "peridotspool/runtime/KeyFiles.h"
 #include "peridotspool/runtime/StopSignal.h"
 #include "peridotspool/runtime/SystemClock.h"
@@ -182,6 +183,10 @@
 
   void OnRequest(http::ExchangeId aExchange, const http::HttpRequest& aRequest)
   {
+    if (aRequest.mMethod == "GET" && aRequest.mPath == "/metrics") {
+      mServer->Respond(aExchange, Metrics());
+      return;
+    }
     http::OperatorCommand command = http::ReadOperatorRequest(aRequest, mKeys);
     if (auto* refused = std::get_if<http::RefusedCommand>(&command)) {
       mServer->Respond(aExchange, std::move(refused->mResponse));
@@ -196,6 +201,21 @@
     }
   }
 
+  http::HttpResponse Metrics()
+  {
+    const wire::PeerTransportCounts peers = mTransport->Counts();
+    using observe::CounterId;
+    mCounters.Set(CounterId::kPeerBytesSent, peers.mBytesSent);
+    mCounters.Set(CounterId::kPeerBytesReceived, peers.mBytesReceived);
+    mCounters.Set(CounterId::kPeerMessagesDropped, peers.mFramesDropped);
+    mCounters.Set(CounterId::kPeerAuthFailed, peers.mHandshakesRefused);
+    mCounters.Set(CounterId::kLogLinesDropped, mLogger->Dropped());
+    return http::HttpResponse{ .mStatus = 200,
+                               .mHeaders = { { "content-type",
+                                               "text/plain; version=0.0.4" } },
+                               .mBody = mCounters.MetricsText() };
+  }
+
   std::optional<Address> FindHttp(const Address& aPeer) const
   {
     for (const auto& replica : mSettings.mControlReplicas) {
@@ -272,6 +292,7 @@
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
   std::unique_ptr<observe::Logger> mLogger;
+  observe::Counters mCounters;
   std::atomic<bool> mDiskFailed{ false };
   std::thread mDeciding;
   std::thread mWriting;
