Let heartbeats between our processes follow the traffic

Ruled out: heartbeats to control (constant) and settings (idle). Change: a frame is answered within 500 ms by any byte, or by a heartbeat; the sender gives a connection up when a frame got nothing back for 1.5 s. An idle connection costs nothing and is tested by its next frame. Test: ConnectionThatWentSilentIsReplacedByANewOne.

--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -20,11 +20,11 @@
   /** Bytes that may wait for one peer; more frames to it are dropped. */
   std::size_t mMaxQueuedBytes = 32U << 20;
   std::size_t mMaxConnections = 2048;
-  /** An idle connection is proved alive this often. */
+  /** A frame that got no other answer is answered by a heartbeat this soon. */
   std::chrono::milliseconds mHeartbeat{ 500 };
-  /** After this long without a byte a connection is closed and a new one
-   * tried. */
-  std::chrono::milliseconds mSilence{ 2000 };
+  /** A connection on which a frame got no byte back for this long is closed,
+   * and a new one tried. */
+  std::chrono::milliseconds mSilence{ 1500 };
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   /** A connection that carried no frame of ours or theirs is closed. */
   std::chrono::milliseconds mIdle{ 60000 };
@@ -49,9 +49,9 @@
  *
  * Delivery is not promised: a frame may be lost when a connection breaks, and
  * the cores are made for that. A connection is opened when it is first needed,
- * used in both directions, proved alive by heartbeats, and replaced by a new
- * one after silence. The handler runs on the transport's thread and must not
- * block; Send may be called from any thread.
+ * used in both directions, proved alive by an answer to each frame, and
+ * replaced by a new one after silence. The handler runs on the transport's
+ * thread and must not block; Send may be called from any thread.
  */
 class PeerTransport
 {
--- a/src/wire/PeerConnection.cpp
+++ b/src/wire/PeerConnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -40,7 +41,6 @@
   , mTimes(aTimes)
   , mHandlers(std::move(aHandlers))
   , mLastReceived(Clock::now())
-  , mLastSent(mLastReceived)
   , mLastUse(mLastReceived)
 {
 }
@@ -91,6 +91,10 @@
   mSession.Queue(std::move(aFrame));
   if (mConnected) {
     Flush();
+    if (!mAwaitingSince) {
+      mAwaitingSince = mLastUse;
+      ArmTimer();
+    }
   }
 }
 
@@ -121,6 +125,7 @@
 PeerConnection::OnRead(std::size_t aSize)
 {
   mLastReceived = Clock::now();
+  mAwaitingSince.reset();
   mHandlers.mOnBytes(aSize, 0);
   std::vector<std::string> frames;
   LastReason reason;
@@ -136,6 +141,9 @@
   for (std::string& frame : frames) {
     if (!frame.empty()) {
       mLastUse = mLastReceived;
+      if (!mOwingSince) {
+        mOwingSince = mLastReceived;
+      }
       mHandlers.mOnFrame(std::move(frame));
     }
   }
@@ -144,6 +152,7 @@
     return;
   }
   Flush();
+  ArmTimer();
   ReadSome();
 }
 
@@ -158,7 +167,7 @@
     return;
   }
   mWriteUnderWay = true;
-  mLastSent = Clock::now();
+  mOwingSince.reset();
   asio::async_write(
     mSocket,
     asio::buffer(mWriting),
@@ -177,10 +186,33 @@
     });
 }
 
+PeerConnection::Clock::time_point
+PeerConnection::NextDue() const
+{
+  if (!mSession.Authenticated()) {
+    return mLastReceived + mTimes.mConnectTimeout;
+  }
+  Clock::time_point due = mLastUse + mTimes.mIdle;
+  if (mAwaitingSince) {
+    due = std::min(due, *mAwaitingSince + mTimes.mSilence);
+  }
+  if (mOwingSince) {
+    due = std::min(due, *mOwingSince + mTimes.mHeartbeat);
+  }
+  return due;
+}
+
+// A heartbeat is sent only in answer to frames, so that the cost follows the
+// traffic: with a heartbeat on each of a few hundred idle connections, a node
+// would spend its whole allowance on saying nothing.
 void
 PeerConnection::ArmTimer()
 {
-  mTimer.expires_after(mTimes.mHeartbeat);
+  const Clock::time_point due = NextDue();
+  if (mClosed || mTimer.expiry() == due) {
+    return;
+  }
+  mTimer.expires_at(due);
   mTimer.async_wait([self = shared_from_this()](const error_code& aError) {
     if (!aError && !self->mClosed) {
       self->OnTimer();
@@ -192,20 +224,23 @@
 PeerConnection::OnTimer()
 {
   const auto now = Clock::now();
-  const auto limit =
-    mSession.Authenticated() ? mTimes.mSilence : mTimes.mConnectTimeout;
+  const bool silent =
+    mSession.Authenticated()
+      ? mAwaitingSince && now - *mAwaitingSince >= mTimes.mSilence
+      : now - mLastReceived >= mTimes.mConnectTimeout;
   // Something between the two ends may have lost track of this connection: it
   // would stay silent for good while a new one works, so it is given up here
   // and the next frame opens a new one.
-  if (now - mLastReceived > limit) {
+  if (silent) {
     Close("silent", true);
     return;
   }
-  if (now - mLastUse > mTimes.mIdle) {
+  if (mSession.Authenticated() && now - mLastUse >= mTimes.mIdle) {
     Close("idle");
     return;
   }
-  if (mSession.Authenticated() && now - mLastSent >= mTimes.mHeartbeat) {
+  if (mOwingSince && now - *mOwingSince >= mTimes.mHeartbeat) {
+    mOwingSince.reset();
     mSession.Queue(kHeartbeatFrame);
     Flush();
   }
--- a/src/wire/PeerConnection.h
+++ b/src/wire/PeerConnection.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,8 @@
 private:
   using Clock = std::chrono::steady_clock;
 
+  /** What the clock has to wait for next; see OnTimer. */
+  Clock::time_point NextDue() const;
   void Begin();
   void ReadSome();
   void OnRead(std::size_t aSize);
@@ -88,8 +91,11 @@
   bool mClosed = false;
   bool mAnnouncedAuthenticated = false;
   Clock::time_point mLastReceived;
-  Clock::time_point mLastSent;
   Clock::time_point mLastUse;
+  /** Since when a frame of ours waits for any byte of the peer. */
+  std::optional<Clock::time_point> mAwaitingSince;
+  /** Since when a frame of the peer waits for any byte of ours. */
+  std::optional<Clock::time_point> mOwingSince;
 };
 
 } // namespace peridotspool::wire
--- a/test/wire/PeerTransportTest.cpp
+++ b/test/wire/PeerTransportTest.cpp
@@ -4,7 +4,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -64,6 +70,23 @@
   return true;
 }
 
+/** Plays the server's side on a raw socket until a frame has come. */
+void
+AnswerHandshake(boost::asio::ip::tcp::socket& aSocket,
+                const std::string& aExpectedFrame)
+{
+  PeerSession session({ .mRole = PeerRole::kServer, .mSharedKey = "key" });
+  std::vector<std::string> frames;
+  LastReason reason;
+  std::array<char, 4096> buffer;
+  while (frames.empty()) {
+    const std::size_t size = aSocket.read_some(boost::asio::buffer(buffer));
+    REQUIRE(session.Receive({ buffer.data(), size }, frames, reason));
+    boost::asio::write(aSocket, boost::asio::buffer(session.TakeOutput()));
+  }
+  CHECK(frames.front() == aExpectedFrame);
+}
+
 } // namespace
 
 TEST_CASE("FramesGoBothWaysOverOneConnection")
@@ -135,6 +158,44 @@
   CHECK(frames.empty());
 }
 
+TEST_CASE("ConnectionThatWentSilentIsReplacedByANewOne")
+{
+  // Symptom: two entries can't reach each other for good, though new
+  // connections between them work. Sequence: the connection is up; something
+  // between the ends loses track of it, so nothing comes back and no error is
+  // seen; the sender goes on sending. Cause: silence is not noticed.
+  namespace asio = boost::asio;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
+  const Address address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  PeerTransportOptions options = Options("key");
+  options.mSilence = std::chrono::milliseconds(200);
+  PeerTransport sender(options, [](auto) {});
+  LastReason reason;
+  REQUIRE(sender.Start(reason));
+
+  sender.Send(address, "first");
+  auto silent = acceptor.accept();
+  AnswerHandshake(silent, "first");
+  sender.Send(address, "lost");
+  auto fresh = std::async(std::launch::async, [&] {
+    auto socket = acceptor.accept();
+    AnswerHandshake(socket, "again");
+    return true;
+  });
+  // Bounded: the peer's frames keep coming until the new connection is there.
+  for (int attempt = 0; attempt < 200; ++attempt) {
+    sender.Send(address, "again");
+    if (fresh.wait_for(std::chrono::milliseconds(50)) ==
+        std::future_status::ready) {
+      break;
+    }
+  }
+  CHECK(fresh.get());
+  CHECK(sender.Counts().mConnectionsSilent >= 1);
+}
+
 TEST_CASE("FramesSentWhileAPeerIsAwayDoNotBlockLaterOnes")
 {
   // Symptom: after a peer's restart nothing reaches it any more.
