Admit by shared limits and fair share, and bound retries

Why: one large customer could take everything, each entry would have let a customer's whole limit in, and retries in a brown-out had no common bound.

What, for one service at one entry: - FairQueue: start-time fair queueing by customer weight. Urgent requests go first only while their customer is within its fair share plus a burst, so marking everything urgent wins nothing. Room in the queue is divided by weight as well. - LimitShare and SharedLimit: an entry's part of a customer's rate and concurrency, a tenth evenly and the rest by published demand; parts sum to exactly the limits. A smaller part counts at once, a larger one after 3 s.

--- /dev/null
+++ b/src/routing/Admission.cpp
@@ -0,0 +1,181 @@
+#include "peridotspool/routing/Admission.h"
+
+#include <algorithm>
+
+namespace peridotspool::routing {
+
+namespace {
+
+/** Weight of the newest request in the mean time. */
+constexpr double kLearnRate = 0.1;
+/** When to come back after a limit on requests under way. */
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+
+} // namespace
+
+Admission::Admission(AdmissionOptions aOptions, MemberId aSelf)
+  : mOptions(aOptions)
+  , mSelf(aSelf)
+  , mMembers{ aSelf }
+  , mQueue(aOptions.mQueue)
+  , mHoldMicros(static_cast<double>(aOptions.mFirstHold.count()))
+{
+}
+
+SharedLimit&
+Admission::LimitOf(const settings::EffectiveService& aSettings)
+{
+  mQueue.SetWeight(aSettings.mCustomer, aSettings.mWeight);
+  const auto found = mLimits.find(aSettings.mCustomer);
+  if (found != mLimits.end()) {
+    return found->second;
+  }
+  // Before the others' demand is known an even part is safe: the whole limit
+  // at each of N entries would let N times as much in.
+  PublishedDemand even;
+  for (const MemberId member : mMembers) {
+    even.emplace(member, 0);
+  }
+  return mLimits
+    .emplace(aSettings.mCustomer,
+             SharedLimit(LimitShare(aSettings.mLimits, even, mSelf)))
+    .first->second;
+}
+
+void
+Admission::SetMembers(std::vector<MemberId> aMembers)
+{
+  mMembers = std::move(aMembers);
+}
+
+AdmissionOutcome
+Admission::Ask(const AdmissionQuery& aQuery,
+               const settings::EffectiveService& aSettings,
+               TimePoint aNow)
+{
+  SharedLimit& limit = LimitOf(aSettings);
+  const bool runsAtOnce = mRunning < mOptions.mMaxRunning && mQueue.Size() == 0;
+  const Duration hold(static_cast<Duration::rep>(mHoldMicros));
+  const Duration wait =
+    runsAtOnce ? Duration(0) : ExpectedWait(aSettings.mCustomer);
+  // Told now, the caller can turn elsewhere; told at its deadline it can't.
+  if (aNow + wait >= aQuery.mDeadline) {
+    return Refused{ .mReason = AdmissionReason::kDeadlineTooNear,
+                    .mRetryAfter = std::max(wait, kLeastRetryAfter) };
+  }
+  if (const auto reached = limit.Take(aNow)) {
+    const bool rate = *reached == LimitReached::kRate;
+    return Refused{ .mReason = rate ? AdmissionReason::kRateLimit
+                                    : AdmissionReason::kConcurrencyLimit,
+                    .mRetryAfter = std::max(rate ? limit.UntilNext(aNow) : hold,
+                                            kLeastRetryAfter) };
+  }
+  if (runsAtOnce) {
+    ++mRunning;
+    return Admitted{};
+  }
+  const AdmissionOutcome outcome = Enqueue(aQuery);
+  if (std::holds_alternative<Refused>(outcome)) {
+    limit.Release();
+  }
+  return outcome;
+}
+
+AdmissionOutcome
+Admission::Enqueue(const AdmissionQuery& aQuery)
+{
+  const Duration wait = ExpectedWait(aQuery.mKey.mCustomer);
+  const bool pushed = mQueue.Push({ .mKey = aQuery.mKey,
+                                    .mPriority = aQuery.mPriority,
+                                    .mCost = aQuery.mCost,
+                                    .mDeadline = aQuery.mDeadline });
+  if (!pushed) {
+    return Refused{ .mReason = AdmissionReason::kQueueFull,
+                    .mRetryAfter = std::max(wait, kLeastRetryAfter) };
+  }
+  return Queued{ .mExpectedWait = wait };
+}
+
+/**
+ * The customer's own queue drains at no less than its share of the running
+ * places, whatever the others ask; so this is an upper bound, and a request
+ * that is refused for it might at best just have made it.
+ */
+Duration
+Admission::ExpectedWait(const CustomerName& aCustomer) const
+{
+  const double share = std::max(0.001, mQueue.ShareOf(aCustomer));
+  const auto places =
+    static_cast<double>(std::max<std::size_t>(1, mOptions.mMaxRunning));
+  const double ahead =
+    std::min(static_cast<double>(mQueue.SizeOf(aCustomer) + 1) / share,
+             static_cast<double>(mQueue.Size() + 1));
+  return Duration(static_cast<Duration::rep>(ahead * mHoldMicros / places));
+}
+
+void
+Admission::Ended(const CustomerName& aCustomer, Duration aTook)
+{
+  const auto found = mLimits.find(aCustomer);
+  if (found != mLimits.end()) {
+    found->second.Release();
+  }
+  mRunning -= mRunning > 0 ? 1 : 0;
+  mHoldMicros +=
+    kLearnRate * (static_cast<double>(aTook.count()) - mHoldMicros);
+}
+
+std::optional<QueuedRequest>
+Admission::Next()
+{
+  if (mRunning >= mOptions.mMaxRunning) {
+    return std::nullopt;
+  }
+  auto next = mQueue.Pop();
+  mRunning += next ? 1 : 0;
+  return next;
+}
+
+std::vector<QueuedRequest>
+Admission::Late(TimePoint aNow)
+{
+  std::vector<QueuedRequest> late = mQueue.TakeLate(aNow);
+  for (const QueuedRequest& request : late) {
+    const auto found = mLimits.find(request.mKey.mCustomer);
+    if (found != mLimits.end()) {
+      found->second.Release();
+    }
+  }
+  return late;
+}
+
+void
+Admission::SetMaxRunning(std::size_t aMaxRunning)
+{
+  mOptions.mMaxRunning = aMaxRunning;
+}
+
+std::map<CustomerName, double>
+Admission::Demand(TimePoint aNow)
+{
+  std::map<CustomerName, double> demand;
+  for (auto& [customer, limit] : mLimits) {
+    demand.emplace(customer, limit.Demand(aNow));
+  }
+  return demand;
+}
+
+void
+Admission::TakeDemand(const CustomerName& aCustomer,
+                      const PublishedDemand& aPublished,
+                      const settings::EffectiveService& aSettings,
+                      TimePoint aNow)
+{
+  const auto found = mLimits.find(aCustomer);
+  if (found != mLimits.end()) {
+    found->second.SetShare(LimitShare(aSettings.mLimits, aPublished, mSelf),
+                           aNow);
+  }
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/FairQueue.cpp
@@ -0,0 +1,161 @@
+#include "peridotspool/routing/FairQueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotspool::routing {
+
+FairQueue::FairQueue(FairQueueOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+FairQueue::SetWeight(const CustomerName& aCustomer, double aWeight)
+{
+  mCustomers[aCustomer].mWeight = aWeight;
+}
+
+double
+FairQueue::WeightSum() const
+{
+  double sum = 0;
+  for (const auto& [name, customer] : mCustomers) {
+    sum += customer.mWeight;
+  }
+  return sum;
+}
+
+double
+FairQueue::ShareOf(const CustomerName& aCustomer) const
+{
+  const auto found = mCustomers.find(aCustomer);
+  return found == mCustomers.end() ? 0 : found->second.mWeight / WeightSum();
+}
+
+std::size_t
+FairQueue::SizeOf(const CustomerName& aCustomer) const
+{
+  const auto found = mCustomers.find(aCustomer);
+  return found == mCustomers.end() ? 0 : found->second.mSize;
+}
+
+bool
+FairQueue::Push(QueuedRequest aRequest)
+{
+  Customer& customer = mCustomers[aRequest.mKey.mCustomer];
+  const double part =
+    static_cast<double>(mOptions.mMaxQueued) * customer.mWeight / WeightSum();
+  const auto room =
+    std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(part)));
+  if (customer.mSize >= room) {
+    return false;
+  }
+  // A customer that was away starts at the present, without credit for it.
+  if (customer.mSize == 0) {
+    customer.mFinish = std::max(customer.mFinish, mVirtualTime);
+  }
+  customer.mWaiting[aRequest.mPriority].push_back(std::move(aRequest));
+  ++customer.mSize;
+  ++mSize;
+  return true;
+}
+
+double
+FairQueue::StartTag(const Customer& aCustomer) const
+{
+  return std::max(aCustomer.mFinish, mVirtualTime);
+}
+
+bool
+FairQueue::GoesBefore(const Customer& aLeft, const Customer& aRight) const
+{
+  const double left = StartTag(aLeft);
+  const double right = StartTag(aRight);
+  // Without the bound on being ahead, a large customer that marks everything
+  // urgent would leave nothing to the small ones.
+  const double ahead = mOptions.mUrgentBurst;
+  const bool bothWithin = left <= mVirtualTime + ahead / aLeft.mWeight &&
+                          right <= mVirtualTime + ahead / aRight.mWeight;
+  const std::int32_t leftPriority = aLeft.mWaiting.begin()->first;
+  const std::int32_t rightPriority = aRight.mWaiting.begin()->first;
+  if (bothWithin && leftPriority != rightPriority) {
+    return leftPriority < rightPriority;
+  }
+  return left < right;
+}
+
+QueuedRequest
+FairQueue::TakeFirst(Customer& aCustomer)
+{
+  const auto first = aCustomer.mWaiting.begin();
+  QueuedRequest request = std::move(first->second.front());
+  first->second.pop_front();
+  if (first->second.empty()) {
+    aCustomer.mWaiting.erase(first);
+  }
+  --aCustomer.mSize;
+  --mSize;
+  return request;
+}
+
+std::optional<QueuedRequest>
+FairQueue::Pop()
+{
+  Customer* best = nullptr;
+  double least = 0;
+  for (auto& [name, customer] : mCustomers) {
+    if (customer.mSize == 0) {
+      continue;
+    }
+    least = best == nullptr ? StartTag(customer)
+                            : std::min(least, StartTag(customer));
+    if (best == nullptr || GoesBefore(customer, *best)) {
+      best = &customer;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  // The least start tag of those that wait: an urgent request that was served
+  // ahead of its turn does not move the others' present.
+  mVirtualTime = std::max(mVirtualTime, least);
+  const double start = StartTag(*best);
+  QueuedRequest request = TakeFirst(*best);
+  best->mFinish = start + request.mCost / best->mWeight;
+  return request;
+}
+
+std::size_t
+FairQueue::TakeLate(Customer& aCustomer,
+                    TimePoint aTime,
+                    std::vector<QueuedRequest>& aLate)
+{
+  std::size_t taken = 0;
+  for (auto level = aCustomer.mWaiting.begin();
+       level != aCustomer.mWaiting.end();) {
+    taken += std::erase_if(level->second, [&](const QueuedRequest& aRequest) {
+      const bool isLate = aRequest.mDeadline < aTime;
+      if (isLate) {
+        aLate.push_back(aRequest);
+      }
+      return isLate;
+    });
+    level = level->second.empty() ? aCustomer.mWaiting.erase(level)
+                                  : std::next(level);
+  }
+  return taken;
+}
+
+std::vector<QueuedRequest>
+FairQueue::TakeLate(TimePoint aTime)
+{
+  std::vector<QueuedRequest> late;
+  for (auto& [name, customer] : mCustomers) {
+    customer.mSize -= TakeLate(customer, aTime, late);
+  }
+  mSize -= late.size();
+  return late;
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/LimitShare.cpp
@@ -0,0 +1,77 @@
+#include "peridotspool/routing/LimitShare.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace peridotspool::routing {
+
+namespace {
+
+/** Divided evenly, so that an entry without demand can let a first one in. */
+constexpr double kEvenPart = 0.1;
+
+/** Returns each entry's part of 1, in the order of the published demand. */
+std::vector<double>
+Fractions(const PublishedDemand& aPublished)
+{
+  double sum = 0;
+  for (const auto& [member, demand] : aPublished) {
+    sum += std::max(0.0, demand);
+  }
+  const auto count = static_cast<double>(aPublished.size());
+  std::vector<double> fractions;
+  for (const auto& [member, demand] : aPublished) {
+    const double byDemand = sum > 0 ? std::max(0.0, demand) / sum : 1 / count;
+    fractions.push_back(kEvenPart / count + (1 - kEvenPart) * byDemand);
+  }
+  return fractions;
+}
+
+/**
+ * Returns the whole part of an entry: all get the floor of their part, and
+ * what is left over goes to those that lost most by it. Rounding each up on its
+ * own would let many entries exceed a small limit together.
+ */
+std::uint64_t
+WholePart(std::uint64_t aTotal,
+          const std::vector<double>& aFractions,
+          std::size_t aSelf)
+{
+  const auto total = static_cast<double>(aTotal);
+  const auto lost = [&](std::size_t aAt) {
+    return total * aFractions[aAt] - std::floor(total * aFractions[aAt]);
+  };
+  std::uint64_t given = 0;
+  std::size_t ahead = 0;
+  for (std::size_t at = 0; at < aFractions.size(); ++at) {
+    given += static_cast<std::uint64_t>(std::floor(total * aFractions[at]));
+    const bool before =
+      lost(at) > lost(aSelf) || (lost(at) == lost(aSelf) && at < aSelf);
+    ahead += before ? 1 : 0;
+  }
+  const std::uint64_t left = aTotal - std::min(aTotal, given);
+  const auto own =
+    static_cast<std::uint64_t>(std::floor(total * aFractions[aSelf]));
+  return own + (ahead < left ? 1 : 0);
+}
+
+} // namespace
+
+settings::Limits
+LimitShare(const settings::Limits& aLimits,
+           const PublishedDemand& aPublished,
+           MemberId aSelf)
+{
+  const auto self = aPublished.find(aSelf);
+  if (self == aPublished.end()) {
+    return { .mRatePerSecond = 0, .mConcurrency = 0 };
+  }
+  const auto index =
+    static_cast<std::size_t>(std::distance(aPublished.begin(), self));
+  const std::vector<double> fractions = Fractions(aPublished);
+  return { .mRatePerSecond = aLimits.mRatePerSecond * fractions[index],
+           .mConcurrency = WholePart(aLimits.mConcurrency, fractions, index) };
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/src/routing/RetryDecision.cpp
@@ -0,0 +1,44 @@
+#include "peridotspool/routing/RetryDecision.h"
+
+#include <algorithm>
+
+namespace peridotspool::routing {
+
+namespace {
+
+/** Doublings after which the bound is at its longest in any case. */
+constexpr std::uint64_t kMaxDoublings = 20;
+
+Duration
+JitteredPause(const FailedTry& aTry, const settings::RetryRules& aRules)
+{
+  const std::uint64_t doublings = std::min(aTry.mTries - 1, kMaxDoublings);
+  const Duration bound = std::min<Duration>(
+    aRules.mBackoff * (1LL << doublings), aRules.mBackoffMax);
+  const auto range = static_cast<std::uint64_t>(bound.count()) + 1;
+  return Duration(static_cast<Duration::rep>(aTry.mRandom % range));
+}
+
+} // namespace
+
+RetryDecision
+DecideRetry(const FailedTry& aTry,
+            const settings::RetryRules& aRules,
+            RetryBudget& aBudget,
+            TimePoint aNow)
+{
+  if (aTry.mTries >= aRules.mAttempts) {
+    return NoRetry::kAttemptsSpent;
+  }
+  const Duration pause = JitteredPause(aTry, aRules);
+  // A retry that can't end in time only takes an upstream's time from others.
+  if (aNow + pause + aTry.mLeastTime >= aTry.mDeadline) {
+    return NoRetry::kDeadlineTooNear;
+  }
+  if (!aBudget.TakeRetry()) {
+    return NoRetry::kBudgetSpent;
+  }
+  return RetryAfterPause{ .mPause = pause };
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/test/routing/AdmissionTest.cpp
@@ -0,0 +1,176 @@
+// ctest-labels: unit promise-refusal-did-not-run
+#include "peridotspool/routing/Admission.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+namespace peridotspool::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+settings::EffectiveService
+Settings(double aRate, std::uint64_t aConcurrency)
+{
+  settings::EffectiveService settings;
+  settings.mCustomer = CustomerName("c");
+  settings.mLimits = { .mRatePerSecond = aRate, .mConcurrency = aConcurrency };
+  return settings;
+}
+
+AdmissionQuery
+Query(Duration aDeadline = seconds(60))
+{
+  return { .mKey = { CustomerName("c"), "k" },
+           .mDeadline = kStart + aDeadline };
+}
+
+std::optional<AdmissionReason>
+Reason(const AdmissionOutcome& aOutcome)
+{
+  const auto* refused = std::get_if<Refused>(&aOutcome);
+  return refused == nullptr ? std::nullopt : std::optional(refused->mReason);
+}
+
+} // namespace
+
+TEST_CASE("RateOverTheLimitIsRefusedAtOnceWithTheTimeToComeBack")
+{
+  Admission admission({}, MemberId(1));
+  const auto settings = Settings(10, 100);
+  for (int at = 0; at < 10; ++at) {
+    CHECK(std::holds_alternative<Admitted>(
+      admission.Ask(Query(), settings, kStart)));
+  }
+  const auto refused = admission.Ask(Query(), settings, kStart);
+  CHECK(Reason(refused) == AdmissionReason::kRateLimit);
+  const Duration after = std::get<Refused>(refused).mRetryAfter;
+  CHECK(after == milliseconds(100));
+  CHECK(std::holds_alternative<Admitted>(
+    admission.Ask(Query(), settings, kStart + after)));
+}
+
+TEST_CASE("ConcurrencyIsGivenBackWhenRequestsEnd")
+{
+  Admission admission({}, MemberId(1));
+  const auto settings = Settings(1000, 2);
+  admission.Ask(Query(), settings, kStart);
+  admission.Ask(Query(), settings, kStart);
+  CHECK(Reason(admission.Ask(Query(), settings, kStart)) ==
+        AdmissionReason::kConcurrencyLimit);
+  admission.Ended(CustomerName("c"), milliseconds(10));
+  CHECK_FALSE(Reason(admission.Ask(Query(), settings, kStart)));
+}
+
+TEST_CASE("RequestsWaitForARunningPlaceInTurn")
+{
+  Admission admission({ .mMaxRunning = 1 }, MemberId(1));
+  const auto settings = Settings(1000, 100);
+  admission.Ask(Query(), settings, kStart);
+  CHECK(
+    std::holds_alternative<Queued>(admission.Ask(Query(), settings, kStart)));
+  CHECK_FALSE(admission.Next());
+  admission.Ended(CustomerName("c"), milliseconds(10));
+  CHECK(admission.Next().has_value());
+  CHECK(admission.Running() == 1);
+  CHECK_FALSE(admission.Next());
+}
+
+// Symptom: a caller learns at its deadline that nothing will come.
+// Sequence: the queue holds more than can be served before the deadline; the
+// request is queued all the same.
+// Cause: the deadline is only looked at when the request's turn comes.
+TEST_CASE("RequestThatCannotMeetItsDeadlineIsRefusedWhenItAsks")
+{
+  Admission admission({ .mMaxRunning = 1, .mFirstHold = milliseconds(500) },
+                      MemberId(1));
+  const auto settings = Settings(1000, 1000);
+  for (int at = 0; at < 11; ++at) {
+    CHECK_FALSE(Reason(admission.Ask(Query(), settings, kStart)));
+  }
+  const auto refused = admission.Ask(Query(seconds(5)), settings, kStart);
+  CHECK(Reason(refused) == AdmissionReason::kDeadlineTooNear);
+  CHECK(admission.Waiting() == 10);
+  CHECK_FALSE(Reason(admission.Ask(Query(seconds(6)), settings, kStart)));
+}
+
+TEST_CASE("RefusedRequestsLeaveNothingBehind")
+{
+  Admission admission({ .mQueue = { .mMaxQueued = 3 }, .mMaxRunning = 1 },
+                      MemberId(1));
+  const auto settings = Settings(1000, 1000);
+  for (int at = 0; at < 4; ++at) {
+    CHECK_FALSE(Reason(admission.Ask(Query(), settings, kStart)));
+  }
+  for (int at = 0; at < 5; ++at) {
+    CHECK(Reason(admission.Ask(Query(), settings, kStart)) ==
+          AdmissionReason::kQueueFull);
+  }
+  CHECK(admission.Late(kStart + seconds(61)).size() == 3);
+  admission.Ended(CustomerName("c"), milliseconds(1));
+  CHECK(admission.Running() == 0);
+  const auto concurrent = Settings(1000, 1);
+  CHECK_FALSE(Reason(admission.Ask(Query(), concurrent, kStart)));
+}
+
+TEST_CASE("PartsOfALimitSumToTheLimit")
+{
+  rc::prop("over any demand", [] {
+    const auto members = *rc::gen::inRange<std::uint64_t>(1, 20);
+    const settings::Limits limits{
+      .mRatePerSecond = static_cast<double>(*rc::gen::inRange(0, 500)),
+      .mConcurrency = *rc::gen::inRange<std::uint64_t>(0, 50)
+    };
+    PublishedDemand published;
+    for (std::uint64_t at = 1; at <= members; ++at) {
+      published[MemberId(at)] = *rc::gen::inRange(0, 50);
+    }
+    double rate = 0;
+    std::uint64_t concurrency = 0;
+    for (const auto& [member, demand] : published) {
+      const auto part = LimitShare(limits, published, member);
+      rate += part.mRatePerSecond;
+      concurrency += part.mConcurrency;
+    }
+    RC_ASSERT(std::abs(rate - limits.mRatePerSecond) < 1e-6);
+    RC_ASSERT(concurrency == limits.mConcurrency);
+  });
+}
+
+// Symptom: a customer gets several times its limit after its callers move to
+// other entries.
+// Sequence: entry 1 has most of the demand, then entry 2; entry 2 takes the
+// larger part before entry 1 has heard of it.
+// Cause: a grown part is used at once.
+TEST_CASE("MovedDemandNeverExceedsTheLimitMeanwhile")
+{
+  const settings::Limits limits{ .mRatePerSecond = 100, .mConcurrency = 10 };
+  const PublishedDemand before{ { MemberId(1), 90 }, { MemberId(2), 0 } };
+  const PublishedDemand after{ { MemberId(1), 0 }, { MemberId(2), 90 } };
+  SharedLimit first(LimitShare(limits, before, MemberId(1)));
+  SharedLimit second(LimitShare(limits, before, MemberId(2)));
+  const auto take = [](SharedLimit& aLimit, TimePoint aNow) {
+    std::uint64_t taken = 0;
+    while (!aLimit.Take(aNow)) {
+      ++taken;
+    }
+    return taken;
+  };
+  second.SetShare(LimitShare(limits, after, MemberId(2)), kStart);
+  CHECK(take(first, kStart) + take(second, kStart) <= 10);
+  // The first hears of it a second later, within the settling time.
+  first.SetShare(LimitShare(limits, after, MemberId(1)), kStart + seconds(1));
+  CHECK(take(second, kStart + seconds(2)) == 0);
+  for (int at = 0; at < 10; ++at) {
+    first.Release();
+  }
+  CHECK(take(first, kStart + seconds(4)) + take(second, kStart + seconds(4)) <=
+        10);
+}
+
+} // namespace peridotspool::routing
--- /dev/null
+++ b/test/routing/RetryTest.cpp
@@ -0,0 +1,87 @@
+// ctest-labels: unit
+#include "peridotspool/routing/RetryDecision.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+namespace peridotspool::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+settings::RetryRules
+Rules(std::uint64_t aAttempts = 3)
+{
+  return { .mBudget = 0.1,
+           .mAttempts = aAttempts,
+           .mBackoff = milliseconds(25),
+           .mBackoffMax = seconds(1) };
+}
+
+} // namespace
+
+// Symptom: a slow service goes down for good: callers' requests come several
+// times over.
+// Sequence: every try fails for a while; each failure is tried again.
+// Cause: retries bounded for each request but not together.
+TEST_CASE("BrownOutWithRetriesDoesNotMultiplyTheLoad")
+{
+  RetryBudget budget({ .mShare = 0.1, .mBurst = 10 });
+  constexpr int kRequests = 10000;
+  int sent = 0;
+  for (int request = 0; request < kRequests; ++request) {
+    budget.CountFirstTry();
+    FailedTry failed{ .mDeadline = kStart + seconds(60) };
+    for (++sent; std::holds_alternative<RetryAfterPause>(
+           DecideRetry(failed, Rules(), budget, kStart));
+         ++sent) {
+      ++failed.mTries;
+    }
+  }
+  // Without the budget it would be three times the requests.
+  CHECK(sent <= kRequests * 1.1 + 10);
+  CHECK(sent > kRequests);
+}
+
+TEST_CASE("NoRetryRunsPastItsDeadlineOrItsBound")
+{
+  rc::prop("over any try", [] {
+    FailedTry failed;
+    failed.mTries = *rc::gen::inRange<std::uint64_t>(1, 40);
+    failed.mDeadline = kStart + milliseconds(*rc::gen::inRange(-100, 3000));
+    failed.mLeastTime = milliseconds(*rc::gen::inRange(0, 500));
+    failed.mRandom = *rc::gen::arbitrary<std::uint64_t>();
+    RetryBudget budget({});
+    const auto decision = DecideRetry(failed, Rules(50), budget, kStart);
+    if (const auto* retry = std::get_if<RetryAfterPause>(&decision)) {
+      RC_ASSERT(kStart + retry->mPause + failed.mLeastTime < failed.mDeadline);
+      RC_ASSERT(retry->mPause >= Duration(0));
+      RC_ASSERT(retry->mPause <= seconds(1));
+      const auto bound =
+        milliseconds(25) *
+        (1LL << std::min<std::uint64_t>(failed.mTries - 1, 20));
+      RC_ASSERT(retry->mPause <= bound);
+    }
+  });
+}
+
+TEST_CASE("EachEndOfRetriesHasItsReason")
+{
+  RetryBudget spent({ .mShare = 0, .mBurst = 0 });
+  RetryBudget full({});
+  const FailedTry open{ .mTries = 1, .mDeadline = kStart + seconds(9) };
+  CHECK(DecideRetry(open, Rules(1), full, kStart) ==
+        RetryDecision(NoRetry::kAttemptsSpent));
+  CHECK(DecideRetry(open, Rules(), spent, kStart) ==
+        RetryDecision(NoRetry::kBudgetSpent));
+  const FailedTry late{ .mTries = 1, .mDeadline = kStart };
+  CHECK(DecideRetry(late, Rules(), full, kStart) ==
+        RetryDecision(NoRetry::kDeadlineTooNear));
+}
+
+} // namespace peridotspool::routing
