Admit, queue and retry by the settings

Change: the request manager asks routing::Admission for each accepted request: limits shared by all entries, weighted fair share among customers, early refusal with Retry-After. A refusal is committed before it is told. Retries take from the service's budget. Entries publish their customers' demand to each other, less often the more entries there are. The router gets the settings' weights and targets, and the prompt's blocks for prefix affinity. Left: cache events are not read yet; the engine's own answer corrects the index.

--- a/include/peridotspool/request/EntryNodeEvent.h
+++ b/include/peridotspool/request/EntryNodeEvent.h
@@ -50,6 +50,7 @@
 struct SettingsTakenEvent
 {
   Revision mRevision;
+  std::shared_ptr<const settings::SettingsTree> mTree;
 };
 
 /** SIGTERM or a reclaim notice: leave gracefully. */
--- a/include/peridotspool/request/Event.h
+++ b/include/peridotspool/request/Event.h
@@ -4,7 +4,9 @@
 #include "peridotspool/membership/EpochMap.h"
 #include "peridotspool/request/RelayMessage.h"
 #include "peridotspool/request/UpstreamEvent.h"
+#include "peridotspool/settings/SettingsTree.h"
 
+#include <memory>
 #include <variant>
 
 namespace peridotspool::request {
@@ -86,6 +88,12 @@
   membership::EpochMap mMap;
 };
 
+/** These settings are in force from now on. */
+struct SettingsEvent
+{
+  std::shared_ptr<const settings::SettingsTree> mTree;
+};
+
 /** This entry is leaving: it hands over what can go on elsewhere. */
 struct DrainEvent
 {};
@@ -108,6 +116,7 @@
                            UpstreamEvent,
                            RelayEvent,
                            MembersEvent,
+                           SettingsEvent,
                            DrainEvent,
                            AbandonEvent,
                            TickEvent>;
--- a/include/peridotspool/request/RelayMessage.h
+++ b/include/peridotspool/request/RelayMessage.h
@@ -7,6 +7,7 @@
 #include <boost/describe/class.hpp>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 
@@ -74,11 +75,22 @@
 };
 BOOST_DESCRIBE_STRUCT(TakenOverMessage, (), (mKey, mExecutorTurn))
 
+/** What an entry's callers asked of a service lately, requests a second. */
+struct DemandMessage
+{
+  ServiceName mService;
+  std::map<CustomerName, double> mDemand;
+
+  auto operator<=>(const DemandMessage&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DemandMessage, (), (mService, mDemand))
+
 using RelayMessage = std::variant<FollowMessage,
                                   PieceMessage,
                                   EndedMessage,
                                   NotHereMessage,
                                   HandOverMessage,
-                                  TakenOverMessage>;
+                                  TakenOverMessage,
+                                  DemandMessage>;
 
 } // namespace peridotspool::request
--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -164,6 +164,8 @@
 void
 EntryNodeState::On(const SettingsTakenEvent& aEvent)
 {
+  mTree = aEvent.mTree;
+  StepRequests(SettingsEvent{ mTree });
   StepSession(membership::SettingsInForceEvent{ aEvent.mRevision });
 }
 
@@ -207,6 +209,7 @@
   mSelf = aEffect.mMember;
   mLedger.emplace(mSelf, mOptions.mLedger);
   mRequests.emplace(mSelf, mOptions.mRequests, mRouter);
+  StepRequests(SettingsEvent{ mTree });
   mEffects->emplace_back(BecameMemberEffect{ mSelf });
 }
 
--- a/src/request/EntryNodeState.h
+++ b/src/request/EntryNodeState.h
@@ -78,6 +78,7 @@
   routing::Router mRouter;
   membership::EntryDirectory mDirectory;
   std::optional<membership::ControlSession> mSession;
+  std::shared_ptr<const settings::SettingsTree> mTree;
   membership::EntryNonce mNonce;
   MemberId mSelf;
   std::optional<ledger::Ledger> mLedger;
--- a/src/request/Execution.cpp
+++ b/src/request/Execution.cpp
@@ -3,6 +3,7 @@
 #include "peridotspool/base/Invariant.h"
 #include "peridotspool/base/Overloaded.h"
 #include "request/Life.h"
+#include "request/PromptBlocks.h"
 
 #include <algorithm>
 #include <utility>
@@ -94,8 +95,10 @@
 void
 Execution::Start(StepContext& aContext, ExecutionStart aWhy)
 {
+  mAdmitted = true;
   mQueuedSince = aContext.mNow;
   mNotBefore = aContext.mNow;
+  mPromptBlocks = PromptBlocks(mRecord.mTerms.mBody);
   mAfterTakeover = aWhy == ExecutionStart::kTakenOver;
   if (mAfterTakeover && TryResumeAtStart(aContext)) {
     return;
@@ -103,6 +106,19 @@
   TryDispatch(aContext);
 }
 
+void
+Execution::Wait(StepContext& /*aContext*/)
+{
+  WakeAt(mDeadline);
+}
+
+void
+Execution::Refuse(StepContext& aContext, Tally aWhy, ledger::Outcome aOutcome)
+{
+  aContext.Count(aWhy);
+  GiveUp(aContext, std::move(aOutcome));
+}
+
 bool
 Execution::TryResumeAtStart(StepContext& aContext)
 {
@@ -154,11 +170,11 @@
     WakeAt(mNotBefore);
     return;
   }
-  routing::RouteQuery query{ .mKey = mRecord.mKey,
-                             .mService = mRecord.mTerms.mService,
-                             .mPriority = mRecord.mTerms.mPriority,
-                             .mDeadline = mDeadline,
-                             .mAvoid = mAvoid };
+  if (!mAdmitted) {
+    WakeAt(mDeadline);
+    return;
+  }
+  const routing::RouteQuery query = MakeQuery(aContext);
   routing::NoRoute whyNot = routing::NoRoute::kNoUpstream;
   const auto choice = aContext.mRouter.Choose(query, aContext.mNow, whyNot);
   if (!choice) {
@@ -169,6 +185,24 @@
   BeginAttempt(aContext, *choice);
 }
 
+routing::RouteQuery
+Execution::MakeQuery(const StepContext& aContext) const
+{
+  routing::RouteQuery query{ .mKey = mRecord.mKey,
+                             .mService = mRecord.mTerms.mService,
+                             .mPriority = mRecord.mTerms.mPriority,
+                             .mDeadline = mDeadline,
+                             .mPrefixBlocks = mPromptBlocks,
+                             .mAvoid = mAvoid };
+  const auto* rules =
+    aContext.mDesk.Rules(mRecord.mKey.mCustomer, mRecord.mTerms.mService);
+  if (rules != nullptr) {
+    query.mFirstTokenTarget = rules->mFirstTokenTarget;
+    aContext.mRouter.SetWeights(rules->mLatencyWeight, rules->mCostWeight);
+  }
+  return query;
+}
+
 void
 Execution::OnNoRoute(StepContext& aContext, routing::NoRoute aWhy)
 {
@@ -189,6 +223,9 @@
 Execution::BeginAttempt(StepContext& aContext,
                         const routing::RouteChoice& aChoice)
 {
+  if (mAttempts == 0) {
+    aContext.mDesk.CountFirstTry(mRecord.mTerms.mService);
+  }
   ++mAttempts;
   mAttempt = Attempt{ .mNumber = AttemptOf(mRecord.mExecutorTurn, mAttempts),
                       .mUpstream = aChoice.mUpstream,
@@ -309,6 +346,10 @@
   mUpstreamCall = CallId();
   aContext.mRouter.Ended(
     mAttempt->mUpstream, routing::AttemptEnd::kCompleted, aContext.mNow);
+  if (engine) {
+    aContext.mRouter.Answered(
+      mAttempt->mUpstream, MakeQuery(aContext), aDone.mCachedTokens);
+  }
   if (aDone.mRecomputedTokens > 0) {
     aContext.Count(mAfterTakeover ? Tally::kRecomputedAfterTakeover
                                   : Tally::kRecomputedAfterUpstreamLoss,
@@ -425,26 +466,49 @@
 void
 Execution::RetryLater(StepContext& aContext, Tally aWhy)
 {
-  aContext.Count(aWhy);
-  if (mAttempts >= aContext.mOptions.mMaxAttempts) {
-    aContext.Count(Tally::kRefusedRetriesSpent);
-    GiveUp(aContext, MakeRefusal(aContext, kStatusBadGateway, "retries-spent"));
+  const auto decision = aContext.mDesk.DecideRetry(
+    mRecord.mKey.mCustomer,
+    mRecord.mTerms.mService,
+    routing::FailedTry{ .mTries = mAttempts,
+                        .mDeadline = mDeadline,
+                        .mRandom = aContext.mRandom() },
+    aContext.mNow);
+  if (const auto* never = std::get_if<routing::NoRetry>(&decision)) {
+    GiveUpRetrying(aContext, *never);
     return;
   }
   if (!mLife->Take(LifeEvent::kRetry)) {
     return;
   }
-  const Duration longest =
-    std::min(aContext.mOptions.mMaxRetryPause,
-             aContext.mOptions.mRetryPause *
-               (std::int64_t{ 1 } << std::min<std::uint32_t>(mAttempts, 8)));
-  std::uniform_int_distribution<Duration::rep> jitter(0, longest.count());
-  mNotBefore =
-    std::max(mNotBefore, aContext.mNow + Duration(jitter(aContext.mRandom)));
+  aContext.Count(aWhy);
+  const Duration pause = std::get<routing::RetryAfterPause>(decision).mPause;
+  mNotBefore = std::max(mNotBefore, aContext.mNow + pause);
   mQueuedSince = aContext.mNow;
   WakeAt(mNotBefore);
 }
 
+void
+Execution::GiveUpRetrying(StepContext& aContext, routing::NoRetry aWhy)
+{
+  switch (aWhy) {
+    case routing::NoRetry::kAttemptsSpent:
+      aContext.Count(Tally::kRefusedRetriesSpent);
+      GiveUp(aContext,
+             MakeRefusal(aContext, kStatusBadGateway, "retries-spent"));
+      return;
+    case routing::NoRetry::kBudgetSpent:
+      aContext.Count(Tally::kRefusedRetryBudget);
+      GiveUp(aContext,
+             MakeRefusal(aContext, kStatusUnavailable, "retry-budget"));
+      return;
+    case routing::NoRetry::kDeadlineTooNear:
+      aContext.Count(Tally::kRefusedDeadline);
+      GiveUp(aContext,
+             MakeRefusal(aContext, kStatusGatewayTimeout, "deadline"));
+      return;
+  }
+}
+
 ledger::Outcome
 Execution::MakeRefusal(const StepContext& aContext,
                        std::int32_t aStatus,
--- a/src/request/Execution.h
+++ b/src/request/Execution.h
@@ -32,8 +32,12 @@
   Execution(const ledger::RequestRecord& aRecord, TimePoint aDeadline);
   ~Execution();
 
-  /** Begins, after an accept or a takeover was committed. */
+  /** Begins, after an accept that was admitted, or a takeover, is committed. */
   void Start(StepContext& aContext, ExecutionStart aWhy);
+  /** Waits for its turn; Start follows, or the deadline. */
+  void Wait(StepContext& aContext);
+  /** Ends it before anything was sent. */
+  void Refuse(StepContext& aContext, Tally aWhy, ledger::Outcome aOutcome);
   /** Takes the ledger's answer to one of this execution's proposals. */
   void OnLedgerAnswer(StepContext& aContext,
                       CallId aCall,
@@ -48,6 +52,7 @@
 
   const Answer& CurrentAnswer() const { return mAnswer; }
   const ledger::RequestRecord& Record() const { return mRecord; }
+  TimePoint Deadline() const { return mDeadline; }
   /** When OnTick has something to do; never later than the deadline. */
   TimePoint NextWake() const { return mWake; }
   bool Ended() const;
@@ -85,7 +90,9 @@
   void OnBroken(StepContext& aContext, const UpstreamBroken& aBroken);
   bool Belongs(const std::string& aRequest, AttemptNumber aAttempt) const;
 
+  routing::RouteQuery MakeQuery(const StepContext& aContext) const;
   void RetryLater(StepContext& aContext, Tally aWhy);
+  void GiveUpRetrying(StepContext& aContext, routing::NoRetry aWhy);
   void RetryAfterNoRun(StepContext& aContext, Tally aWhy);
   void RetryOrGiveUp(StepContext& aContext, Tally aWhy);
   void GiveUp(StepContext& aContext, ledger::Outcome aOutcome);
@@ -123,6 +130,9 @@
   std::uint32_t mAttempts = 0;
   std::optional<Attempt> mAttempt;
   std::vector<UpstreamName> mAvoid;
+  std::vector<std::uint64_t> mPromptBlocks;
+  /** False while it waits to be admitted. */
+  bool mAdmitted = false;
   CallId mUpstreamCall;
   CallId mProposal;
   /** True iff a retry's cause was that an upstream was lost. */
--- a/src/request/LocalRequest.h
+++ b/src/request/LocalRequest.h
@@ -29,6 +29,8 @@
   std::optional<Following> mFollowing;
   /** What came from the executor that is followed. */
   Answer mMirror;
+  /** When admission let it go on here; empty before, and after a takeover. */
+  std::optional<TimePoint> mAdmittedAt;
   /** True while the ledger is being asked about it. */
   bool mResolving = false;
   /** When something is due; TimePoint::max() if nothing is. */
--- a/src/request/RequestManagerState.cpp
+++ b/src/request/RequestManagerState.cpp
@@ -20,6 +20,7 @@
   : mSelf(aSelf)
   , mOptions(aOptions)
   , mRouter(aRouter)
+  , mDesk(aSelf, aOptions)
   , mRandom(aOptions.mRandomSeed ^ aSelf.Value())
 {
 }
@@ -195,6 +196,13 @@
   for (const membership::Member& member : aEvent.mMap.mMembers) {
     mMembers[member.mId] = member.mState;
   }
+  std::vector<MemberId> active;
+  for (const auto& [id, state] : mMembers) {
+    if (state == membership::MemberState::kActive || id == mSelf) {
+      active.push_back(id);
+    }
+  }
+  mDesk.TakeMembers(std::move(active));
   std::vector<RequestKey> lost;
   for (const auto& [key, request] : mRequests) {
     if (request.mFollowing && !IsMember(request.mFollowing->mExecutor)) {
@@ -248,6 +256,7 @@
     mWakes.erase(mWakes.begin());
     WakeOne(key);
   }
+  TickAdmission();
 }
 
 void
@@ -468,6 +477,11 @@
   request.mMirror = Answer{};
   request.mExecution =
     std::make_unique<Execution>(*aAnswer.mRecord, mNow + aAnswer.mRemaining);
+  if (aWhy == ExecutionStart::kAccepted) {
+    Admit(aKey);
+    return;
+  }
+  // It was admitted where it ran first; it does not queue a second time.
   WithExecution(aKey, [&](Execution& aExecution, StepContext& aContext) {
     aExecution.Start(aContext, aWhy);
   });
@@ -531,6 +545,7 @@
                        .mSelf = mSelf,
                        .mOptions = mOptions,
                        .mRouter = mRouter,
+                       .mDesk = mDesk,
                        .mRandom = mRandom,
                        .mLastCall = mLastCall,
                        .mEffects = *mEffects };
@@ -586,8 +601,14 @@
     return;
   }
   const bool lostTurn = execution.LostTurn();
+  const ServiceName service = execution.Record().mTerms.mService;
   SetWake(aKey, aRequest, TimePoint::max());
   aRequest.mExecution.reset();
+  if (aRequest.mAdmittedAt) {
+    const TimePoint admittedAt = *aRequest.mAdmittedAt;
+    aRequest.mAdmittedAt.reset();
+    EndAdmitted(aKey, service, admittedAt);
+  }
   if (!lostTurn) {
     return;
   }
--- a/src/request/RequestManagerState.h
+++ b/src/request/RequestManagerState.h
@@ -37,6 +37,7 @@
   void On(const UpstreamEvent& aEvent);
   void On(const RelayEvent& aEvent);
   void On(const MembersEvent& aEvent);
+  void On(const SettingsEvent& aEvent);
   void On(const DrainEvent& aEvent);
   void On(const AbandonEvent& aEvent);
   void On(const TickEvent& aEvent);
@@ -64,6 +65,19 @@
   void OnRelay(MemberId aFrom, const NotHereMessage& aMessage);
   void OnRelay(MemberId aFrom, const HandOverMessage& aMessage);
   void OnRelay(MemberId aFrom, const TakenOverMessage& aMessage);
+  void OnRelay(MemberId aFrom, const DemandMessage& aMessage);
+
+  /** Asks admission, and starts the execution, lets it wait or ends it. */
+  void Admit(const RequestKey& aKey);
+  void StartAdmitted(const RequestKey& aKey);
+  /** Tells admission that a request has ended, and starts those that waited. */
+  void EndAdmitted(const RequestKey& aKey,
+                   const ServiceName& aService,
+                   TimePoint aAdmittedAt);
+  void StartNext();
+  /** Work that comes due by time for admission. */
+  void TickAdmission();
+  void PublishDemand();
 
   /** Acts on a record: publishes, follows, or takes over. */
   void OnRecord(const RequestKey& aKey, const ledger::RequestRecord& aRecord);
@@ -106,6 +120,7 @@
   MemberId mSelf;
   RequestOptions mOptions;
   routing::Router& mRouter;
+  ServiceDesk mDesk;
   std::mt19937_64 mRandom;
   CallId mLastCall;
   bool mDraining = false;
@@ -115,6 +130,8 @@
   std::unordered_map<CallId, RequestKey> mUpstreamCalls;
   std::unordered_map<CallId, RequestKey> mExchanges;
   std::set<std::pair<TimePoint, RequestKey>> mWakes;
+  TimePoint mNextAdmissionTick;
+  TimePoint mNextDemand;
 
   // Valid during one step only.
   TimePoint mNow;
--- /dev/null
+++ b/src/request/ServiceDesk.cpp
@@ -0,0 +1,169 @@
+#include "request/ServiceDesk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::request {
+
+namespace {
+
+/** Entries together let this many times the upstreams' slots go on: callers
+ * are never spread quite evenly, and an engine batches a little beyond. */
+constexpr std::size_t kSlotsTimes = 2;
+
+} // namespace
+
+ServiceDesk::Service::Service(MemberId aSelf)
+  : mAdmission(routing::AdmissionOptions{}, aSelf)
+  , mBudget(routing::RetryBudgetOptions{})
+{
+}
+
+ServiceDesk::ServiceDesk(MemberId aSelf, RequestOptions aOptions)
+  : mSelf(aSelf)
+  , mOptions(aOptions)
+  , mMembers{ aSelf }
+{
+}
+
+ServiceDesk::Service&
+ServiceDesk::At(const ServiceName& aService)
+{
+  const auto [place, isNew] = mServices.try_emplace(aService, mSelf);
+  if (isNew) {
+    place->second.mAdmission.SetMembers(mMembers);
+  }
+  return place->second;
+}
+
+const settings::EffectiveService*
+ServiceDesk::Rules(const CustomerName& aCustomer,
+                   const ServiceName& aService) const
+{
+  return mTree ? mTree->Effective(aCustomer, aService) : nullptr;
+}
+
+void
+ServiceDesk::TakeMembers(std::vector<MemberId> aMembers)
+{
+  mMembers = std::move(aMembers);
+  for (auto& [name, service] : mServices) {
+    service.mAdmission.SetMembers(mMembers);
+    for (auto& [customer, published] : service.mPublished) {
+      std::erase_if(published, [this](const auto& aPair) {
+        return std::find(mMembers.begin(), mMembers.end(), aPair.first) ==
+               mMembers.end();
+      });
+    }
+  }
+}
+
+void
+ServiceDesk::TakeUpstreams(
+  const std::vector<routing::UpstreamAnnouncement>& aUpstreams)
+{
+  std::map<ServiceName, std::size_t> slots;
+  for (const auto& upstream : aUpstreams) {
+    slots[upstream.mService] += upstream.mSlots;
+  }
+  for (const auto& [name, count] : slots) {
+    const std::size_t share = kSlotsTimes * count / mMembers.size();
+    At(name).mAdmission.SetMaxRunning(std::max<std::size_t>(1, share));
+  }
+}
+
+routing::AdmissionOutcome
+ServiceDesk::Ask(const ServiceName& aService,
+                 const routing::AdmissionQuery& aQuery,
+                 TimePoint aNow)
+{
+  const auto* rules = Rules(aQuery.mKey.mCustomer, aService);
+  if (rules == nullptr) {
+    return routing::Admitted{};
+  }
+  return At(aService).mAdmission.Ask(aQuery, *rules, aNow);
+}
+
+void
+ServiceDesk::Ended(const ServiceName& aService,
+                   const CustomerName& aCustomer,
+                   Duration aTook)
+{
+  At(aService).mAdmission.Ended(aCustomer, aTook);
+}
+
+std::vector<ServiceDesk::Turn>
+ServiceDesk::Next()
+{
+  std::vector<Turn> requests;
+  for (auto& [name, service] : mServices) {
+    while (auto request = service.mAdmission.Next()) {
+      requests.push_back(Turn{ name, std::move(*request) });
+    }
+  }
+  return requests;
+}
+
+std::vector<routing::QueuedRequest>
+ServiceDesk::Late(TimePoint aNow)
+{
+  std::vector<routing::QueuedRequest> requests;
+  for (auto& [name, service] : mServices) {
+    for (auto& request : service.mAdmission.Late(aNow)) {
+      requests.push_back(std::move(request));
+    }
+  }
+  return requests;
+}
+
+void
+ServiceDesk::CountFirstTry(const ServiceName& aService)
+{
+  At(aService).mBudget.CountFirstTry();
+}
+
+routing::RetryDecision
+ServiceDesk::DecideRetry(const CustomerName& aCustomer,
+                         const ServiceName& aService,
+                         const routing::FailedTry& aTry,
+                         TimePoint aNow)
+{
+  settings::RetryRules rules{ .mBudget = 1,
+                              .mAttempts = mOptions.mMaxAttempts,
+                              .mBackoff = mOptions.mRetryPause,
+                              .mBackoffMax = mOptions.mMaxRetryPause };
+  if (const auto* effective = Rules(aCustomer, aService)) {
+    rules = effective->mRetry;
+  }
+  routing::RetryBudget& budget = At(aService).mBudget;
+  budget.SetShare(rules.mBudget);
+  return routing::DecideRetry(aTry, rules, budget, aNow);
+}
+
+std::map<ServiceName, std::map<CustomerName, double>>
+ServiceDesk::Demand(TimePoint aNow)
+{
+  std::map<ServiceName, std::map<CustomerName, double>> demand;
+  for (auto& [name, service] : mServices) {
+    demand[name] = service.mAdmission.Demand(aNow);
+  }
+  return demand;
+}
+
+void
+ServiceDesk::TakeDemand(MemberId aFrom,
+                        const ServiceName& aService,
+                        const std::map<CustomerName, double>& aDemand,
+                        TimePoint aNow)
+{
+  Service& service = At(aService);
+  for (const auto& [customer, rate] : aDemand) {
+    auto& published = service.mPublished[customer];
+    published[aFrom] = rate;
+    if (const auto* rules = Rules(customer, aService)) {
+      service.mAdmission.TakeDemand(customer, published, *rules, aNow);
+    }
+  }
+}
+
+} // namespace peridotspool::request
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -296,8 +296,8 @@
     "revision " + std::to_string(aEffect.mRevision.Value()),
     errors);
   if (tree) {
-    mParts.mSettings.Store(std::move(tree));
-    Step(request::SettingsTakenEvent{ aEffect.mRevision });
+    mParts.mSettings.Store(tree);
+    Step(request::SettingsTakenEvent{ aEffect.mRevision, std::move(tree) });
   }
   // A text that the control replicas took and this program can't read (it is
   // older, say) stays out of force: the operators see this entry as missing.
