Prove settings, leadership and surviving state under faults

Cause: the promises on configuration, fencing and the system's own state had no test that would notice a naive version. Two checks hold in every run: one lease holder at a time; no entry takes work by settings replaced longer ago than its grace, and none has a lease once it is no member.

--- a/test/control/ControlCluster.cpp
+++ b/test/control/ControlCluster.cpp
@@ -197,7 +197,8 @@
       mFaults.mMinDelay + Duration(static_cast<Duration::rep>(
                             mRandom() % static_cast<std::uint64_t>(span)));
     const bool lost = chance(mRandom) < mFaults.mLoss;
-    if (lost || mCut.contains(aFrom) != mCut.contains(aTo)) {
+    if (lost || mCutLinks.contains({ aFrom, aTo }) ||
+        mCut.contains(aFrom) != mCut.contains(aTo)) {
       continue;
     }
     Schedule(aTo, delay, aAction);
@@ -316,6 +317,9 @@
 {
   std::vector<std::string> leaders;
   for (const auto& [name, process] : mProcesses) {
+    if (process.mSession && process.mRunning) {
+      CheckEntry(process);
+    }
     if (process.mRunning && process.mNode &&
         process.mNode->Leads(LocalNow(process))) {
       leaders.push_back(name);
@@ -327,10 +331,37 @@
   }
 }
 
+// An entry takes no work by settings that were replaced longer ago than the
+// grace, and no member's lease holds once a list without it is committed.
+void
+ControlCluster::CheckEntry(const ClusterProcess& aProcess)
+{
+  constexpr Duration kGrace = std::chrono::milliseconds(4100);
+  const membership::ControlSession& session = *aProcess.mSession;
+  const TimePoint now = LocalNow(aProcess);
+  const auto next = mCommittedAt.find(session.InForceRevision().Next());
+  if (session.MayServe(now) == membership::ServeVerdict::kMayServe &&
+      next != mCommittedAt.end() && mNow - next->second > kGrace) {
+    mProblems.push_back(aProcess.mName + " serves by old settings");
+  }
+  if (aProcess.mDrainWanted || mMaps.empty() || !session.LeaseHolds(now)) {
+    return;
+  }
+  const auto& newest = mMaps.rbegin()->second.mMembers;
+  const bool member =
+    std::any_of(newest.begin(), newest.end(), [&](const auto& aMember) {
+      return aMember.mId == session.Member();
+    });
+  if (!member) {
+    mProblems.push_back(aProcess.mName + " has a lease without being a member");
+  }
+}
+
 void
 ControlCluster::CheckState(const MachineState& aState)
 {
   const auto& settings = aState.mSettings;
+  mCommittedAt.try_emplace(settings.mRevision, mNow);
   const auto text = mTexts.try_emplace(settings.mRevision, settings.mText);
   if (text.first->second != settings.mText) {
     mProblems.push_back("two texts for revision " +
--- a/test/control/ControlCluster.h
+++ b/test/control/ControlCluster.h
@@ -85,6 +85,7 @@
   void Thaw(const std::string& aName);
   /** Cuts these processes off from all others, in both directions. */
   void CutOff(const std::set<std::string>& aNames);
+  void CutLink(const std::string& aOne, const std::string& aOther);
   void Heal();
   void SetClock(const std::string& aName, Duration aOffset, double aRate);
 
@@ -140,6 +141,7 @@
                 const membership::ControlSessionEffect& aEffect);
   void SyncNext(const std::string& aName);
   void CheckAlways();
+  void CheckEntry(const ClusterProcess& aProcess);
   void CheckState(const MachineState& aState);
 
   std::mt19937_64 mRandom;
@@ -149,11 +151,13 @@
   std::map<std::string, ClusterProcess> mProcesses;
   std::map<membership::EntryNonce, std::string> mNonces;
   std::set<std::string> mCut;
+  std::set<std::pair<std::string, std::string>> mCutLinks;
   std::uint64_t mLastNonce = 1000;
   CallId mLastCall;
   std::map<CallId, OperatorAnswer> mAnswers;
   std::vector<std::string> mProblems;
   std::map<Revision, std::string> mTexts;
+  std::map<Revision, TimePoint> mCommittedAt;
   std::map<EpochNumber, membership::EpochMap> mMaps;
 };
 
--- a/test/control/ControlClusterFaults.cpp
+++ b/test/control/ControlClusterFaults.cpp
@@ -64,10 +64,18 @@
   mCut = aNames;
 }
 
+void
+ControlCluster::CutLink(const std::string& aOne, const std::string& aOther)
+{
+  mCutLinks.insert({ aOne, aOther });
+  mCutLinks.insert({ aOther, aOne });
+}
+
 void
 ControlCluster::Heal()
 {
   mCut.clear();
+  mCutLinks.clear();
 }
 
 void
--- /dev/null
+++ b/test/membership/EntryDirectoryTest.cpp
@@ -0,0 +1,109 @@
+// ctest-labels: promise-leaving-upstream unit
+#include "peridotspool/membership/EntryDirectory.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace peridotspool::membership {
+
+namespace {
+
+Member
+MakeMember(std::uint64_t aId, const std::string& aDomain)
+{
+  Member member;
+  member.mId = MemberId(aId);
+  member.mRegion = Region("attica");
+  member.mDomain = FailureDomain(aDomain);
+  member.mCallerAddress = { "10.0.0." + std::to_string(aId), 8080 };
+  return member;
+}
+
+EpochMap
+EightMembers()
+{
+  EpochMap map{ EpochNumber(1), {} };
+  for (std::uint64_t id = 1; id <= 8; ++id) {
+    map.mMembers.push_back(MakeMember(id, id % 2 == 0 ? "north" : "south"));
+  }
+  return map;
+}
+
+bool
+Names(const DirectoryAnswer& aAnswer, const Member& aMember)
+{
+  return std::find(aAnswer.mAddresses.begin(),
+                   aAnswer.mAddresses.end(),
+                   aMember.mCallerAddress) != aAnswer.mAddresses.end();
+}
+
+} // namespace
+
+TEST_CASE("LeavingEntriesAreLeftOutAtOnce")
+{
+  EntryDirectory directory({});
+  EpochMap map = EightMembers();
+  map.mMembers[0].mState = MemberState::kDraining;
+  directory.TakeEpoch(map);
+  directory.TakeLeaving(MemberId(2));
+  directory.TakeSuspects({ MemberId(3) });
+  const DirectoryAnswer answer = directory.Answer(Region("attica"));
+  CHECK(answer.mAddresses.size() == 5);
+  for (std::size_t at = 0; at < 3; ++at) {
+    CHECK_FALSE(Names(answer, map.mMembers[at]));
+  }
+}
+
+TEST_CASE("EmptyAnswerIsAvoidedWhenEverybodyIsSuspected")
+{
+  EntryDirectory directory({});
+  const EpochMap map = EightMembers();
+  directory.TakeEpoch(map);
+  std::set<MemberId> all;
+  for (const Member& member : map.mMembers) {
+    all.insert(member.mId);
+  }
+  directory.TakeSuspects(all);
+  CHECK(directory.Answer(Region("attica")).mAddresses.size() == 8);
+}
+
+TEST_CASE("AnswersAreKeptShorterThanANotice")
+{
+  EntryDirectory directory({ .mShortestNotice = std::chrono::seconds(30) });
+  directory.TakeEpoch(EightMembers());
+  CHECK(directory.Answer(Region("attica")).mTimeToKeep <
+        std::chrono::seconds(15));
+}
+
+TEST_CASE("CallersAreSpreadByWeightAndDomain")
+{
+  EntryDirectory directory({ .mMaxEntries = 4 });
+  const EpochMap map = EightMembers();
+  directory.TakeEpoch(map);
+  directory.TakeWeight(MemberId(1), 3.0);
+  int first = 0;
+  constexpr int kCallers = 10000;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    const DirectoryAnswer answer = directory.Answer(Region("attica"));
+    REQUIRE(answer.mAddresses.size() == 4);
+    first += answer.mAddresses[0] == map.mMembers[0].mCallerAddress ? 1 : 0;
+  }
+  // Weight 3 of 10 in all.
+  CHECK(first > kCallers * 27 / 100);
+  CHECK(first < kCallers * 33 / 100);
+}
+
+TEST_CASE("OlderEpochNeverReplacesANewerOne")
+{
+  EntryDirectory directory({});
+  EpochMap newer = EightMembers();
+  newer.mEpoch = EpochNumber(2);
+  newer.mMembers.pop_back();
+  directory.TakeEpoch(newer);
+  directory.TakeEpoch(EightMembers());
+  CHECK(directory.Answer(Region("attica")).mEpoch == EpochNumber(2));
+  CHECK(directory.Answer(Region("attica")).mAddresses.size() == 7);
+}
+
+} // namespace peridotspool::membership
--- /dev/null
+++ b/test/storage/ControlStoreTest.cpp
@@ -0,0 +1,132 @@
+// ctest-labels: promise-state-survives
+#include "peridotspool/storage/ControlStore.h"
+
+#include "storage/TemporaryFolder.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+
+namespace peridotspool::storage {
+
+using namespace control;
+
+namespace {
+
+RestoredState
+First()
+{
+  return InitialState(SystemId(9),
+                      ReplicaInfo{ .mId = {},
+                                   .mName = ReplicaName("control-1"),
+                                   .mDomain = FailureDomain("marousi"),
+                                   .mAddress = { "127.0.0.1", 7000 },
+                                   .mNonce = {},
+                                   .mVoter = true });
+}
+
+PersistEffect
+AppendEntries(std::uint64_t aFrom, std::uint64_t aTo)
+{
+  PersistEffect write;
+  for (std::uint64_t index = aFrom; index <= aTo; ++index) {
+    EditCommand edit;
+    edit.mEdit = EditId("edit-" + std::to_string(index));
+    edit.mDelta.mInserted = "a: " + std::to_string(index) + "\n";
+    write.mAppend.push_back(
+      { .mIndex = LogIndex(index), .mTerm = Term(1), .mCommand = edit });
+  }
+  return write;
+}
+
+RestoredState
+Reopen(const std::string& aPath)
+{
+  RestoredState state;
+  LastReason reason;
+  const auto store = ControlStore::Open(aPath, state, reason);
+  INFO(reason.Text());
+  REQUIRE(store.has_value());
+  return state;
+}
+
+} // namespace
+
+TEST_CASE("WritesComeBackAsTheSameState")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  RestoredState expected = First();
+  REQUIRE(ControlStore::Initialise(folder.Path(), expected, reason));
+  {
+    RestoredState state;
+    auto store = ControlStore::Open(folder.Path(), state, reason);
+    REQUIRE(state == expected);
+    PersistEffect vote;
+    vote.mVote = VoteRecord{ .mTerm = Term(3), .mVotedFor = ReplicaId(2) };
+    PersistEffect cut = AppendEntries(4, 6);
+    cut.mCutFrom = LogIndex(4);
+    PersistEffect compact;
+    compact.mSnapshot = expected.mSnapshot;
+    compact.mSnapshot->mIndex = LogIndex(3);
+    compact.mSnapshot->mState.mSettings.mText = "a: 3\n";
+    for (const PersistEffect& write :
+         { AppendEntries(2, 5), vote, cut, compact, AppendEntries(7, 8) }) {
+      REQUIRE(store->Write(write, reason));
+      ApplyPersist(expected, write);
+    }
+  }
+  CHECK(Reopen(folder.Path()) == expected);
+}
+
+TEST_CASE("InitIsRefusedWhereASystemLivesAlready")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  REQUIRE(ControlStore::Initialise(folder.Path(), First(), reason));
+  CHECK_FALSE(ControlStore::Initialise(folder.Path(), First(), reason));
+  CHECK(reason.Text().find("belongs to replica 1") != std::string::npos);
+}
+
+TEST_CASE("FolderIsUsedByOneProcessAtATime")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  RestoredState state;
+  const auto store = ControlStore::Open(folder.Path(), state, reason);
+  REQUIRE(store.has_value());
+  CHECK_FALSE(ControlStore::Open(folder.Path(), state, reason).has_value());
+}
+
+// Symptom: a replica comes back with its old identity and has forgotten its
+// votes.
+// Sequence: somebody removes the journal to "clean up" a full disk.
+// Cause: identity and votes kept in files that are read one without the other.
+TEST_CASE("IdentityWithoutItsJournalIsRefused")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  REQUIRE(ControlStore::Initialise(folder.Path(), First(), reason));
+  std::filesystem::remove(folder.Path() + "/journal-1");
+  RestoredState state;
+  CHECK_FALSE(ControlStore::Open(folder.Path(), state, reason).has_value());
+  CHECK(reason.Text().find("do not belong together") != std::string::npos);
+}
+
+// Symptom: a replica doesn't start after a crash while it made a checkpoint.
+// Sequence: the new journal is named, the old one not yet removed; or the new
+// one is still under its temporary name.
+TEST_CASE("CrashWhileACheckpointIsMadeLosesNothing")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  REQUIRE(ControlStore::Initialise(folder.Path(), First(), reason));
+  const std::string old = folder.Path() + "/journal-1";
+  std::filesystem::copy_file(old, folder.Path() + "/journal-2.new");
+  CHECK(Reopen(folder.Path()) == First());
+  std::filesystem::copy_file(old, folder.Path() + "/journal-2");
+  CHECK(Reopen(folder.Path()) == First());
+  CHECK_FALSE(std::filesystem::exists(old));
+}
+
+} // namespace peridotspool::storage
