--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -1,5 +1,8 @@
 #include "request/EntryNodeState.h"
 
+#include "peridotspool/routing/SpreadTargets.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace peridotspool::request {
@@ -336,9 +339,11 @@
   if (!mLeaving || mLeft) {
     return;
   }
-  const bool handedOver = mDrainStarted && mRequests->Running() == 0 &&
-                          mRequests->Callers() == 0 &&
-                          mLedger->Counters().mHeldShards == 0;
+  // When every entry leaves, as in a planned stop of the whole system, nobody
+  // is left to take the ledger's copies: only the work is waited for.
+  const bool handedOver =
+    mDrainStarted && mRequests->Running() == 0 && mRequests->Callers() == 0 &&
+    (mLedger->Counters().mHeldShards == 0 || !AnyActiveMember());
   if (handedOver && !mToldDone) {
     mToldDone = true;
     StepSession(membership::LeftNothingEvent{});
@@ -350,13 +355,27 @@
   }
 }
 
+bool
+EntryNodeState::AnyActiveMember() const
+{
+  return std::any_of(mMembers.begin(), mMembers.end(), [](const auto& aPair) {
+    return aPair.second.mState == membership::MemberState::kActive;
+  });
+}
+
 void
 EntryNodeState::SpreadAnnouncement(
   const routing::UpstreamAnnouncement& aAnnouncement)
 {
+  std::vector<MemberId> members;
   for (const auto& [id, member] : mMembers) {
-    if (id != mSelf) {
-      SendToMember(id, aAnnouncement);
+    members.push_back(id);
+  }
+  // A report to every entry would grow with entries times upstreams.
+  for (const MemberId target :
+       routing::SpreadTargets(aAnnouncement.mName, members)) {
+    if (target != mSelf) {
+      SendToMember(target, aAnnouncement);
     }
   }
 }
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -1,6 +1,7 @@
 #include "peridotspool/runtime/ControlHost.h"
 
 #include "http/ApiError.h"
+#include "peridotspool/observe/Counters.h"
 #include "peridotspool/runtime/KeyFiles.h"
 #include "peridotspool/runtime/StopSignal.h"
 #include "peridotspool/runtime/SystemClock.h"
@@ -10,8 +11,6 @@
 #include "runtime/ControlDecider.h"
 
 #include <atomic>
-#include <cstdio>
-#include <cstdlib>
 #include <random>
 #include <thread>
 #include <utility>
@@ -102,6 +101,11 @@
 
   bool Start(LastReason& aReason)
   {
+    mLogger =
+      observe::Logger::Open(mSettings.mLog, mSettings.mName.Value(), aReason);
+    if (!mLogger) {
+      return false;
+    }
     const auto key = ReadPeerKey(mSettings.mPeerKeyFile, aReason);
     if (!key) {
       return false;
@@ -121,13 +125,21 @@
     if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
       return false;
     }
+    mLogger->Log(observe::EventId::kProcessStarted,
+                 { { "http", ToText(mServer->LocalAddress()) },
+                   { "peer", ToText(mTransport->LocalAddress()) },
+                   { "cut_bytes", mStore->CutBytes() } });
     mWriting = std::thread([this] { WriteToDisk(); });
     mDeciding = std::thread(
       [this, state = std::move(restored)]() mutable { Decide(state); });
     return true;
   }
 
-  void Leave() { mRing.Push(StopInput{}); }
+  void Leave()
+  {
+    mLogger->Log(observe::EventId::kProcessStopping);
+    mRing.Push(StopInput{});
+  }
 
   bool Wait()
   {
@@ -136,6 +148,7 @@
     mWriting.join();
     mServer->Stop();
     mTransport->Stop();
+    mLogger->Log(observe::EventId::kProcessStopped);
     return !mDiskFailed;
   }
 
@@ -147,13 +160,13 @@
       wire::PeerTransportOptions{ .mListen = mSettings.mPeerListen,
                                   .mSharedKey = aKey,
                                   .mMaxFrameBytes = bounds.mFrameBytes },
-      [this](std::string aFrame) { OnFrame(aFrame); });
+      [this](const std::string& aFrame) { OnFrame(aFrame); });
     mServer = std::make_unique<http::HttpServer>(
       http::HttpServerOptions{ .mListen = mSettings.mHttpListen,
                                .mMaxBodyBytes = kMaxOperatorBody,
                                .mMaxHeaderBytes = bounds.mHeaderBytes,
                                .mMaxConnections = bounds.mConnections },
-      [this](http::ExchangeId aExchange, http::HttpRequest aRequest) {
+      [this](http::ExchangeId aExchange, const http::HttpRequest& aRequest) {
         OnRequest(aExchange, aRequest);
       },
       [](http::ExchangeId) {});
@@ -170,6 +183,10 @@
 
   void OnRequest(http::ExchangeId aExchange, const http::HttpRequest& aRequest)
   {
+    if (aRequest.mMethod == "GET" && aRequest.mPath == "/metrics") {
+      mServer->Respond(aExchange, Metrics());
+      return;
+    }
     http::OperatorCommand command = http::ReadOperatorRequest(aRequest, mKeys);
     if (auto* refused = std::get_if<http::RefusedCommand>(&command)) {
       mServer->Respond(aExchange, std::move(refused->mResponse));
@@ -184,6 +201,21 @@
     }
   }
 
+  http::HttpResponse Metrics()
+  {
+    const wire::PeerTransportCounts peers = mTransport->Counts();
+    using observe::CounterId;
+    mCounters.Set(CounterId::kPeerBytesSent, peers.mBytesSent);
+    mCounters.Set(CounterId::kPeerBytesReceived, peers.mBytesReceived);
+    mCounters.Set(CounterId::kPeerMessagesDropped, peers.mFramesDropped);
+    mCounters.Set(CounterId::kPeerAuthFailed, peers.mHandshakesRefused);
+    mCounters.Set(CounterId::kLogLinesDropped, mLogger->Dropped());
+    return http::HttpResponse{ .mStatus = 200,
+                               .mHeaders = { { "content-type",
+                                               "text/plain; version=0.0.4" } },
+                               .mBody = mCounters.MetricsText() };
+  }
+
   std::optional<Address> FindHttp(const Address& aPeer) const
   {
     for (const auto& replica : mSettings.mControlReplicas) {
@@ -204,9 +236,11 @@
     ControlDecider decider(
       control::ControlNode(
         NodeOptions(mSettings, self), std::move(aRestored), now),
-      ControlParts{ *mServer, *mTransport, mDisk, [this](const Address& aPeer) {
-                     return FindHttp(aPeer);
-                   } });
+      ControlParts{ *mServer,
+                    *mTransport,
+                    mDisk,
+                    [this](const Address& aPeer) { return FindHttp(aPeer); },
+                    *mLogger });
     TimePoint nextTick = now;
     while (!decider.Stopped() && !mDiskFailed) {
       auto input = mRing.Pop(std::max(Duration(0), nextTick - now));
@@ -238,7 +272,8 @@
       if (!mStore->Write(*write, reason)) {
         // After a failed sync nobody knows what the disk holds: going on could
         // acknowledge what a restart forgets.
-        std::fprintf(stderr, "data folder: %s\n", reason.Text().c_str());
+        mLogger->Log(observe::EventId::kStorageFault,
+                     { { "reason", reason.Text() } });
         mDiskFailed = true;
         mRing.Close();
         mDisk.Close();
@@ -256,6 +291,8 @@
   std::optional<storage::ControlStore> mStore;
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
+  std::unique_ptr<observe::Logger> mLogger;
+  observe::Counters mCounters;
   std::atomic<bool> mDiskFailed{ false };
   std::thread mDeciding;
   std::thread mWriting;
