--- a/src/control/ControlEntries.cpp
+++ b/src/control/ControlEntries.cpp
@@ -274,6 +274,10 @@
   }
   auto command = mEpochPlanner->Plan(
     mSessions, State().mMembership, mConsensus->Replicas(), mNow);
+  for (const MemberId member : mEpochPlanner->TakeNewlySilent()) {
+    Notice(ControlNotice::kMemberSilent,
+           "member=" + std::to_string(member.Value()));
+  }
   if (command) {
     mEpochProposed = Propose(std::move(*command));
   }
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -173,11 +173,18 @@
     std::holds_alternative<MembershipCommand>(aEntry.mCommand);
   const membership::EpochMap before =
     membership ? State().mMembership.mCurrent : membership::EpochMap{};
+  const Revision revision = State().mSettings.mRevision;
   const ApplyResult result = mMachine.Apply(aEntry.mCommand);
   mApplied = aEntry.mIndex;
   if (membership && State().mMembership.mCurrent.mEpoch != before.mEpoch) {
     TakeEpochMade(before);
   }
+  if (State().mSettings.mRevision != revision) {
+    const SettingsChange& change = State().mSettings.mHistory.back();
+    Notice(ControlNotice::kSettingsCommitted,
+           "revision=" + std::to_string(change.mRevision.Value()) +
+             " edit=" + change.mEdit.Value() + " author=" + change.mAuthor);
+  }
   if (mEpochProposed && *mEpochProposed <= aEntry.mIndex) {
     mEpochProposed.reset();
   }
--- a/src/control/EpochPlanner.cpp
+++ b/src/control/EpochPlanner.cpp
@@ -1,6 +1,7 @@
 #include "control/EpochPlanner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotspool::control {
 
@@ -81,6 +82,12 @@
   return mWithheld.contains(aMember);
 }
 
+std::vector<MemberId>
+EpochPlanner::TakeNewlySilent()
+{
+  return std::exchange(mNewlySilent, {});
+}
+
 std::optional<MembershipCommand>
 EpochPlanner::Plan(EntrySessions& aSessions,
                    const MembershipState& aState,
@@ -145,7 +152,9 @@
     }
     // The member may still work on a lease from here or from the leader
     // before. It gets no further one, and goes once the last has surely ended.
-    mWithheld.insert(member.mId);
+    if (mWithheld.insert(member.mId).second) {
+      mNewlySilent.push_back(member.mId);
+    }
     const TimePoint granted =
       std::max(mLeaderSince, view->mGrantedAt.value_or(mLeaderSince));
     if (mNow - granted >= mOptions.mMemberTimeout) {
--- a/src/control/EpochPlanner.h
+++ b/src/control/EpochPlanner.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace peridotspool::control {
 
@@ -39,6 +40,9 @@
   /** Returns true iff the member is to get no lease, so that it can go. */
   bool IsWithheld(MemberId aMember) const;
 
+  /** Returns members that a majority has stopped hearing, each once. */
+  std::vector<MemberId> TakeNewlySilent();
+
   /** Returns what is to be committed now, if anything. */
   std::optional<MembershipCommand> Plan(EntrySessions& aSessions,
                                         const MembershipState& aState,
@@ -81,6 +85,7 @@
   TimePoint mNow;
   std::map<ReplicaId, Report> mReports;
   std::set<MemberId> mWithheld;
+  std::vector<MemberId> mNewlySilent;
   std::set<MemberId> mDrains;
   std::map<EntryName, Rejoin> mRejoins;
   std::optional<TimePoint> mFirstWantedAt;
