--- a/scripts/bench_system.py
+++ b/scripts/bench_system.py
@@ -100,6 +100,13 @@
         text = (EXAMPLES / "settings.yaml").read_text()
         return re.sub(r"limits: \{ rate: 40/s", f"limits: {{ rate: {rate}/s", text)
 
+    @staticmethod
+    def tree_without_limits():
+        """For load that is to reach the upstreams whatever its rate."""
+        text = (EXAMPLES / "settings.yaml").read_text()
+        text = re.sub(r"rate: \d+/s", "rate: 100000/s", text)
+        return re.sub(r"concurrency: \d+", "concurrency: 100000", text)
+
 
 def cpu_seconds(pid):
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
@@ -216,6 +223,8 @@
         log = system.folder / "engine-1.log"
         wait_for("the engine", lambda: "listening" in log.read_text())
         engine = log.read_text().split()[-1]
+        revision = system.edit(system.tree_without_limits())
+        system.wait_in_force(revision)
         time.sleep(1.5)
         customer = system.folder / "keys" / "customer.key"
         customer.write_text(CUSTOMER_KEY + "\n")
