Weigh other entries' sends, a busy batch and the price's place

Cause: at Dar's weights the price counted always and crowded the cheap runners; entries that share stale reports sent to the same ones; an upstream with one free slot scored like an empty one.

Change: the price counts only as far as the expected first token is below half its target, and fades out towards it; what this entry sent and saw end since a report counts twice where other entries send too, plus half a request for what is on its way; a full batch makes a prompt count four times as long (it was twice).

--- a/bench/EntryPolicy.cpp
+++ b/bench/EntryPolicy.cpp
@@ -82,10 +82,12 @@
 
 LeastReported::LeastReported(std::uint32_t aRunners,
                              std::uint32_t aCompared,
+                             bool aHeedsLeaving,
                              std::uint64_t aSeed)
   : mGone(aRunners)
   , mLoads(aRunners)
   , mCompared(aCompared)
+  , mHeedsLeaving(aHeedsLeaving)
   , mRandom(aSeed)
 {
 }
@@ -114,6 +116,9 @@
 LeastReported::Report(const ModelReport& aReport, double /*aNow*/)
 {
   mLoads[aReport.mRunner] = aReport.mRunning + aReport.mWaiting;
+  if (mHeedsLeaving && aReport.mLeaving) {
+    mGone[aReport.mRunner] = true;
+  }
 }
 
 void
@@ -201,9 +206,11 @@
     case PolicyKind::kRoundRobin:
       return RoundRobin(runners, aSeed);
     case PolicyKind::kLeastReported:
-      return LeastReported(runners, runners, aSeed);
+      return LeastReported(runners, runners, false, aSeed);
     case PolicyKind::kPowerOfTwo:
-      return LeastReported(runners, 2, aSeed);
+      return LeastReported(runners, 2, false, aSeed);
+    case PolicyKind::kPowerOfTwoHeeding:
+      return LeastReported(runners, 2, true, aSeed);
     case PolicyKind::kRouter:
       break;
   }
--- a/bench/EntryPolicy.h
+++ b/bench/EntryPolicy.h
@@ -52,6 +52,7 @@
 public:
   LeastReported(std::uint32_t aRunners,
                 std::uint32_t aCompared,
+                bool aHeedsLeaving,
                 std::uint64_t aSeed);
   std::optional<std::uint32_t> Choose(const ModelRequest& aRequest,
                                       double aNow);
@@ -62,6 +63,7 @@
   std::vector<bool> mGone;
   std::vector<std::uint32_t> mLoads;
   std::uint32_t mCompared;
+  bool mHeedsLeaving;
   routing::RandomSource mRandom;
 };
 
--- a/bench/PolicyComparison.cpp
+++ b/bench/PolicyComparison.cpp
@@ -7,11 +7,14 @@
 
 namespace {
 
-constexpr std::array<PolicyKind, 4> kPolicies{ PolicyKind::kRoundRobin,
+constexpr std::array<PolicyKind, 5> kPolicies{ PolicyKind::kRoundRobin,
                                                PolicyKind::kLeastReported,
                                                PolicyKind::kPowerOfTwo,
+                                               PolicyKind::kPowerOfTwoHeeding,
                                                PolicyKind::kRouter };
-constexpr std::uint64_t kSeeds = 3;
+/** Not the seeds that the router's constants were chosen with. */
+constexpr std::uint64_t kFirstSeed = 101;
+constexpr std::uint64_t kSeeds = 5;
 constexpr std::uint32_t kRunnersToday = 20;
 constexpr std::uint32_t kFewestRunners = 12;
 constexpr std::uint32_t kMostRunners = 40;
@@ -69,8 +72,8 @@
 Average(PolicyKind aPolicy, ModelOptions aOptions)
 {
   ModelResult sum;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    aOptions.mSeed = seed;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    aOptions.mSeed = kFirstSeed + seed;
     const ModelResult one = RunModel(aPolicy, aOptions);
     sum.mFirstTokenP95 += one.mFirstTokenP95 / kSeeds;
     sum.mFirstTokenMean += one.mFirstTokenMean / kSeeds;
@@ -160,15 +163,15 @@
 ComparePolicies()
 {
   PolicyReport report;
-  report.mTable =
-    "site     policy          p95 first  mean first  hits  used cost  refused  "
-    "cost at target  lost (2 s)  lost (5 s)\n";
+  report.mTable = "site     policy                p95 first  mean first  hits  "
+                  "used cost  refused  "
+                  "cost at target  lost (2 s)  lost (5 s)\n";
   report.mJson = "[";
   for (const Site& site : kSites) {
     for (const PolicyKind policy : kPolicies) {
       const Row row = Measure(policy, site);
       report.mTable += Formatted(
-        "%-8s %-15s %8.3fs  %9.3fs  %4.2f  %9.1f  %7llu  %14.1f  %10.0f  "
+        "%-8s %-21s %8.3fs  %9.3fs  %4.2f  %9.1f  %7llu  %14.1f  %10.0f  "
         "%10.0f\n",
         site,
         row);
--- a/bench/PolicyModel.cpp
+++ b/bench/PolicyModel.cpp
@@ -355,6 +355,8 @@
       return "least_reported";
     case PolicyKind::kPowerOfTwo:
       return "power_of_two";
+    case PolicyKind::kPowerOfTwoHeeding:
+      return "power_of_two_heeding";
     case PolicyKind::kRouter:
       break;
   }
--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -22,6 +22,8 @@
   kRoundRobin,
   kLeastReported,
   kPowerOfTwo,
+  /** As above, and gives nothing new to a runner that says it leaves. */
+  kPowerOfTwoHeeding,
   kRouter,
 };
 
--- a/include/peridotspool/routing/RouterOptions.h
+++ b/include/peridotspool/routing/RouterOptions.h
@@ -16,6 +16,8 @@
   double mCostWeight = 0.1;
   /** How many upstreams are compared for one request. */
   std::uint32_t mCandidates = 4;
+  /** True iff other entries send to the same upstreams, unseen by this one. */
+  bool mOthersSend = true;
   /** Candidates weighed before a request is refused. */
   std::uint32_t mLastLook = 32;
   std::uint64_t mRandomSeed = 1;
--- a/src/routing/LoadEstimate.cpp
+++ b/src/routing/LoadEstimate.cpp
@@ -49,13 +49,12 @@
   *this = LoadEstimate();
 }
 
-std::uint32_t
-LoadEstimate::Load() const
+double
+LoadEstimate::Load(double aOwnWeight) const
 {
-  const std::int64_t load =
-    static_cast<std::int64_t>(mReported) + static_cast<std::int64_t>(mChanged);
-  return static_cast<std::uint32_t>(
-    std::max<std::int64_t>(load, static_cast<std::int64_t>(Own())));
+  const double load =
+    static_cast<double>(mReported) + aOwnWeight * static_cast<double>(mChanged);
+  return std::max(load, static_cast<double>(Own()));
 }
 
 void
--- a/src/routing/LoadEstimate.h
+++ b/src/routing/LoadEstimate.h
@@ -22,8 +22,11 @@
   /** Forgets everything: the upstream has a new life. */
   void Reset();
 
-  /** Requests at the upstream now; at least our own. */
-  std::uint32_t Load() const;
+  /**
+   * Requests at the upstream now; at least our own. What this entry sent and
+   * saw end since the report counts aOwnWeight times.
+   */
+  double Load(double aOwnWeight) const;
   std::uint32_t Own() const
   {
     return static_cast<std::uint32_t>(mOwnSince.size());
--- a/src/routing/RouterState.cpp
+++ b/src/routing/RouterState.cpp
@@ -133,6 +133,7 @@
   candidate.mParts =
     ScoreCandidate({ .mFigures = figures,
                      .mServiceHoldMicros = aPool.mHoldMicros,
+                     .mHighestPrice = aPool.mHighestPrice,
                      .mCachedTokens = candidate.mCachedTokens },
                    aQuery,
                    mOptions,
--- a/src/routing/Score.cpp
+++ b/src/routing/Score.cpp
@@ -12,6 +12,15 @@
 constexpr double kBeyondTarget = 4;
 /** What an answer expected after its deadline weighs, in seconds. */
 constexpr double kLatePenalty = 10;
+/** The part of the target up to which the price counts. */
+constexpr double kSafePart = 0.5;
+/** Requests of other entries that are on their way to an upstream. */
+constexpr double kUnseenRequests = 0.5;
+/**
+ * How much longer a prompt takes in a full batch. More than the batch alone
+ * costs: a busy upstream is also likelier to be found full on arrival.
+ */
+constexpr double kBusyWeight = 3;
 /** Part of a prompt's time that a full cache hit saves. */
 constexpr double kCacheSaves = 0.9;
 
@@ -28,13 +37,13 @@
 
 /** Returns the expected wait for a slot inside the upstream. */
 double
-WaitMicros(const UpstreamFigures& aFigures, double aHold)
+WaitMicros(const UpstreamFigures& aFigures,
+           double aHold,
+           const RouterOptions& aOptions)
 {
-  if (aFigures.mLoad < aFigures.mSlots) {
-    return 0;
-  }
-  const double ahead = aFigures.mLoad - aFigures.mSlots + 1;
-  return ahead * aHold / aFigures.mSlots;
+  const double unseen = aOptions.mOthersSend ? kUnseenRequests : 0;
+  const double ahead = aFigures.mLoad + unseen - aFigures.mSlots + 1;
+  return ahead > 0 ? ahead * aHold / aFigures.mSlots : 0;
 }
 
 /** Returns the time of the prompt: a batch shares the engine. */
@@ -48,9 +57,22 @@
                 static_cast<double>(aQuery.mPromptTokens);
   }
   const double busy =
-    static_cast<double>(std::min(figures.mLoad, figures.mSlots)) /
-    figures.mSlots;
-  return figures.mFirstTokenMicros * computed * (1 + busy);
+    std::min<double>(figures.mLoad, figures.mSlots) / figures.mSlots;
+  return figures.mFirstTokenMicros * computed * (1 + kBusyWeight * busy);
+}
+
+/**
+ * Returns how far the price counts: wholly for a request that surely keeps its
+ * target, not at all for one that may miss it. A price that counts always
+ * crowds the cheap upstreams until all that use them are late.
+ */
+double
+PriceCounts(double aFirstTokenMicros, double aTarget)
+{
+  if (aTarget <= 0) {
+    return 1;
+  }
+  return std::clamp(1 - aFirstTokenMicros / (kSafePart * aTarget), 0.0, 1.0);
 }
 
 } // namespace
@@ -66,8 +88,8 @@
   const auto remaining = static_cast<double>((aQuery.mDeadline - aNow).count());
   const auto target = static_cast<double>(aQuery.mFirstTokenTarget.count());
   ScoreParts parts;
-  parts.mFirstTokenMicros =
-    std::round(WaitMicros(figures, hold) + PromptMicros(aFacts, aQuery));
+  parts.mFirstTokenMicros = std::round(WaitMicros(figures, hold, aOptions) +
+                                       PromptMicros(aFacts, aQuery));
   parts.mQueueFull =
     figures.mLoad >= figures.mSlots * (1 + aOptions.mMaxWaitingPerSlot);
   parts.mTooLate = parts.mFirstTokenMicros >= remaining;
@@ -80,7 +102,9 @@
     seconds += kLatePenalty;
   }
   parts.mLatencyPart = aOptions.mLatencyWeight * seconds;
-  parts.mCostPart = aOptions.mCostWeight * figures.mPrice;
+  const double slack = PriceCounts(parts.mFirstTokenMicros, target);
+  parts.mCostPart = aOptions.mCostWeight * (slack * figures.mPrice +
+                                            (1 - slack) * aFacts.mHighestPrice);
   return parts;
 }
 
--- a/src/routing/Score.h
+++ b/src/routing/Score.h
@@ -12,6 +12,8 @@
   UpstreamFigures mFigures;
   /** Mean time of the service's requests; zero if none has ended. */
   double mServiceHoldMicros = 0;
+  /** Of the service's upstreams. */
+  double mHighestPrice = 0;
   /** Tokens of the prompt expected in its cache. */
   double mCachedTokens = 0;
 };
--- a/src/routing/Upstream.h
+++ b/src/routing/Upstream.h
@@ -15,7 +15,7 @@
 {
   /** When the announcement's lease ends. */
   TimePoint mExpires;
-  std::uint32_t mLoad = 0;
+  float mLoad = 0;
   std::uint32_t mSlots = 1;
   float mFirstTokenMicros = 0;
   /** Mean time that a request holds a slot; zero before one has ended. */
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -7,6 +7,12 @@
 namespace {
 
 constexpr double kMicrosPerUnit = 1e6;
+/**
+ * What this entry sent since a report stands for what the others sent too. The
+ * true factor is their number, but one entry's few sends are a noisy measure
+ * of it; the queue model's figures are best at two to three.
+ */
+constexpr double kOwnWeight = 2;
 /** Weight of the newest request in the mean times. */
 constexpr double kLearnRate = 0.1;
 
@@ -102,6 +108,14 @@
   return AnnouncementTaken{ .mIndex = index, .mNewLife = newLife };
 }
 
+void
+UpstreamTable::UpdateLoad(UpstreamIndex aIndex)
+{
+  const double weight = mOptions.mOthersSend ? kOwnWeight : 1;
+  mFigures[aIndex].mLoad =
+    static_cast<float>(mDetails[aIndex].mLoad.Load(weight));
+}
+
 void
 UpstreamTable::TakeFigures(UpstreamIndex aIndex, TimePoint aNow)
 {
@@ -111,11 +125,13 @@
   figures.mExpires = aNow + std::min(news.mLease, mOptions.mMaxLease);
   detail.mForgetAt = figures.mExpires + mOptions.mForgetAfter;
   detail.mLoad.Report(news.mRunning + news.mWaiting, aNow - news.mLoadAge);
-  figures.mLoad = detail.mLoad.Load();
+  UpdateLoad(aIndex);
   figures.mSlots = std::max<std::uint32_t>(1, news.mSlots);
   figures.mFirstTokenMicros = static_cast<float>(news.mFirstToken.count());
   figures.mPrice = static_cast<float>(
     static_cast<double>(news.mPriceMicrosPerHour) / kMicrosPerUnit);
+  ServicePool& pool = PoolOf(aIndex);
+  pool.mHighestPrice = std::max<double>(pool.mHighestPrice, figures.mPrice);
 }
 
 void
@@ -184,7 +200,7 @@
 UpstreamTable::Sent(UpstreamIndex aIndex, TimePoint aNow)
 {
   mDetails[aIndex].mLoad.Sent(aNow);
-  mFigures[aIndex].mLoad = mDetails[aIndex].mLoad.Load();
+  UpdateLoad(aIndex);
 }
 
 void
@@ -197,7 +213,7 @@
     return;
   }
   const Duration took = detail.mLoad.Ended(aNow);
-  mFigures[aIndex].mLoad = detail.mLoad.Load();
+  UpdateLoad(aIndex);
   bool eject = false;
   if (aEnd == AttemptEnd::kCompleted) {
     const Duration mean(static_cast<Duration::rep>(PoolOf(aIndex).mHoldMicros));
--- a/src/routing/UpstreamTable.h
+++ b/src/routing/UpstreamTable.h
@@ -17,6 +17,8 @@
   std::uint32_t mEjected = 0;
   /** Mean time that a request takes at any of them; zero before one ended. */
   double mHoldMicros = 0;
+  /** Highest price that any of them has announced. */
+  double mHighestPrice = 0;
 };
 
 /** What an announcement changed. */
@@ -64,6 +66,8 @@
   /** Returns true iff it is newer than what is known of its upstream. */
   bool IsNews(const UpstreamAnnouncement& aAnnouncement) const;
   UpstreamIndex IndexOf(const UpstreamAnnouncement& aAnnouncement);
+  /** Reckons the upstream's load anew. */
+  void UpdateLoad(UpstreamIndex aIndex);
   void TakeFigures(UpstreamIndex aIndex, TimePoint aNow);
   void UpdateServing(UpstreamIndex aIndex, TimePoint aNow);
   void StopServing(UpstreamIndex aIndex);
--- a/test/routing/RouterTest.cpp
+++ b/test/routing/RouterTest.cpp
@@ -54,10 +54,11 @@
       const double load = Load(name, arrived);
       const double slots = news.mSlots;
       const double hold = static_cast<double>(mOptions.mFirstHold.count());
-      const double wait = load < slots ? 0 : (load - slots + 1) * hold / slots;
+      const double ahead = load + (mOptions.mOthersSend ? 0.5 : 0) - slots + 1;
+      const double wait = ahead > 0 ? ahead * hold / slots : 0;
       const double first =
         std::round(wait + static_cast<double>(news.mFirstToken.count()) *
-                            (1 + std::min(load, slots) / slots));
+                            (1 + 3 * std::min(load, slots) / slots));
       const auto remaining =
         static_cast<double>((aQuery.mDeadline - aNow).count());
       if (load < slots * 5 && first < remaining) {
@@ -116,7 +117,8 @@
     }
     const int known =
       static_cast<int>(aArrived.mNews.mRunning + aArrived.mNews.mWaiting);
-    return std::max(known + since, own);
+    const int weight = mOptions.mOthersSend ? 2 : 1;
+    return std::max(known + weight * since, own);
   }
 
   RouterOptions mOptions;
@@ -128,8 +130,9 @@
 class Comparison
 {
 public:
-  explicit Comparison(std::uint32_t aUpstreams)
+  Comparison(std::uint32_t aUpstreams, bool aOthersSend)
     : mUpstreams(aUpstreams)
+    , mOptions{ .mOthersSend = aOthersSend }
     , mRouter(mOptions)
     , mNaive(mOptions)
   {
@@ -227,18 +230,18 @@
 TEST_CASE("SmallServiceIsDecidedLikeAFullScan")
 {
   rc::prop("router and full scan choose equally good upstreams",
-           [] { Comparison(4).Run(60); });
+           [] { Comparison(4, *rc::gen::arbitrary<bool>()).Run(60); });
 }
 
 TEST_CASE("LargeServiceGetsTheBestOfItsCandidatesAndNoFalseRefusal")
 {
   rc::prop("chosen is the best weighed; refused only if a scan refuses",
-           [] { Comparison(30).Run(120); });
+           [] { Comparison(30, *rc::gen::arbitrary<bool>()).Run(120); });
 }
 
 TEST_CASE("OwnSendsCountUntilAYoungerReportHasThem")
 {
-  Router router({});
+  Router router({ .mOthersSend = false });
   UpstreamAnnouncement first = Announcement("u1");
   UpstreamAnnouncement second = Announcement("u2");
   first.mRunning = 0;
