Add the fleet planner and the orders to engines as pure steps

Change: fleet/FleetPlanner (price, reclaim record, preference, latency target, backoff, bounded starts) and fleet/OrderDesk (fencing, waiting out an earlier leader, weight store's rate, state read back).

--- /dev/null
+++ b/include/peridotspool/fleet/FleetPlanner.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/fleet/FleetEffect.h"
+#include "peridotspool/fleet/FleetEvent.h"
+#include "peridotspool/fleet/FleetOptions.h"
+#include "peridotspool/fleet/OfferBackoff.h"
+#include "peridotspool/fleet/ReclaimRecord.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotspool::fleet {
+
+/**
+ * Decides which instances to start and to stop, and where. Lives on the control
+ * leader and begins anew with each one: the cloud's list is its memory.
+ *
+ * A pure step without clock, thread or socket. Not thread-safe.
+ */
+class FleetPlanner
+{
+public:
+  explicit FleetPlanner(FleetOptions aOptions);
+
+  /** Takes one event and returns what the host is to do, in order. */
+  FleetEffects Step(const FleetEvent& aEvent, TimePoint aNow);
+
+  /** How many instances a service is to have now. */
+  std::uint32_t Wanted(const ServiceName& aService) const;
+  std::size_t Starting() const { return mStarts.size(); }
+
+private:
+  struct Start
+  {
+    ServiceName mService;
+    OfferKey mOffer;
+    TimePoint mAskedAt;
+  };
+  struct Service
+  {
+    ServiceDemand mDemand;
+    std::uint32_t mWanted = 0;
+    std::optional<TimePoint> mSlowSince;
+    std::optional<TimePoint> mFastSince;
+    std::optional<TimePoint> mSurplusSince;
+  };
+
+  void Take(const DemandEvent& aEvent);
+  void Take(const OffersEvent& aEvent);
+  void Take(const ListedEvent& aEvent);
+  void Take(const StartedEvent& aEvent);
+  void Take(const StartRefusedEvent& aEvent);
+  void Take(const ServingEvent& aEvent);
+  void Take(const ReclaimNoticeEvent& aEvent);
+  void Take(const InstanceGoneEvent& aEvent);
+  void Take(const DrainedEvent& aEvent);
+  void Take(const LatencyEvent& aEvent);
+  void Take(const FleetTickEvent& aEvent);
+
+  void TakeUnlisted(const InstanceInfo& aInstance,
+                    std::map<InstanceName, InstanceInfo>& aListed);
+  void Refuse(StartId aStart);
+  void RecordUse();
+  void ExpireStarts();
+  void StartMissing();
+  bool StartOne(Service& aService);
+  void DrainSurplus(Service& aService);
+  std::size_t Holds(const ServiceName& aService) const;
+  std::size_t HoldsIn(const ServiceName& aService,
+                      const FailureDomain& aDomain) const;
+  const Offer* BestOffer(const Service& aService) const;
+  bool MayTry(const OfferKey& aOffer) const;
+  bool FitsShare(const Service& aService, const OfferKey& aOffer) const;
+  double Score(const Service& aService, const Offer& aOffer) const;
+  double PriceOf(const OfferKey& aOffer) const;
+  void Decide(const ServiceName& aService, std::string aReason);
+
+  FleetOptions mOptions;
+  TimePoint mNow;
+  FleetEffects mEffects;
+  ReclaimRecord mRecord;
+  OfferBackoff mBackoff;
+  std::map<ServiceName, Service> mServices;
+  std::vector<Offer> mOffers;
+  std::map<InstanceName, InstanceInfo> mInstances;
+  /** When instances were first heard of, until the cloud has listed them. */
+  std::map<InstanceName, TimePoint> mUnlisted;
+  std::map<StartId, Start> mStarts;
+  StartId mLastStart;
+  bool mListed = false;
+  std::optional<TimePoint> mUseRecordedAt;
+};
+
+} // namespace peridotspool::fleet
--- /dev/null
+++ b/src/fleet/FleetPlanner.cpp
@@ -0,0 +1,263 @@
+#include "peridotspool/fleet/FleetPlanner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::fleet {
+
+FleetPlanner::FleetPlanner(FleetOptions aOptions)
+  : mOptions(aOptions)
+  , mRecord(aOptions.mRecordHalfLife)
+  , mBackoff(aOptions.mRefusalBackoff,
+             aOptions.mRefusalBackoffMost,
+             aOptions.mRandomSeed)
+  , mLastStart(aOptions.mLastStart)
+{
+}
+
+FleetEffects
+FleetPlanner::Step(const FleetEvent& aEvent, TimePoint aNow)
+{
+  mNow = std::max(mNow, aNow);
+  std::visit([this](const auto& aOne) { Take(aOne); }, aEvent);
+  return std::exchange(mEffects, {});
+}
+
+std::uint32_t
+FleetPlanner::Wanted(const ServiceName& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? 0 : found->second.mWanted;
+}
+
+void
+FleetPlanner::Take(const DemandEvent& aEvent)
+{
+  std::map<ServiceName, Service> services;
+  for (const ServiceDemand& demand : aEvent.mDemands) {
+    Service& service = services[demand.mService];
+    const auto known = mServices.find(demand.mService);
+    if (known != mServices.end()) {
+      service = known->second;
+    }
+    service.mDemand = demand;
+    service.mWanted = std::clamp(
+      service.mWanted, demand.mLeast, std::max(demand.mLeast, demand.mMost));
+  }
+  mServices = std::move(services);
+}
+
+void
+FleetPlanner::Take(const OffersEvent& aEvent)
+{
+  mOffers = aEvent.mOffers;
+}
+
+void
+FleetPlanner::Take(const ListedEvent& aEvent)
+{
+  std::map<InstanceName, InstanceInfo> instances;
+  for (const InstanceInfo& info : aEvent.mInstances) {
+    InstanceInfo& instance = instances[info.mName];
+    instance = info;
+    const auto known = mInstances.find(info.mName);
+    if (known != mInstances.end() &&
+        known->second.mState == InstanceState::kLeaving) {
+      instance.mState = InstanceState::kLeaving;
+    }
+    // The answer to a start was lost, but the instance is there.
+    mStarts.erase(info.mStart);
+    mUnlisted.erase(info.mName);
+  }
+  for (const auto& [name, known] : mInstances) {
+    if (!instances.contains(name)) {
+      TakeUnlisted(known, instances);
+    }
+  }
+  mInstances = std::move(instances);
+  mListed = true;
+}
+
+// The list may be older than a start's answer: forgetting the new instance
+// would buy it a second time.
+void
+FleetPlanner::TakeUnlisted(const InstanceInfo& aInstance,
+                           std::map<InstanceName, InstanceInfo>& aListed)
+{
+  constexpr Duration kListLag = std::chrono::seconds(30);
+  const auto unlisted = mUnlisted.find(aInstance.mName);
+  if (unlisted != mUnlisted.end() && mNow - unlisted->second < kListLag) {
+    aListed[aInstance.mName] = aInstance;
+    return;
+  }
+  mUnlisted.erase(aInstance.mName);
+  if (aInstance.mState != InstanceState::kLeaving) {
+    mRecord.TakeReclaim(aInstance.mOffer, mNow);
+  }
+}
+
+void
+FleetPlanner::Take(const StartedEvent& aEvent)
+{
+  const auto start = mStarts.find(aEvent.mStart);
+  if (start == mStarts.end()) {
+    return;
+  }
+  mBackoff.TakeSuccess(start->second.mOffer);
+  mInstances.try_emplace(aEvent.mInstance,
+                         InstanceInfo{ .mName = aEvent.mInstance,
+                                       .mStart = aEvent.mStart,
+                                       .mService = start->second.mService,
+                                       .mOffer = start->second.mOffer,
+                                       .mState = InstanceState::kStarting });
+  mUnlisted[aEvent.mInstance] = mNow;
+  mStarts.erase(start);
+}
+
+void
+FleetPlanner::Take(const StartRefusedEvent& aEvent)
+{
+  Refuse(aEvent.mStart);
+}
+
+void
+FleetPlanner::Refuse(StartId aStart)
+{
+  const auto start = mStarts.find(aStart);
+  if (start == mStarts.end()) {
+    return;
+  }
+  mBackoff.TakeRefusal(start->second.mOffer, mNow);
+  Decide(start->second.mService,
+         "decision=leave-offer domain=" + start->second.mOffer.mDomain.Value() +
+           " reason=start-refused");
+  mStarts.erase(start);
+}
+
+void
+FleetPlanner::Take(const ServingEvent& aEvent)
+{
+  const auto instance = mInstances.find(aEvent.mInstance);
+  if (instance != mInstances.end() &&
+      instance->second.mState == InstanceState::kStarting) {
+    instance->second.mState = InstanceState::kServing;
+  }
+}
+
+void
+FleetPlanner::Take(const ReclaimNoticeEvent& aEvent)
+{
+  const auto instance = mInstances.find(aEvent.mInstance);
+  if (instance == mInstances.end() ||
+      instance->second.mState == InstanceState::kLeaving) {
+    return;
+  }
+  instance->second.mState = InstanceState::kLeaving;
+  mRecord.TakeReclaim(instance->second.mOffer, mNow);
+}
+
+void
+FleetPlanner::Take(const InstanceGoneEvent& aEvent)
+{
+  const auto instance = mInstances.find(aEvent.mInstance);
+  if (instance == mInstances.end()) {
+    return;
+  }
+  // Taken without a notice that was heard.
+  if (instance->second.mState != InstanceState::kLeaving) {
+    mRecord.TakeReclaim(instance->second.mOffer, mNow);
+  }
+  mInstances.erase(instance);
+}
+
+void
+FleetPlanner::Take(const DrainedEvent& aEvent)
+{
+  const auto instance = mInstances.find(aEvent.mInstance);
+  if (instance != mInstances.end() &&
+      instance->second.mState == InstanceState::kLeaving) {
+    mEffects.emplace_back(StopInstanceEffect{ aEvent.mInstance });
+  }
+}
+
+// One bad report neither buys nor sells: the service must have been too slow,
+// or far too fast, for a while. The distance between the two keeps it from
+// going back and forth.
+void
+FleetPlanner::Take(const LatencyEvent& aEvent)
+{
+  const auto found = mServices.find(aEvent.mService);
+  if (found == mServices.end()) {
+    return;
+  }
+  Service& service = found->second;
+  const Duration target = service.mDemand.mLatencyTarget;
+  const auto since = [&](std::optional<TimePoint>& aSince, bool aHolds) {
+    aSince = aHolds ? std::optional(aSince.value_or(mNow)) : std::nullopt;
+    return aSince ? mNow - *aSince : Duration(0);
+  };
+  const Duration slow = since(service.mSlowSince, aEvent.mFirstToken > target);
+  const Duration fast =
+    since(service.mFastSince, aEvent.mFirstToken < target / 2);
+  if (slow >= mOptions.mGrowAfter && service.mWanted < service.mDemand.mMost) {
+    ++service.mWanted;
+    service.mSlowSince = mNow;
+    Decide(aEvent.mService, "decision=grow reason=latency-target-missed");
+  }
+  if (fast >= mOptions.mShrinkAfter &&
+      service.mWanted > service.mDemand.mLeast) {
+    --service.mWanted;
+    service.mFastSince = mNow;
+    Decide(aEvent.mService, "decision=shrink reason=latency-target-exceeded");
+  }
+}
+
+void
+FleetPlanner::Take(const FleetTickEvent&)
+{
+  RecordUse();
+  ExpireStarts();
+  // Without the cloud's list, instances of an earlier leader would be bought a
+  // second time; before mActAfter that leader may still be buying.
+  if (!mListed || mNow < mOptions.mActAfter) {
+    return;
+  }
+  StartMissing();
+  for (auto& [name, service] : mServices) {
+    DrainSurplus(service);
+  }
+}
+
+void
+FleetPlanner::RecordUse()
+{
+  const Duration passed = mNow - mUseRecordedAt.value_or(mNow);
+  mUseRecordedAt = mNow;
+  const double hours =
+    std::chrono::duration<double, std::ratio<3600>>(passed).count();
+  for (const auto& [name, instance] : mInstances) {
+    if (instance.mOffer.mKind == PurchaseKind::kReclaimable) {
+      mRecord.TakeUse(instance.mOffer, hours, mNow);
+    }
+  }
+}
+
+void
+FleetPlanner::ExpireStarts()
+{
+  std::vector<StartId> late;
+  for (const auto& [id, start] : mStarts) {
+    if (mNow - start.mAskedAt >= mOptions.mStartTimeout) {
+      late.push_back(id);
+    }
+  }
+  std::for_each(late.begin(), late.end(), [&](StartId aId) { Refuse(aId); });
+}
+
+void
+FleetPlanner::Decide(const ServiceName& aService, std::string aReason)
+{
+  mEffects.emplace_back(DecisionEffect{ aService, std::move(aReason) });
+}
+
+} // namespace peridotspool::fleet
--- /dev/null
+++ b/src/fleet/OfferBackoff.cpp
@@ -0,0 +1,49 @@
+#include "peridotspool/fleet/OfferBackoff.h"
+
+#include <algorithm>
+
+namespace peridotspool::fleet {
+
+OfferBackoff::OfferBackoff(Duration aFirst, Duration aMost, std::uint64_t aSeed)
+  : mFirst(aFirst)
+  , mMost(aMost)
+  , mRandom(aSeed)
+{
+}
+
+void
+OfferBackoff::TakeRefusal(const OfferKey& aOffer, TimePoint aNow)
+{
+  Entry& entry = mEntries[aOffer];
+  // Several starts of one offer are refused together; they count once.
+  if (aNow < entry.mUntil) {
+    return;
+  }
+  entry.mBackoff = entry.mBackoff == Duration(0)
+                     ? mFirst
+                     : std::min(entry.mBackoff * 2, mMost);
+  const auto half = static_cast<std::uint64_t>(entry.mBackoff.count() / 2);
+  const auto jitter = static_cast<Duration::rep>(mRandom() % (half + 1));
+  entry.mUntil = aNow + entry.mBackoff / 2 + Duration(jitter);
+}
+
+void
+OfferBackoff::TakeSuccess(const OfferKey& aOffer)
+{
+  mEntries.erase(aOffer);
+}
+
+bool
+OfferBackoff::IsOpen(const OfferKey& aOffer, TimePoint aNow) const
+{
+  const auto found = mEntries.find(aOffer);
+  return found == mEntries.end() || aNow >= found->second.mUntil;
+}
+
+bool
+OfferBackoff::WasRefused(const OfferKey& aOffer) const
+{
+  return mEntries.contains(aOffer);
+}
+
+} // namespace peridotspool::fleet
--- /dev/null
+++ b/src/fleet/OrderDesk.cpp
@@ -0,0 +1,256 @@
+#include "peridotspool/fleet/OrderDesk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::fleet {
+
+Duration
+OrderDeskOptions::EarlierOrders() const
+{
+  // The earlier leader's clock may be slow and this one's fast.
+  const double rate = (1.0 + mClockRateBound) / (1.0 - mClockRateBound);
+  const Duration all = mLease + mSendWithin + mLongestOrder;
+  return Duration(
+    static_cast<Duration::rep>(static_cast<double>(all.count()) * rate));
+}
+
+OrderDesk::OrderDesk(OrderDeskOptions aOptions)
+  : mOptions(aOptions)
+  , mLastOrder(aOptions.mLastOrder)
+{
+}
+
+OrderEffects
+OrderDesk::Step(const OrderEvent& aEvent, TimePoint aNow)
+{
+  mNow = std::max(mNow, aNow);
+  std::visit([this](const auto& aOne) { Take(aOne); }, aEvent);
+  return std::exchange(mEffects, {});
+}
+
+void
+OrderDesk::Take(const EngineSeenEvent& aEvent)
+{
+  Engine& engine = mEngines[aEvent.mEngine];
+  if (aEvent.mIncarnation < engine.mIncarnation) {
+    return;
+  }
+  if (aEvent.mIncarnation > engine.mIncarnation) {
+    // A new life has an unknown setup, and knows nothing of earlier orders.
+    if (engine.mOrder) {
+      mOrders.erase(*engine.mOrder);
+    }
+    engine.mOrder.reset();
+    engine.mSetup.reset();
+    engine.mRead = ReadNumber();
+    engine.mBackoff = Duration(0);
+    engine.mNotBefore = TimePoint();
+  }
+  engine.mIncarnation = aEvent.mIncarnation;
+  engine.mChecksFencing = aEvent.mChecksFencing;
+}
+
+void
+OrderDesk::Take(const EngineGoneEvent& aEvent)
+{
+  const auto engine = mEngines.find(aEvent.mEngine);
+  if (engine == mEngines.end()) {
+    return;
+  }
+  if (engine->second.mOrder) {
+    mOrders.erase(*engine->second.mOrder);
+  }
+  mEngines.erase(engine);
+}
+
+void
+OrderDesk::Take(const SetupWantedEvent& aEvent)
+{
+  const auto engine = mEngines.find(aEvent.mEngine);
+  if (engine != mEngines.end()) {
+    engine->second.mWanted = aEvent;
+  }
+}
+
+void
+OrderDesk::Take(const SetupReadEvent& aEvent)
+{
+  const auto engine = mEngines.find(aEvent.mEngine);
+  // An answer from before the last order ended tells of a setup that is gone.
+  if (engine != mEngines.end() && aEvent.mRead.IsSet() &&
+      aEvent.mRead == engine->second.mRead) {
+    engine->second.mSetup = aEvent.mSetup;
+    engine->second.mRead = ReadNumber();
+  }
+}
+
+void
+OrderDesk::Take(const FencingGivenEvent& aEvent)
+{
+  const auto order = mOrders.find(aEvent.mOrder);
+  if (order == mOrders.end() || order->second.mSent || mStale) {
+    return;
+  }
+  order->second.mSent = true;
+  order->second.mGivenAt = mNow;
+  mEffects.emplace_back(
+    SendOrderEffect{ .mOrder = aEvent.mOrder,
+                     .mEngine = order->second.mEngine,
+                     .mNumber = aEvent.mNumber,
+                     .mSetup = order->second.mWanted.mSetup,
+                     .mNotAfter = mNow + mOptions.mSendWithin });
+}
+
+void
+OrderDesk::Take(const OrderEndedEvent& aEvent)
+{
+  if (aEvent.mOutcome == OrderOutcome::kStale) {
+    mStale = true;
+  }
+  End(aEvent.mOrder, aEvent.mOutcome == OrderOutcome::kDone);
+}
+
+void
+OrderDesk::Take(const OrderTickEvent&)
+{
+  ExpireOrders();
+  ReadUnknown();
+  if (!mStale) {
+    GiveOrders();
+  }
+}
+
+// An engine that ignores fencing numbers obeys whoever speaks last. An order
+// that an earlier leader sent at the end of its lease could arrive or end after
+// this leader's order, and undo it unnoticed. Waiting for its longest life is
+// the only way to know that it is over. An engine that checks the numbers
+// refuses the earlier leader by itself.
+bool
+OrderDesk::MayOrder(const Engine& aEngine) const
+{
+  return aEngine.mChecksFencing ||
+         mNow >= mOptions.mLeaderSince + mOptions.EarlierOrders();
+}
+
+void
+OrderDesk::ReadUnknown()
+{
+  for (auto& [name, engine] : mEngines) {
+    const bool waits =
+      engine.mRead.IsSet() && mNow - engine.mReadAt < mOptions.mReadAgain;
+    if (engine.mSetup || engine.mOrder || !engine.mWanted || waits ||
+        !MayOrder(engine)) {
+      continue;
+    }
+    mLastRead = mLastRead.Next();
+    engine.mRead = mLastRead;
+    engine.mReadAt = mNow;
+    mEffects.emplace_back(ReadSetupEffect{ mLastRead, name });
+  }
+}
+
+void
+OrderDesk::ExpireOrders()
+{
+  std::vector<OrderId> late;
+  for (const auto& [id, order] : mOrders) {
+    if (mNow - order.mGivenAt >=
+        mOptions.mLongestOrder + mOptions.mSendWithin) {
+      late.push_back(id);
+    }
+  }
+  std::for_each(
+    late.begin(), late.end(), [&](OrderId aId) { End(aId, false); });
+}
+
+void
+OrderDesk::GiveOrders()
+{
+  std::vector<std::pair<UpstreamName, Engine*>> due;
+  for (auto& [name, engine] : mEngines) {
+    if (engine.mWanted && engine.mSetup && !engine.mOrder &&
+        *engine.mSetup != engine.mWanted->mSetup && mNow >= engine.mNotBefore) {
+      due.emplace_back(name, &engine);
+    }
+  }
+  std::stable_sort(due.begin(), due.end(), [](auto& aLeft, auto& aRight) {
+    return aLeft.second->mWanted->mUrgency > aRight.second->mWanted->mUrgency;
+  });
+  for (auto& [name, engine] : due) {
+    if (!TakeStore(*engine)) {
+      return;
+    }
+    Give(name, *engine);
+  }
+}
+
+// If every engine fetched its model at once, the weight store would throttle
+// them all, and none would be ready soon. Loads are asked for at the rate that
+// the store gives, so that the most urgent one is done first.
+bool
+OrderDesk::TakeStore(const Engine& aEngine)
+{
+  if (aEngine.mSetup->mModel == aEngine.mWanted->mSetup.mModel) {
+    return true;
+  }
+  const TimePoint start = std::max(mNow, mStoreFreeAt);
+  if (start - mNow > mOptions.mStoreAhead) {
+    return false;
+  }
+  const double seconds = static_cast<double>(aEngine.mWanted->mModelBytes) /
+                         static_cast<double>(mOptions.mStoreBytesPerSecond);
+  mStoreFreeAt = start + std::chrono::duration_cast<Duration>(
+                           std::chrono::duration<double>(seconds));
+  return true;
+}
+
+void
+OrderDesk::Give(const UpstreamName& aName, Engine& aEngine)
+{
+  mLastOrder = mLastOrder.Next();
+  aEngine.mOrder = mLastOrder;
+  mOrders[mLastOrder] = Order{ .mEngine = aName,
+                               .mWanted = *aEngine.mWanted,
+                               .mGivenAt = mNow,
+                               .mSent = false };
+  mEffects.emplace_back(TakeFencingEffect{ mLastOrder });
+  Decide(aName,
+         "decision=order id=" + std::to_string(mLastOrder.Value()) +
+           " model=" + aEngine.mWanted->mSetup.mModel +
+           " adapter=" + aEngine.mWanted->mSetup.mAdapter +
+           " role=" + aEngine.mWanted->mSetup.mRole);
+}
+
+void
+OrderDesk::End(OrderId aOrder, bool aGood)
+{
+  const auto order = mOrders.find(aOrder);
+  if (order == mOrders.end()) {
+    return;
+  }
+  Engine& engine = mEngines[order->second.mEngine];
+  // Done or not, only the engine itself knows what it is now.
+  engine.mOrder.reset();
+  engine.mSetup.reset();
+  engine.mRead = ReadNumber();
+  engine.mBackoff = aGood ? Duration(0)
+                          : std::clamp(engine.mBackoff * 2,
+                                       mOptions.mFailureBackoff,
+                                       mOptions.mFailureBackoffMost);
+  engine.mNotBefore = mNow + engine.mBackoff;
+  if (!aGood) {
+    Decide(order->second.mEngine,
+           "decision=read-back id=" + std::to_string(aOrder.Value()) +
+             " reason=order-failed");
+  }
+  mOrders.erase(order);
+}
+
+void
+OrderDesk::Decide(const UpstreamName& aEngine, std::string aReason)
+{
+  mEffects.emplace_back(OrderDecisionEffect{ aEngine, std::move(aReason) });
+}
+
+} // namespace peridotspool::fleet
--- /dev/null
+++ b/test/fleet/OrderDeskTest.cpp
@@ -0,0 +1,196 @@
+// ctest-labels: promise-fencing
+#include "peridotspool/fleet/OrderDesk.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotspool::fleet {
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::seconds(1000) };
+
+/** Engines in memory that carry out what they are sent. */
+class TestEngines
+{
+public:
+  explicit TestEngines(OrderDeskOptions aOptions = {})
+    : mDesk(WithStart(aOptions))
+  {
+  }
+
+  static OrderDeskOptions WithStart(OrderDeskOptions aOptions)
+  {
+    aOptions.mLeaderSince = kStart;
+    return aOptions;
+  }
+
+  void Add(const std::string& aName, bool aChecks, const std::string& aWanted)
+  {
+    Step(EngineSeenEvent{ UpstreamName(aName), Incarnation(1), aChecks });
+    Step(SetupWantedEvent{ .mEngine = UpstreamName(aName),
+                           .mSetup = { .mModel = aWanted },
+                           .mModelBytes = 10ULL << 30,
+                           .mUrgency = 0.0 });
+  }
+
+  void Step(const OrderEvent& aEvent)
+  {
+    for (const OrderEffect& effect : mDesk.Step(aEvent, mNow)) {
+      Carry(effect);
+    }
+  }
+
+  void Carry(const OrderEffect& aEffect)
+  {
+    if (const auto* read = std::get_if<ReadSetupEffect>(&aEffect)) {
+      Step(
+        SetupReadEvent{ read->mRead, read->mEngine, mSetups[read->mEngine] });
+    } else if (const auto* take = std::get_if<TakeFencingEffect>(&aEffect)) {
+      mNumber = mNumber.Next();
+      Step(FencingGivenEvent{ take->mOrder, mNumber });
+    } else if (const auto* send = std::get_if<SendOrderEffect>(&aEffect)) {
+      mSent.push_back(*send);
+      if (mObey) {
+        mSetups[send->mEngine] = send->mSetup;
+        Step(OrderEndedEvent{ send->mOrder, mOutcome });
+      }
+    }
+  }
+
+  void Run(Duration aFor)
+  {
+    for (Duration passed{ 0 }; passed < aFor;
+         passed += std::chrono::milliseconds(100)) {
+      mNow += std::chrono::milliseconds(100);
+      Step(OrderTickEvent{});
+    }
+  }
+
+  OrderDesk mDesk;
+  TimePoint mNow = kStart;
+  FencingNumber mNumber;
+  std::map<UpstreamName, EngineSetup> mSetups;
+  std::vector<SendOrderEffect> mSent;
+  OrderOutcome mOutcome = OrderOutcome::kDone;
+  bool mObey = true;
+};
+
+} // namespace
+
+TEST_CASE("OrdersSayWhatShallBeAndAreNotRepeated")
+{
+  TestEngines engines;
+  engines.Add("engine-1", true, "large");
+  engines.Run(std::chrono::seconds(60));
+  REQUIRE(engines.mSent.size() == 1);
+  CHECK(engines.mSent[0].mSetup.mModel == "large");
+  // What the engine has already needs no order, whoever gave it.
+  engines.mSetups[UpstreamName("engine-2")] = { .mModel = "large" };
+  engines.Add("engine-2", true, "large");
+  engines.Run(std::chrono::seconds(60));
+  CHECK(engines.mSent.size() == 1);
+}
+
+// Symptom: an engine that ignores fencing numbers ends with the old model.
+// Sequence: the old leader sends an order at the end of its lease; the engine
+// works on it for nearly the longest time; meanwhile a new leader's order has
+// been done; then the old one ends.
+// Cause: trust in a number that nobody checks.
+TEST_CASE("EngineThatIgnoresFencingWaitsForTheEarlierLeadersOrders")
+{
+  const bool checks = GENERATE(true, false);
+  TestEngines engines;
+  OrderDeskOptions options;
+  const TimePoint oldOrderEnds =
+    kStart + options.mLease + options.mSendWithin + options.mLongestOrder;
+  engines.Add("engine-1", checks, "new");
+  bool oldEnded = false;
+  while (engines.mNow < oldOrderEnds + std::chrono::seconds(60)) {
+    engines.Run(std::chrono::milliseconds(100));
+    // An engine that checks the numbers refuses the old order at its end.
+    if (!oldEnded && engines.mNow >= oldOrderEnds) {
+      oldEnded = true;
+      if (!checks) {
+        engines.mSetups[UpstreamName("engine-1")] = { .mModel = "old" };
+      }
+    }
+  }
+  CHECK(engines.mSetups[UpstreamName("engine-1")].mModel == "new");
+  REQUIRE(engines.mSent.size() == 1);
+}
+
+TEST_CASE("EngineThatChecksFencingIsOrderedAtOnce")
+{
+  TestEngines engines;
+  engines.Add("engine-1", true, "new");
+  engines.Run(std::chrono::seconds(1));
+  CHECK(engines.mSent.size() == 1);
+}
+
+TEST_CASE("StaleNumberEndsAllOrders")
+{
+  TestEngines engines;
+  engines.mOutcome = OrderOutcome::kStale;
+  engines.Add("engine-1", true, "large");
+  engines.Add("engine-2", true, "large");
+  engines.Run(std::chrono::seconds(60));
+  CHECK(engines.mDesk.IsStale());
+  CHECK(engines.mSent.size() == 1);
+}
+
+// Symptom: after a wave, all new engines load for many minutes and none serves.
+// Sequence: twenty engines are to load 10 GB each from a store of 2 GB/s.
+// Cause: all loads asked for at once share the rate and end together.
+TEST_CASE("LoadsAreAskedForAtTheWeightStoresRate")
+{
+  TestEngines engines;
+  engines.mObey = false;
+  for (int number = 10; number < 30; ++number) {
+    engines.Add("engine-" + std::to_string(number), true, "large");
+  }
+  engines.Step(SetupWantedEvent{ .mEngine = UpstreamName("engine-29"),
+                                 .mSetup = { .mModel = "large" },
+                                 .mModelBytes = 10ULL << 30,
+                                 .mUrgency = 1.0 });
+  engines.Run(std::chrono::seconds(50));
+  // One load takes the store 5 s; one more may wait at the store.
+  CHECK(engines.mSent.size() >= 10);
+  CHECK(engines.mSent.size() <= 12);
+  CHECK(engines.mSent[0].mEngine == UpstreamName("engine-29"));
+}
+
+TEST_CASE("FailedOrderIsReadBackAndTriedAgainWithBackoff")
+{
+  TestEngines engines;
+  engines.mObey = false;
+  engines.Add("engine-1", true, "large");
+  engines.Run(std::chrono::seconds(1));
+  REQUIRE(engines.mSent.size() == 1);
+  for (int failure = 0; failure < 6; ++failure) {
+    engines.Step(
+      OrderEndedEvent{ engines.mSent.back().mOrder, OrderOutcome::kFailed });
+    engines.Run(std::chrono::milliseconds(1500));
+    REQUIRE(engines.mSent.size() == static_cast<std::size_t>(failure) + 1);
+    engines.Run(std::chrono::minutes(2));
+    REQUIRE(engines.mSent.size() == static_cast<std::size_t>(failure) + 2);
+    CHECK(engines.mSent[engines.mSent.size() - 1].mNumber >
+          engines.mSent[engines.mSent.size() - 2].mNumber);
+  }
+}
+
+TEST_CASE("NewIncarnationIsReadAnewAndOldAnswersDoNotCount")
+{
+  TestEngines engines;
+  engines.Add("engine-1", true, "large");
+  engines.Run(std::chrono::seconds(1));
+  REQUIRE(engines.mSent.size() == 1);
+  engines.mSetups[UpstreamName("engine-1")] = {};
+  engines.Step(
+    EngineSeenEvent{ UpstreamName("engine-1"), Incarnation(2), true });
+  engines.Step(SetupReadEvent{
+    ReadNumber(1), UpstreamName("engine-1"), { .mModel = "large" } });
+  engines.Run(std::chrono::seconds(10));
+  CHECK(engines.mSent.size() == 2);
+}
+
+} // namespace peridotspool::fleet
