Test that other entries' demand leaves an entry its share

Symptom: an entry refused its first requests as over the limit. Cause: the demand that was known named only the other entry.

--- /dev/null
+++ b/test/request/ServiceDeskTest.cpp
@@ -0,0 +1,75 @@
+// ctest-labels: unit promise-refusal-did-not-run
+#include "request/ServiceDesk.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotspool::request {
+
+namespace {
+
+const CustomerName kLarge("aspida");
+const ServiceName kService("assistant");
+const TimePoint kNow{ std::chrono::hours(1) };
+
+ServiceDesk::Tree
+TreeWithLimits(const std::string& aRate, const std::string& aConcurrency)
+{
+  const std::string text =
+    "services:\n  assistant: { kind: model, idempotent: true }\n"
+    "customers:\n  aspida:\n    key_hashes: [" +
+    std::string(64, 'a') + "]\n    limits: { rate: " + aRate +
+    ", concurrency: " + aConcurrency + " }\n";
+  settings::SettingsErrors errors;
+  auto tree = settings::SettingsTree::Parse(text, "test", errors);
+  INFO(settings::ToText(errors));
+  REQUIRE(tree != nullptr);
+  return tree;
+}
+
+routing::AdmissionOutcome
+Ask(ServiceDesk& aDesk, const std::string& aKey, TimePoint aNow = kNow)
+{
+  return aDesk.Ask(
+    kService,
+    { .mKey = { kLarge, aKey }, .mDeadline = aNow + std::chrono::seconds(30) },
+    aNow);
+}
+
+} // namespace
+
+TEST_CASE("OtherEntriesDemandLeavesThisEntryItsShare")
+{
+  // Symptom: an entry refuses its first requests as over the limit, though
+  // hardly any run. Sequence: another entry publishes its demand; a caller asks
+  // here before this entry has published any. Cause: the demand that is known
+  // names only the other entry, so this one's part is nothing.
+  ServiceDesk desk(MemberId(1), {});
+  desk.TakeSettings(TreeWithLimits("100/s", "100"));
+  desk.TakeMembers({ MemberId(1), MemberId(2) });
+  REQUIRE(std::holds_alternative<routing::Admitted>(Ask(desk, "a")));
+  desk.TakeDemand(MemberId(2), kService, { { kLarge, 50.0 } }, kNow);
+  const TimePoint later = kNow + std::chrono::seconds(10);
+  CHECK(std::holds_alternative<routing::Admitted>(Ask(desk, "b", later)));
+}
+
+TEST_CASE("WithoutSettingsEverybodyIsAdmitted")
+{
+  ServiceDesk desk(MemberId(1), {});
+  CHECK(std::holds_alternative<routing::Admitted>(Ask(desk, "a")));
+}
+
+TEST_CASE("CustomerOverItsConcurrencyIsRefusedAtOnceAndToldWhenToComeBack")
+{
+  ServiceDesk desk(MemberId(1), {});
+  desk.TakeSettings(TreeWithLimits("100/s", "1"));
+  REQUIRE(std::holds_alternative<routing::Admitted>(Ask(desk, "a")));
+  const auto outcome = Ask(desk, "b");
+  const auto* refused = std::get_if<routing::Refused>(&outcome);
+  REQUIRE(refused != nullptr);
+  CHECK(refused->mReason == routing::AdmissionReason::kConcurrencyLimit);
+  CHECK(refused->mRetryAfter > Duration(0));
+  desk.Ended(kService, kLarge, std::chrono::seconds(1));
+  CHECK(std::holds_alternative<routing::Admitted>(Ask(desk, "c")));
+}
+
+} // namespace peridotspool::request
