Let an entry's part of a limit grow while demand keeps moving

Cause, found by reading how the parts are used: a grown part waited until it had held unchanged for 3 s, and demand that is published each second never holds unchanged, so a busy entry would have refused for good; a part was reckoned once, so an entry that started alone kept the whole limit when others joined, and a lowered limit only counted after the next exchange; and an entry that had published nothing was left out of the others' sum.

Change: the part in force is the least of the parts of the last 3 s; it is reckoned anew when the members or the limit change; every member counts.

The three new tests describe the faults above; the two of them that concern the old code's growth and joining were not run against the old code, whose interface differs.

--- a/include/peridotspool/routing/Admission.h
+++ b/include/peridotspool/routing/Admission.h
@@ -66,7 +66,10 @@
 
   /** What this entry publishes: requests a second asked for by customer. */
   std::map<CustomerName, double> Demand(TimePoint aNow);
-  /** Takes what all entries published for a customer, this one included. */
+  /**
+   * Takes what the entries published for a customer, this one included; those
+   * that published nothing have no demand.
+   */
   void TakeDemand(const CustomerName& aCustomer,
                   const PublishedDemand& aPublished,
                   const settings::EffectiveService& aSettings,
@@ -76,7 +79,18 @@
   std::size_t Waiting() const { return mQueue.Size(); }
 
 private:
-  SharedLimit& LimitOf(const settings::EffectiveService& aSettings);
+  /** A customer's limits, and what this entry's part was reckoned from. */
+  struct CustomerLimit
+  {
+    settings::Limits mWhole;
+    PublishedDemand mPublished;
+    std::uint64_t mMembersVersion = 0;
+    SharedLimit mPart;
+  };
+
+  SharedLimit& LimitOf(const settings::EffectiveService& aSettings,
+                       TimePoint aNow);
+  settings::Limits PartOf(const CustomerLimit& aLimit) const;
   Duration ExpectedWait(const CustomerName& aCustomer) const;
   AdmissionOutcome Enqueue(const AdmissionQuery& aQuery);
 
@@ -84,7 +98,8 @@
   MemberId mSelf;
   std::vector<MemberId> mMembers;
   FairQueue mQueue;
-  std::map<CustomerName, SharedLimit> mLimits;
+  std::uint64_t mMembersVersion = 0;
+  std::map<CustomerName, CustomerLimit> mLimits;
   std::size_t mRunning = 0;
   double mHoldMicros;
 };
--- a/include/peridotspool/routing/SharedLimit.h
+++ b/include/peridotspool/routing/SharedLimit.h
@@ -6,6 +6,7 @@
 
 #include <boost/describe/enum.hpp>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace peridotspool::routing {
@@ -18,14 +19,13 @@
 };
 BOOST_DESCRIBE_ENUM(LimitReached, kRate, kConcurrency)
 
-/** How long a grown share waits until the others have surely shrunk theirs. */
+/** How long a share has to hold before a larger one is used. */
 inline constexpr Duration kShareSettles = std::chrono::seconds(3);
 
 /**
- * One entry's part of a customer's limits. A smaller share counts at once, a
- * larger one only after kShareSettles: while published demand reaches every
- * entry within that time, the parts in use never sum to more than the limits
- * (but for each entry's burst of a second's worth, at least one request).
+ * One entry's part of a customer's limits: the least of the parts of the last
+ * kShareSettles. A smaller part counts at once, a larger one only when the
+ * others have had the time to hear of what shrank theirs.
  */
 class SharedLimit
 {
@@ -43,15 +43,24 @@
   Duration UntilNext(TimePoint aNow);
   /** Requests a second that were asked for lately, refused ones included. */
   double Demand(TimePoint aNow);
+  /** The part that counts now. */
+  const settings::Limits& InForce(TimePoint aNow);
   std::uint64_t InUse() const { return mInUse; }
 
 private:
+  /** A part, and since when it is the newest. */
+  struct Part
+  {
+    TimePoint mSince;
+    settings::Limits mLimits;
+  };
+
   void Settle(TimePoint aNow);
   void CountDemand(TimePoint aNow, double aAsked);
 
   settings::Limits mInForce;
-  settings::Limits mPending;
-  TimePoint mPendingSince;
+  /** Those that were the newest within the last kShareSettles. */
+  std::deque<Part> mParts;
   TokenBucket mBucket;
   std::uint64_t mInUse = 0;
   double mDemand = 0;
--- a/src/routing/Admission.cpp
+++ b/src/routing/Admission.cpp
@@ -22,30 +22,52 @@
 {
 }
 
+/**
+ * An entry that has published nothing has no demand, but it has its even part:
+ * left out it would be let in by itself and not be counted by the others.
+ */
+settings::Limits
+Admission::PartOf(const CustomerLimit& aLimit) const
+{
+  PublishedDemand ofMembers;
+  for (const MemberId member : mMembers) {
+    const auto found = aLimit.mPublished.find(member);
+    ofMembers[member] = found == aLimit.mPublished.end() ? 0 : found->second;
+  }
+  return LimitShare(aLimit.mWhole, ofMembers, mSelf);
+}
+
 SharedLimit&
-Admission::LimitOf(const settings::EffectiveService& aSettings)
+Admission::LimitOf(const settings::EffectiveService& aSettings, TimePoint aNow)
 {
   mQueue.SetWeight(aSettings.mCustomer, aSettings.mWeight);
   const auto found = mLimits.find(aSettings.mCustomer);
-  if (found != mLimits.end()) {
-    return found->second;
+  if (found == mLimits.end()) {
+    CustomerLimit fresh{ .mWhole = aSettings.mLimits,
+                         .mPublished = {},
+                         .mMembersVersion = mMembersVersion,
+                         .mPart = SharedLimit({}) };
+    fresh.mPart = SharedLimit(PartOf(fresh));
+    return mLimits.emplace(aSettings.mCustomer, std::move(fresh))
+      .first->second.mPart;
   }
-  // Before the others' demand is known an even part is safe: the whole limit
-  // at each of N entries would let N times as much in.
-  PublishedDemand even;
-  for (const MemberId member : mMembers) {
-    even.emplace(member, 0);
+  CustomerLimit& limit = found->second;
+  if (limit.mWhole != aSettings.mLimits ||
+      limit.mMembersVersion != mMembersVersion) {
+    limit.mWhole = aSettings.mLimits;
+    limit.mMembersVersion = mMembersVersion;
+    limit.mPart.SetShare(PartOf(limit), aNow);
   }
-  return mLimits
-    .emplace(aSettings.mCustomer,
-             SharedLimit(LimitShare(aSettings.mLimits, even, mSelf)))
-    .first->second;
+  return limit.mPart;
 }
 
 void
 Admission::SetMembers(std::vector<MemberId> aMembers)
 {
-  mMembers = std::move(aMembers);
+  if (aMembers != mMembers) {
+    mMembers = std::move(aMembers);
+    ++mMembersVersion;
+  }
 }
 
 AdmissionOutcome
@@ -53,7 +75,7 @@
                const settings::EffectiveService& aSettings,
                TimePoint aNow)
 {
-  SharedLimit& limit = LimitOf(aSettings);
+  SharedLimit& limit = LimitOf(aSettings, aNow);
   const bool runsAtOnce = mRunning < mOptions.mMaxRunning && mQueue.Size() == 0;
   const Duration hold(static_cast<Duration::rep>(mHoldMicros));
   const Duration wait =
@@ -118,7 +140,7 @@
 {
   const auto found = mLimits.find(aCustomer);
   if (found != mLimits.end()) {
-    found->second.Release();
+    found->second.mPart.Release();
   }
   mRunning -= mRunning > 0 ? 1 : 0;
   mHoldMicros +=
@@ -143,7 +165,7 @@
   for (const QueuedRequest& request : late) {
     const auto found = mLimits.find(request.mKey.mCustomer);
     if (found != mLimits.end()) {
-      found->second.Release();
+      found->second.mPart.Release();
     }
   }
   return late;
@@ -160,7 +182,7 @@
 {
   std::map<CustomerName, double> demand;
   for (auto& [customer, limit] : mLimits) {
-    demand.emplace(customer, limit.Demand(aNow));
+    demand.emplace(customer, limit.mPart.Demand(aNow));
   }
   return demand;
 }
@@ -172,10 +194,14 @@
                       TimePoint aNow)
 {
   const auto found = mLimits.find(aCustomer);
-  if (found != mLimits.end()) {
-    found->second.SetShare(LimitShare(aSettings.mLimits, aPublished, mSelf),
-                           aNow);
+  if (found == mLimits.end()) {
+    return;
   }
+  CustomerLimit& limit = found->second;
+  limit.mWhole = aSettings.mLimits;
+  limit.mPublished = aPublished;
+  limit.mMembersVersion = mMembersVersion;
+  limit.mPart.SetShare(PartOf(limit), aNow);
 }
 
 } // namespace peridotspool::routing
--- a/src/routing/SharedLimit.cpp
+++ b/src/routing/SharedLimit.cpp
@@ -10,12 +10,21 @@
 /** Time over which demand is averaged. */
 constexpr double kDemandMicros = 2e6;
 constexpr double kMicrosPerSecond = 1e6;
+constexpr std::size_t kMaxParts = 64;
+
+settings::Limits
+Least(const settings::Limits& aLeft, const settings::Limits& aRight)
+{
+  return { .mRatePerSecond =
+             std::min(aLeft.mRatePerSecond, aRight.mRatePerSecond),
+           .mConcurrency = std::min(aLeft.mConcurrency, aRight.mConcurrency) };
+}
 
 } // namespace
 
 SharedLimit::SharedLimit(const settings::Limits& aShare)
   : mInForce(aShare)
-  , mPending(aShare)
+  , mParts{ { TimePoint::min(), aShare } }
   , mBucket(aShare.mRatePerSecond)
 {
 }
@@ -23,26 +32,38 @@
 void
 SharedLimit::SetShare(const settings::Limits& aShare, TimePoint aNow)
 {
-  Settle(aNow);
-  if (aShare != mPending) {
-    mPending = aShare;
-    mPendingSince = aNow;
+  // Too many parts for the window: the oldest two count as the lesser.
+  if (mParts.size() == kMaxParts) {
+    mParts[1].mLimits = Least(mParts[0].mLimits, mParts[1].mLimits);
+    mParts.pop_front();
   }
-  mInForce.mRatePerSecond =
-    std::min(mInForce.mRatePerSecond, aShare.mRatePerSecond);
-  mInForce.mConcurrency = std::min(mInForce.mConcurrency, aShare.mConcurrency);
-  mBucket.SetRate(mInForce.mRatePerSecond, aNow);
+  mParts.push_back({ aNow, aShare });
+  Settle(aNow);
 }
 
 void
 SharedLimit::Settle(TimePoint aNow)
 {
-  if (mInForce != mPending && aNow - mPendingSince >= kShareSettles) {
-    mInForce = mPending;
+  while (mParts.size() > 1 && mParts[1].mSince + kShareSettles <= aNow) {
+    mParts.pop_front();
+  }
+  settings::Limits least = mParts.front().mLimits;
+  for (const Part& part : mParts) {
+    least = Least(least, part.mLimits);
+  }
+  if (least != mInForce) {
+    mInForce = least;
     mBucket.SetRate(mInForce.mRatePerSecond, aNow);
   }
 }
 
+const settings::Limits&
+SharedLimit::InForce(TimePoint aNow)
+{
+  Settle(aNow);
+  return mInForce;
+}
+
 std::optional<LimitReached>
 SharedLimit::Take(TimePoint aNow)
 {
--- a/test/routing/AdmissionTest.cpp
+++ b/test/routing/AdmissionTest.cpp
@@ -1,6 +1,7 @@
 // ctest-labels: unit promise-refusal-did-not-run
 #include "peridotspool/routing/Admission.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
@@ -173,4 +174,100 @@
         10);
 }
 
+// Symptom: entries together let several times a customer's limit in.
+// Sequence: an entry starts alone and has the whole limit; others join.
+// Cause: a part that is reckoned once, when the customer first asks.
+TEST_CASE("PartShrinksAtOnceWhenEntriesJoinOrTheLimitIsLowered")
+{
+  Admission admission({}, MemberId(1));
+  const auto admitted = [&](const settings::EffectiveService& aSettings) {
+    int count = 0;
+    while (!Reason(admission.Ask(Query(), aSettings, kStart))) {
+      ++count;
+    }
+    for (int at = 0; at < count; ++at) {
+      admission.Ended(CustomerName("c"), milliseconds(1));
+    }
+    return count;
+  };
+  CHECK(admitted(Settings(1000, 40)) == 40);
+  admission.SetMembers({ MemberId(1), MemberId(2), MemberId(3), MemberId(4) });
+  CHECK(admitted(Settings(1000, 40)) == 10);
+  CHECK(admitted(Settings(1000, 20)) == 5);
+}
+
+// Symptom: a customer's callers at a busy entry are refused for good, although
+// its limit is far from reached.
+// Sequence: demand is published each second and never twice the same.
+// Cause: a grown part is used only after it held unchanged for some seconds.
+TEST_CASE("GrownPartIsUsedThoughDemandKeepsMoving")
+{
+  const settings::Limits limits{ .mRatePerSecond = 100, .mConcurrency = 100 };
+  PublishedDemand published{ { MemberId(1), 0 }, { MemberId(2), 50 } };
+  SharedLimit part(LimitShare(limits, published, MemberId(1)));
+  TimePoint now = kStart;
+  for (int second = 0; second < 5; ++second) {
+    now += seconds(1);
+    published[MemberId(1)] = 50 + second;
+    part.SetShare(LimitShare(limits, published, MemberId(1)), now);
+  }
+  CHECK(part.InForce(now).mRatePerSecond > 45);
+}
+
+TEST_CASE("PartsInUseStayWithinTheLimitWhileDemandMoves")
+{
+  rc::prop("five entries, each hears of the others up to a second late", [] {
+    constexpr std::uint64_t kEntries = 5;
+    const settings::Limits limits{ .mRatePerSecond = 100, .mConcurrency = 100 };
+    PublishedDemand none;
+    for (std::uint64_t at = 1; at <= kEntries; ++at) {
+      none[MemberId(at)] = 0;
+    }
+    std::map<MemberId, PublishedDemand> views;
+    std::map<MemberId, SharedLimit> parts;
+    for (const auto& [member, demand] : none) {
+      views[member] = none;
+      parts.emplace(member, SharedLimit(LimitShare(limits, none, member)));
+    }
+    struct News
+    {
+      TimePoint mAt;
+      MemberId mTo;
+      MemberId mFrom;
+      double mDemand;
+    };
+    std::vector<News> news;
+    std::map<MemberId, milliseconds> phases;
+    for (const auto& [member, unused] : none) {
+      phases[member] = milliseconds(*rc::gen::inRange(0, 1000));
+    }
+    for (int second = 0; second < 12; ++second) {
+      for (const auto& [from, unused] : none) {
+        const double demand = *rc::gen::element(0, 0, 10, 100);
+        for (const auto& [to, alsoUnused] : none) {
+          const milliseconds late(to == from ? 0 : *rc::gen::inRange(0, 1000));
+          news.push_back({ kStart + seconds(second) + phases[from] + late,
+                           to,
+                           from,
+                           demand });
+        }
+      }
+    }
+    std::stable_sort(
+      news.begin(), news.end(), [](const News& aLeft, const News& aRight) {
+        return aLeft.mAt < aRight.mAt;
+      });
+    for (const News& one : news) {
+      views[one.mTo][one.mFrom] = one.mDemand;
+      parts.at(one.mTo).SetShare(LimitShare(limits, views[one.mTo], one.mTo),
+                                 one.mAt);
+      double inUse = 0;
+      for (auto& [member, part] : parts) {
+        inUse += part.InForce(one.mAt).mRatePerSecond;
+      }
+      RC_ASSERT(inUse <= limits.mRatePerSecond * 1.0001);
+    }
+  });
+}
+
 } // namespace peridotspool::routing
