Give an entry its part of what nobody asks for of a rate

Cause: all but a tenth of a limit followed published demand, so a customer far below its limit was refused at the entry it had just turned to. Ruled out: places not given back (each ended request releases its place). Change: while all demand is within the limit an entry has its own demand and an even part of the spare rate; of requests under way half is even.

--- a/src/routing/LimitShare.cpp
+++ b/src/routing/LimitShare.cpp
@@ -8,22 +8,61 @@
 
 namespace {
 
-/** Divided evenly, so that an entry without demand can let a first one in. */
+/** Divided evenly in any case, so that an entry without demand can let a
+ * first one in. */
 constexpr double kEvenPart = 0.1;
+/** The same for requests under way, whose number follows no published rate. */
+constexpr double kEvenPartUnderWay = 0.5;
 
-/** Returns each entry's part of 1, in the order of the published demand. */
-std::vector<double>
-Fractions(const PublishedDemand& aPublished)
+using Fractions = std::vector<double>;
+
+double
+DemandOf(double aPublished)
+{
+  return std::max(0.0, aPublished);
+}
+
+double
+SumOf(const PublishedDemand& aPublished)
 {
   double sum = 0;
   for (const auto& [member, demand] : aPublished) {
-    sum += std::max(0.0, demand);
+    sum += DemandOf(demand);
   }
+  return sum;
+}
+
+/** Returns each entry's part of 1: aEven of it evenly, the rest by demand. */
+Fractions
+ByDemand(const PublishedDemand& aPublished, double aEven)
+{
+  const double sum = SumOf(aPublished);
   const auto count = static_cast<double>(aPublished.size());
-  std::vector<double> fractions;
+  Fractions fractions;
+  for (const auto& [member, demand] : aPublished) {
+    const double byDemand = sum > 0 ? DemandOf(demand) / sum : 1 / count;
+    fractions.push_back(aEven / count + (1 - aEven) * byDemand);
+  }
+  return fractions;
+}
+
+/**
+ * Returns each entry's part of a rate. While all demand is within the limit an
+ * entry has its own demand and an even part of what nobody asks for: by demand
+ * alone, a customer far below its limit would be refused at the entry that it
+ * has just turned to, until the others' published demand has faded.
+ */
+Fractions
+OfRate(const PublishedDemand& aPublished, double aLimit)
+{
+  const double sum = SumOf(aPublished);
+  if (aLimit <= 0 || sum >= (1 - kEvenPart) * aLimit) {
+    return ByDemand(aPublished, kEvenPart);
+  }
+  const double spare = (aLimit - sum) / static_cast<double>(aPublished.size());
+  Fractions fractions;
   for (const auto& [member, demand] : aPublished) {
-    const double byDemand = sum > 0 ? std::max(0.0, demand) / sum : 1 / count;
-    fractions.push_back(kEvenPart / count + (1 - kEvenPart) * byDemand);
+    fractions.push_back((DemandOf(demand) + spare) / aLimit);
   }
   return fractions;
 }
@@ -34,9 +73,7 @@
  * own would let many entries exceed a small limit together.
  */
 std::uint64_t
-WholePart(std::uint64_t aTotal,
-          const std::vector<double>& aFractions,
-          std::size_t aSelf)
+WholePart(std::uint64_t aTotal, const Fractions& aFractions, std::size_t aSelf)
 {
   const auto total = static_cast<double>(aTotal);
   const auto lost = [&](std::size_t aAt) {
@@ -69,9 +106,10 @@
   }
   const auto index =
     static_cast<std::size_t>(std::distance(aPublished.begin(), self));
-  const std::vector<double> fractions = Fractions(aPublished);
-  return { .mRatePerSecond = aLimits.mRatePerSecond * fractions[index],
-           .mConcurrency = WholePart(aLimits.mConcurrency, fractions, index) };
+  const Fractions rate = OfRate(aPublished, aLimits.mRatePerSecond);
+  const Fractions underWay = ByDemand(aPublished, kEvenPartUnderWay);
+  return { .mRatePerSecond = aLimits.mRatePerSecond * rate[index],
+           .mConcurrency = WholePart(aLimits.mConcurrency, underWay, index) };
 }
 
 } // namespace peridotspool::routing
