--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -1,5 +1,7 @@
 #include "request/EntryNodeState.h"
 
+#include "peridotspool/routing/SpreadTargets.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -162,6 +164,8 @@
 void
 EntryNodeState::On(const SettingsTakenEvent& aEvent)
 {
+  mTree = aEvent.mTree;
+  StepRequests(SettingsEvent{ mTree });
   StepSession(membership::SettingsInForceEvent{ aEvent.mRevision });
 }
 
@@ -205,7 +209,14 @@
   mSelf = aEffect.mMember;
   mLedger.emplace(mSelf, mOptions.mLedger);
   mRequests.emplace(mSelf, mOptions.mRequests, mRouter);
+  StepRequests(SettingsEvent{ mTree });
   mEffects->emplace_back(BecameMemberEffect{ mSelf });
+  // The member list may come before the answer that gives us our id. A ledger
+  // that never heard of the list answers no query of its peers: each shard that
+  // this entry is in would stand still until the next epoch, unless it is told.
+  if (mSession->Epoch().mEpoch.IsSet()) {
+    HandOn(mSession->Epoch());
+  }
 }
 
 void
@@ -245,8 +256,7 @@
   }
   mDirectory.TakeEpoch(map);
   mEffects->emplace_back(EpochTakenEffect{ map.mEpoch, map.mMembers.size() });
-  StepLedger(ledger::EpochChangedEvent{ map });
-  StepRequests(MembersEvent{ map });
+  HandOn(map);
   const auto self = mMembers.find(mSelf);
   const bool draining =
     self != mMembers.end() &&
@@ -258,6 +268,13 @@
   }
 }
 
+void
+EntryNodeState::HandOn(const membership::EpochMap& aMap)
+{
+  StepLedger(ledger::EpochChangedEvent{ aMap });
+  StepRequests(MembersEvent{ aMap });
+}
+
 void
 EntryNodeState::StepLedger(const ledger::Event& aEvent)
 {
@@ -365,9 +382,15 @@
 EntryNodeState::SpreadAnnouncement(
   const routing::UpstreamAnnouncement& aAnnouncement)
 {
+  std::vector<MemberId> members;
   for (const auto& [id, member] : mMembers) {
-    if (id != mSelf) {
-      SendToMember(id, aAnnouncement);
+    members.push_back(id);
+  }
+  // A report to every entry would grow with entries times upstreams.
+  for (const MemberId target :
+       routing::SpreadTargets(aAnnouncement.mName, members)) {
+    if (target != mSelf) {
+      SendToMember(target, aAnnouncement);
     }
   }
 }
--- a/src/request/EntryNodeState.h
+++ b/src/request/EntryNodeState.h
@@ -52,6 +52,8 @@
   void Carry(const membership::NewSettingsEffect& aEffect);
   void Carry(const membership::NewEpochEffect& aEffect);
 
+  /** Tells the parts that hold requests who the members are. */
+  void HandOn(const membership::EpochMap& aMap);
   void StepLedger(const ledger::Event& aEvent);
   void Carry(const ledger::SendEffect& aEffect);
   void Carry(const ledger::AnsweredEffect& aEffect);
@@ -78,6 +80,7 @@
   routing::Router mRouter;
   membership::EntryDirectory mDirectory;
   std::optional<membership::ControlSession> mSession;
+  std::shared_ptr<const settings::SettingsTree> mTree;
   membership::EntryNonce mNonce;
   MemberId mSelf;
   std::optional<ledger::Ledger> mLedger;
