--- a/include/peridotspool/runtime/OperatorClient.h
+++ b/include/peridotspool/runtime/OperatorClient.h
@@ -44,6 +44,9 @@
   /** Asks the first entry that answers. */
   std::optional<http::HttpResponse> AskEntry(const http::HttpRequest& aRequest,
                                              LastReason& aReason);
+  /** Asks every entry and returns the answers that came. */
+  std::vector<http::HttpResponse> AskEveryEntry(
+    const http::HttpRequest& aRequest);
   /** Asks one address, once. */
   std::optional<http::HttpResponse> Ask(const Address& aPeer,
                                         http::HttpRequest aRequest,
--- a/src/runtime/CtlCommands.cpp
+++ b/src/runtime/CtlCommands.cpp
@@ -224,12 +224,18 @@
   if (!response) {
     return CtlExit::kUnreachable;
   }
-  if (response->mStatus != kStatusOk) {
-    return PrintRefusal(*response);
+  return PrintAnswer(*response);
+}
+
+CtlExit
+CtlCommands::PrintAnswer(const http::HttpResponse& aResponse)
+{
+  if (aResponse.mStatus != kStatusOk) {
+    return PrintRefusal(aResponse);
   }
-  const json::object answer = ObjectOf(*response);
+  const json::object answer = ObjectOf(aResponse);
   if (mFormat == CtlFormat::kJson) {
-    std::cout << response->mBody << "\n";
+    std::cout << aResponse.mBody << "\n";
     return CtlExit::kDone;
   }
   std::cout << FieldsOf(answer);
@@ -261,7 +267,19 @@
 CtlExit
 CtlCommands::Explain(const std::string& aCustomer, const std::string& aKey)
 {
-  return PrintEntryAnswer("/v1/explain/" + aCustomer + "/" + aKey);
+  // Choices are kept by the entries that made them: the request's executors.
+  const auto answers = mClient.AskEveryEntry(
+    { .mMethod = "GET", .mPath = "/v1/explain/" + aCustomer + "/" + aKey });
+  for (const auto& answer : answers) {
+    const json::value choices = FieldOf(ObjectOf(answer), "choices");
+    const bool kept = choices.is_array() && !choices.get_array().empty();
+    if (answer.mStatus != kStatusOk || kept) {
+      return PrintAnswer(answer);
+    }
+  }
+  std::cerr << (answers.empty() ? "no entry answers\n"
+                                : "no entry keeps its choices any more\n");
+  return answers.empty() ? CtlExit::kUnreachable : CtlExit::kRefused;
 }
 
 } // namespace peridotspool::runtime
--- a/src/runtime/OperatorClient.cpp
+++ b/src/runtime/OperatorClient.cpp
@@ -160,6 +160,19 @@
   return std::nullopt;
 }
 
+std::vector<http::HttpResponse>
+OperatorClient::AskEveryEntry(const http::HttpRequest& aRequest)
+{
+  std::vector<http::HttpResponse> responses;
+  for (const Address& entry : mOptions.mEntries) {
+    LastReason ignored;
+    if (auto response = Ask(entry, aRequest, ignored)) {
+      responses.push_back(std::move(*response));
+    }
+  }
+  return responses;
+}
+
 std::optional<http::HttpResponse>
 OperatorClient::AskControl(const http::HttpRequest& aRequest,
                            LastReason& aReason)
