Take out an entry that its peers miss

Cause: an entry that reaches the control replicas but none of its peers stalled the shards that it holds for as long as the cut lasted; only the control replicas' hearing decided.

--- a/src/control/ControlEntries.cpp
+++ b/src/control/ControlEntries.cpp
@@ -58,7 +58,7 @@
     return;
   }
   const HeartbeatAnswer answer = AnswerFor(aNonce, aHeartbeat);
-  mEffects.emplace_back(ToEntryEffect{ aNonce, answer });
+  SendToEntry(aNonce, answer);
   if (answer.mLeads && answer.mStanding != Standing::kRemoved) {
     PushIfBehind(aNonce, *session);
   }
@@ -115,6 +115,16 @@
   }
 }
 
+void
+ControlNodeState::SendToEntry(EntryNonce aNonce,
+                              membership::ToEntryMessage aMessage)
+{
+  ToEntryEffect effect;
+  effect.mTo = aNonce;
+  effect.mMessage = std::move(aMessage);
+  mEffects.emplace_back(std::move(effect));
+}
+
 void
 ControlNodeState::PushIfBehind(EntryNonce aNonce, EntrySession& aSession)
 {
@@ -140,9 +150,9 @@
 {
   aSession.mPushedRevision = State().mSettings.mRevision;
   aSession.mPushedRevisionAt = mNow;
-  mEffects.emplace_back(ToEntryEffect{
+  SendToEntry(
     aNonce,
-    MakeSettingsPush(State().mSettings, mMachine.SettingsDigest(), aHave) });
+    MakeSettingsPush(State().mSettings, mMachine.SettingsDigest(), aHave));
 }
 
 void
@@ -152,8 +162,7 @@
 {
   aSession.mPushedEpoch = State().mMembership.mCurrent.mEpoch;
   aSession.mPushedEpochAt = mNow;
-  mEffects.emplace_back(
-    ToEntryEffect{ aNonce, MakeEpochPush(State().mMembership, aHave) });
+  SendToEntry(aNonce, MakeEpochPush(State().mMembership, aHave));
 }
 
 // Right after a commit, entries that are nearly up to date get the change at
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -97,6 +97,8 @@
   void TakeStanding(membership::EntryNonce aNonce,
                     const membership::EntryHeartbeat& aHeartbeat,
                     membership::HeartbeatAnswer& aAnswer);
+  void SendToEntry(membership::EntryNonce aNonce,
+                   membership::ToEntryMessage aMessage);
   void PushIfBehind(membership::EntryNonce aNonce, EntrySession& aSession);
   void PushSettings(membership::EntryNonce aNonce,
                     EntrySession& aSession,
--- a/src/control/EpochPlanner.cpp
+++ b/src/control/EpochPlanner.cpp
@@ -26,6 +26,7 @@
   , mSelf(aSelf)
   , mLeaderSince(aLeaderSince)
   , mNow(aLeaderSince)
+  , mSuspects(aOptions.mMemberTimeout)
 {
 }
 
@@ -96,6 +97,7 @@
 {
   mNow = aNow;
   MembershipCommand command;
+  mSuspects.Update(aSessions, aState.mCurrent, aNow);
   AddRemovals(aSessions, aState, aReplicas, command);
   AddDrains(aSessions, aState, command);
   AddJoins(aSessions, aState, command);
@@ -146,7 +148,8 @@
       aCommand.mRemovals.push_back(member.mId);
       continue;
     }
-    if (!IsSilent(member.mId, *view, aReplicas)) {
+    if (!IsSilent(member.mId, *view, aReplicas) &&
+        mSuspects.Worst() != member.mId) {
       mWithheld.erase(member.mId);
       continue;
     }
--- a/src/control/EpochPlanner.h
+++ b/src/control/EpochPlanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/EntrySessions.h"
+#include "control/SuspectCount.h"
 #include "peridotspool/control/Command.h"
 #include "peridotspool/control/ControlOptions.h"
 #include "peridotspool/control/MembershipState.h"
@@ -84,6 +85,7 @@
   TimePoint mLeaderSince;
   TimePoint mNow;
   std::map<ReplicaId, Report> mReports;
+  SuspectCount mSuspects;
   std::set<MemberId> mWithheld;
   std::vector<MemberId> mNewlySilent;
   std::set<MemberId> mDrains;
