Let a refused key begin again

Cause: a caller that was told when to come back got its old refusal for as long as answers are kept, because a known key only ever returned its record. Change: an accept of a key whose outcome is a committed refusal begins it again with the next executor turn; accepts that were refused are remembered, so that a late duplicate of one begins nothing. Late intents of the refused turn are turned down by the turn.

--- a/include/peridotspool/ledger/TransferMessage.h
+++ b/include/peridotspool/ledger/TransferMessage.h
@@ -34,12 +34,15 @@
   Duration mRetireIn{ 0 };
   /** Its answer was acknowledged, and only a marker is kept. */
   bool mForgotten = false;
+  /** Earlier accepts of this key that ended refused. */
+  std::vector<Origin> mRefusedAccepts;
 
   auto operator<=>(const RecordCopy&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(RecordCopy,
-                      (),
-                      (mRecord, mAccepted, mRemaining, mRetireIn, mForgotten))
+BOOST_DESCRIBE_STRUCT(
+  RecordCopy,
+  (),
+  (mRecord, mAccepted, mRemaining, mRetireIn, mForgotten, mRefusedAccepts))
 
 /** A place in a shard's log and the record that it changed. */
 struct LogEntry
--- a/src/ledger/RecordRules.cpp
+++ b/src/ledger/RecordRules.cpp
@@ -2,10 +2,15 @@
 
 #include "peridotspool/base/Overloaded.h"
 
+#include <algorithm>
+
 namespace peridotspool::ledger {
 
 namespace {
 
+/** How often one key may be refused and begin again while it is kept. */
+constexpr std::size_t kMaxRefusedAccepts = 16;
+
 constexpr Judgement kChange{ .mVerdict = Verdict::kDone, .mChanges = true };
 constexpr Judgement kRepeated{ .mVerdict = Verdict::kDone, .mChanges = false };
 
@@ -24,6 +29,19 @@
          aLeft.mIdempotent == aRight.mIdempotent && aLeft.mBody == aRight.mBody;
 }
 
+// A caller that was told when to come back does so with the same key. What was
+// refused surely did not run, so the key may begin again; but not by a late
+// duplicate of the accept that was refused: nobody waits for that any more.
+bool
+BeginsAgain(const StoredRecord& aStored, const Origin& aOrigin)
+{
+  const std::vector<Origin>& refused = aStored.mRefusedAccepts;
+  return aStored.mRecord.mOutcome &&
+         aStored.mRecord.mOutcome->mKind == OutcomeKind::kRefused &&
+         refused.size() < kMaxRefusedAccepts &&
+         std::find(refused.begin(), refused.end(), aOrigin) == refused.end();
+}
+
 Judgement
 JudgeAccept(const StoredRecord& aStored,
             const AcceptOperation& aAccept,
@@ -35,7 +53,10 @@
   if (!SameTerms(aStored.mRecord.mTerms, aAccept.mTerms)) {
     return Refuse(Verdict::kOtherTerms);
   }
-  return aStored.mAccepted == aOrigin ? kRepeated : Refuse(Verdict::kKnown);
+  if (aStored.mAccepted == aOrigin) {
+    return kRepeated;
+  }
+  return BeginsAgain(aStored, aOrigin) ? kChange : Refuse(Verdict::kKnown);
 }
 
 Judgement
--- a/src/ledger/RecordStore.cpp
+++ b/src/ledger/RecordStore.cpp
@@ -38,7 +38,8 @@
            .mAccepted = aStored.mAccepted,
            .mRemaining = aStored.mDeadline - aNow,
            .mRetireIn = aStored.mAlarm - aNow,
-           .mForgotten = aStored.mForgotten };
+           .mForgotten = aStored.mForgotten,
+           .mRefusedAccepts = aStored.mRefusedAccepts };
 }
 
 const StoredRecord*
@@ -97,12 +98,27 @@
   stored.mRecord.mTerms = aAccept.mTerms;
   stored.mRecord.mExecutor = aAccept.mExecutor;
   stored.mRecord.mExecutorTurn = AttemptNumber(1);
+  const auto before = mRecords.find(aKey);
+  if (before != mRecords.end()) {
+    BeginAgain(before->second, stored);
+  }
   stored.mAccepted = aOrigin;
   stored.mDeadline = aNow + aAccept.mRemaining;
   stored.mAlarm = stored.mDeadline + aOptions.mDeadlineGrace;
   Insert(std::move(stored), aOptions);
 }
 
+void
+RecordStore::BeginAgain(const StoredRecord& aRefused, StoredRecord& aFresh)
+{
+  Unlink(aRefused);
+  // The next turn, so that whatever the refused one's executor still sends is
+  // turned down.
+  aFresh.mRecord.mExecutorTurn = aRefused.mRecord.mExecutorTurn.Next();
+  aFresh.mRefusedAccepts = aRefused.mRefusedAccepts;
+  aFresh.mRefusedAccepts.push_back(aRefused.mAccepted);
+}
+
 void
 RecordStore::Put(const RecordCopy& aCopy,
                  const LedgerOptions& aOptions,
@@ -114,6 +130,7 @@
   stored.mAccepted = aCopy.mAccepted;
   stored.mDeadline = aNow + aCopy.mRemaining;
   stored.mForgotten = aCopy.mForgotten;
+  stored.mRefusedAccepts = aCopy.mRefusedAccepts;
   stored.mAlarm = stored.mRecord.mOutcome
                     ? aNow + aCopy.mRetireIn
                     : stored.mDeadline + aOptions.mDeadlineGrace;
--- a/src/ledger/RecordStore.h
+++ b/src/ledger/RecordStore.h
@@ -63,6 +63,8 @@
               const Origin& aOrigin,
               const LedgerOptions& aOptions,
               TimePoint aNow);
+  /** Lets go of a refused record and carries on its turn and its accepts. */
+  void BeginAgain(const StoredRecord& aRefused, StoredRecord& aFresh);
   void Insert(StoredRecord aStored, const LedgerOptions& aOptions);
   void Unlink(const StoredRecord& aStored);
   void Link(StoredRecord& aStored, const LedgerOptions& aOptions);
--- a/src/ledger/StoredRecord.h
+++ b/src/ledger/StoredRecord.h
@@ -3,6 +3,8 @@
 #include "peridotspool/ledger/Origin.h"
 #include "peridotspool/ledger/RequestRecord.h"
 
+#include <vector>
+
 #include <cstdint>
 
 namespace peridotspool::ledger {
@@ -13,6 +15,8 @@
   RequestRecord mRecord;
   /** The accept that made it; a resent one is answered kDone again. */
   Origin mAccepted;
+  /** Earlier accepts of this key that ended refused, the oldest first. */
+  std::vector<Origin> mRefusedAccepts;
   TimePoint mDeadline;
   /** When the primary next has to look at it (deadline or retention). */
   TimePoint mAlarm;
