Divide what nobody asks for evenly among the entries

Cause: with a tenth divided evenly a customer far below its limit was refused at an entry that its callers had just turned to, for the seconds until its demand was known and its part had grown.

Change: what nobody asks for, at least a tenth, is divided evenly; the rest by demand. Parts still sum to exactly the limits.

Shown failing first with the even tenth alone (mutation on a scratch copy: CustomerBelowItsLimitIsLetInWhereItTurnsUpNext).

--- a/include/peridotspool/routing/LimitShare.h
+++ b/include/peridotspool/routing/LimitShare.h
@@ -11,8 +11,9 @@
 using PublishedDemand = std::map<MemberId, double>;
 
 /**
- * Returns one entry's part of limits that all entries share: a tenth is
- * divided evenly, the rest by published demand. Entries that use the same
+ * Returns one entry's part of limits that all entries share: what
+ * nobody asks for, at least a tenth, is divided evenly, the rest by published
+ * demand. Entries that use the same
  * published demand get parts that sum to exactly the limits.
  */
 settings::Limits
--- a/src/routing/LimitShare.cpp
+++ b/src/routing/LimitShare.cpp
@@ -8,22 +8,28 @@
 
 namespace {
 
-/** Divided evenly, so that an entry without demand can let a first one in. */
-constexpr double kEvenPart = 0.1;
+/** Divided evenly at least, so that an entry can let a first request in. */
+constexpr double kLeastEvenPart = 0.1;
 
-/** Returns each entry's part of 1, in the order of the published demand. */
+/**
+ * Returns each entry's part of 1, in the order of the published demand. What
+ * nobody asks for is divided evenly: a customer that is well below its limit is
+ * not refused where its callers turn up next, before their demand is known.
+ */
 std::vector<double>
-Fractions(const PublishedDemand& aPublished)
+Fractions(double aRate, const PublishedDemand& aPublished)
 {
   double sum = 0;
   for (const auto& [member, demand] : aPublished) {
     sum += std::max(0.0, demand);
   }
   const auto count = static_cast<double>(aPublished.size());
+  const double unused = aRate > 0 ? 1 - sum / aRate : 0;
+  const double even = sum > 0 ? std::max(kLeastEvenPart, unused) : 1;
   std::vector<double> fractions;
   for (const auto& [member, demand] : aPublished) {
-    const double byDemand = sum > 0 ? std::max(0.0, demand) / sum : 1 / count;
-    fractions.push_back(kEvenPart / count + (1 - kEvenPart) * byDemand);
+    const double byDemand = sum > 0 ? std::max(0.0, demand) / sum : 0;
+    fractions.push_back(even / count + (1 - even) * byDemand);
   }
   return fractions;
 }
@@ -69,7 +75,8 @@
   }
   const auto index =
     static_cast<std::size_t>(std::distance(aPublished.begin(), self));
-  const std::vector<double> fractions = Fractions(aPublished);
+  const std::vector<double> fractions =
+    Fractions(aLimits.mRatePerSecond, aPublished);
   return { .mRatePerSecond = aLimits.mRatePerSecond * fractions[index],
            .mConcurrency = WholePart(aLimits.mConcurrency, fractions, index) };
 }
