Divide evenly what nobody asks for of a shared limit

Change: the part of the rate that the published demand leaves idle is divided evenly; parts still sum to exactly the limit (PartsOfALimitSumToTheLimit).

Ruled out: easing the tests by raising the example's limits.

--- a/include/peridotspool/routing/LimitShare.h
+++ b/include/peridotspool/routing/LimitShare.h
@@ -11,9 +11,9 @@
 using PublishedDemand = std::map<MemberId, double>;
 
 /**
- * Returns one entry's part of limits that all entries share: a tenth is
- * divided evenly, the rest by published demand. Entries that use the same
- * published demand get parts that sum to exactly the limits.
+ * Returns one entry's part of limits that all entries share: a tenth and what
+ * nobody asks for are divided evenly, the rest by published demand. Entries
+ * that use the same published demand get parts that sum to exactly the limits.
  */
 settings::Limits
 LimitShare(const settings::Limits& aLimits,
--- a/src/routing/LimitShare.cpp
+++ b/src/routing/LimitShare.cpp
@@ -11,19 +11,27 @@
 /** Divided evenly, so that an entry without demand can let a first one in. */
 constexpr double kEvenPart = 0.1;
 
-/** Returns each entry's part of 1, in the order of the published demand. */
+/**
+ * Returns each entry's part of 1, in the order of the published demand. What
+ * nobody asks for is divided evenly: callers move between entries faster than
+ * demand is published, most of all when an entry is lost, and would be refused
+ * far below the customer's limit.
+ */
 std::vector<double>
-Fractions(const PublishedDemand& aPublished)
+Fractions(double aRatePerSecond, const PublishedDemand& aPublished)
 {
   double sum = 0;
   for (const auto& [member, demand] : aPublished) {
     sum += std::max(0.0, demand);
   }
   const auto count = static_cast<double>(aPublished.size());
+  const double asked =
+    aRatePerSecond > 0 ? std::min(1.0, sum / aRatePerSecond) : 1.0;
   std::vector<double> fractions;
   for (const auto& [member, demand] : aPublished) {
     const double byDemand = sum > 0 ? std::max(0.0, demand) / sum : 1 / count;
-    fractions.push_back(kEvenPart / count + (1 - kEvenPart) * byDemand);
+    const double part = asked * byDemand + (1 - asked) / count;
+    fractions.push_back(kEvenPart / count + (1 - kEvenPart) * part);
   }
   return fractions;
 }
@@ -69,7 +77,8 @@
   }
   const auto index =
     static_cast<std::size_t>(std::distance(aPublished.begin(), self));
-  const std::vector<double> fractions = Fractions(aPublished);
+  const std::vector<double> fractions =
+    Fractions(aLimits.mRatePerSecond, aPublished);
   return { .mRatePerSecond = aLimits.mRatePerSecond * fractions[index],
            .mConcurrency = WholePart(aLimits.mConcurrency, fractions, index) };
 }
--- a/test/routing/AdmissionTest.cpp
+++ b/test/routing/AdmissionTest.cpp
@@ -270,4 +270,22 @@
   });
 }
 
+TEST_CASE("PartOfALimitThatNobodyAsksForIsDividedEvenly")
+{
+  // Symptom: a customer far below its limit is refused by it.
+  // Sequence: its callers use one entry; that one is lost and they all go to
+  // another, before the new demand is published.
+  // Cause: the other entry's part is a fortieth while most of the limit is
+  // idle.
+  const settings::Limits limits{ .mRatePerSecond = 80, .mConcurrency = 320 };
+  const PublishedDemand published{ { MemberId(1), 10 },
+                                   { MemberId(2), 0 },
+                                   { MemberId(3), 0 },
+                                   { MemberId(4), 0 } };
+  const auto part = LimitShare(limits, published, MemberId(2));
+  INFO("the part must take the 10/s that move, and is " << part.mRatePerSecond);
+  CHECK(part.mRatePerSecond > 10);
+  CHECK(part.mConcurrency > 40);
+}
+
 } // namespace peridotspool::routing
