--- a/src/control/ControlJoin.cpp
+++ b/src/control/ControlJoin.cpp
@@ -74,7 +74,7 @@
   }
   if (!aReply.mReplica) {
     if (!aReply.mLeader) {
-      Notice(ControlNotice::kReplicaJoinRefused, "reason=" + aReply.mReason);
+      NoticeRefusal("reason=" + aReply.mReason);
     }
     return;
   }
@@ -87,14 +87,23 @@
   mEffects.emplace_back(std::move(write));
 }
 
+// A replica asks four times a second; the log needs each reason once.
+void
+ControlNodeState::NoticeRefusal(const std::string& aText)
+{
+  if (aText != mLastRefusal) {
+    mLastRefusal = aText;
+    Notice(ControlNotice::kReplicaJoinRefused, aText);
+  }
+}
+
 void
 ControlNodeState::PlanReplicas()
 {
   for (JoinVerdict& verdict : mReplicaPlanner->Verdicts(*mConsensus, mNow)) {
     if (!verdict.mReplica) {
-      Notice(ControlNotice::kReplicaJoinRefused,
-             "name=" + verdict.mRequest.mName.Value() +
-               " reason=" + verdict.mReason);
+      NoticeRefusal("name=" + verdict.mRequest.mName.Value() +
+                    " reason=" + verdict.mReason);
     }
     SendTo(verdict.mReplyTo,
            ReplicaId(),
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -82,6 +82,7 @@
   void AskForIdentity();
   void StartConsensus(RestoredState aState, SyncToken aLastToken);
   void PlanReplicas();
+  void NoticeRefusal(const std::string& aText);
 
   // ControlEntries.cpp: sessions with entries
   void Take(const FromEntryEvent& aEvent);
@@ -140,6 +141,7 @@
   std::optional<Identity> mNewIdentity;
   TimePoint mAskedAt;
   std::vector<Address> mSeeds;
+  std::string mLastRefusal;
   std::map<ReplicaId, Address> mLearnedAddresses;
 
   StateMachine mMachine;
