--- a/include/peridotspool/http/CallerApi.h
+++ b/include/peridotspool/http/CallerApi.h
@@ -33,6 +33,8 @@
   Duration mRemaining{ 0 };
   /** True iff the caller wants Server-Sent Events. */
   bool mStream = false;
+  /** True iff the caller named no key and one was made for it. */
+  bool mKeyIsNew = false;
 };
 
 /** `GET /v1/requests/{key}`. */
--- a/include/peridotspool/request/Event.h
+++ b/include/peridotspool/request/Event.h
@@ -19,6 +19,8 @@
   ledger::RequestTerms mTerms;
   /** Time until the request's deadline. */
   Duration mRemaining{ 0 };
+  /** True iff the key was made just now, so that it can't be known. */
+  bool mKeyIsNew = false;
 };
 
 /** A caller wants the answer of a request that it sent earlier. */
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 
-from bench_system import measure_load, measure_size
+from bench_system import measure_load, measure_size, measure_upstreams
 
 
 def fit(points):
@@ -106,6 +106,10 @@
             sizes.append(measure_size(arguments.build_dir, folder, entries,
                                       failovers=6 if number == 0 else 0))
     results["sizes"] = sizes
+    say("announcements")
+    with tempfile.TemporaryDirectory(prefix="peridotspool-bench-") as folder:
+        results["upstreams"] = measure_upstreams(
+            arguments.build_dir, folder, 11, [8, 24, 48])
     load = {}
     if not arguments.skip_load:
         say("load")
@@ -113,6 +117,9 @@
             load = measure_load(arguments.build_dir, folder, [50, 100], [8, 32, 128])
     results["load"] = load
     results["fits"] = fits_of(sizes, load)
+    for field in ["cpu_percent_mean", "kb_per_s_mean"]:
+        results["fits"][f"entry.{field} per upstream, renewed each second"] = fit(
+            [(row["upstreams"], row[field]) for row in results["upstreams"]])
     if arguments.out:
         pathlib.Path(arguments.out).write_text(json.dumps(results, indent=1) + "\n")
     old = json.load(open(arguments.compare)) if arguments.compare else None
--- a/scripts/bench_system.py
+++ b/scripts/bench_system.py
@@ -205,6 +205,29 @@
         system.end_at_once()
 
 
+def measure_upstreams(build_dir, folder, entries, counts):
+    """What announcements cost an entry, for each upstream that it hears."""
+    system = SizedSystem(build_dir, folder, entries)
+    try:
+        system.begin()
+        rows = []
+        started = 0
+        for count in counts:
+            while started < count:
+                system.start_upstream(
+                    "fake-engine", f"engine-{started}", "assistant",
+                    DOMAINS[started % len(DOMAINS)], "--listen", "127.0.0.1:0",
+                    "--renew-ms", 1000, "--lease-ms", 2000)
+                started += 1
+            time.sleep(2.5)
+            costs = costs_of(system, list(system.addresses), system.addresses,
+                             IDLE_SECONDS)
+            rows.append({"upstreams": count, **costs})
+        return rows
+    finally:
+        system.end_at_once()
+
+
 def run_load(system, arguments):
     done = subprocess.run(
         [str(system.build_dir / "fake-load"), *map(str, arguments)],
--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -262,6 +262,7 @@
                                       .mPriority = rules->mPriority },
       .mRemaining = rules->mDeadlineDefault,
       .mStream = WantsStream(mRequest),
+      .mKeyIsNew = !HeaderOf(mRequest, "idempotency-key").has_value(),
     };
     if (auto refused = ReadTerms(*rules, command)) {
       return *refused;
--- a/src/request/RequestManagerState.cpp
+++ b/src/request/RequestManagerState.cpp
@@ -74,7 +74,8 @@
   Propose(aEvent.mKey,
           ledger::AcceptOperation{ .mTerms = aEvent.mTerms,
                                    .mExecutor = mSelf,
-                                   .mRemaining = aEvent.mRemaining },
+                                   .mRemaining = aEvent.mRemaining,
+                                   .mKeyIsNew = aEvent.mKeyIsNew },
           { aEvent.mKey, AcceptPending{ aEvent.mExchange } });
 }
 
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -284,6 +284,8 @@
     }
   }
 
+  // First: it is aligned to cache lines.
+  observe::Counters mCounters;
   settings::ProcessSettings mSettings;
   http::KeyHashes mKeys;
   BoundedRing<ControlInput> mRing;
@@ -292,7 +294,6 @@
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
   std::unique_ptr<observe::Logger> mLogger;
-  observe::Counters mCounters;
   std::atomic<bool> mDiskFailed{ false };
   std::thread mDeciding;
   std::thread mWriting;
--- a/src/runtime/CtlCommands.cpp
+++ b/src/runtime/CtlCommands.cpp
@@ -106,7 +106,7 @@
       rest.erase(0, end + 1);
     }
   }
-  auto response = mClient.AskControl(std::move(request), reason);
+  auto response = mClient.AskControl(request, reason);
   if (!response) {
     std::cerr << "no answer: " << reason.Text() << "\n";
   }
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -169,7 +169,8 @@
     request::SubmitEvent{ .mExchange = CallId(aExchange),
                           .mKey = std::move(aCommand.mKey),
                           .mTerms = std::move(aCommand.mTerms),
-                          .mRemaining = aCommand.mRemaining } });
+                          .mRemaining = aCommand.mRemaining,
+                          .mKeyIsNew = aCommand.mKeyIsNew } });
 }
 
 void
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -246,10 +246,11 @@
     RequestStop();
   }
 
+  // First: it is aligned to cache lines.
+  observe::Counters mCounters;
   settings::ProcessSettings mSettings;
   http::KeyHashes mKeys;
   SettingsHolder mTree;
-  observe::Counters mCounters;
   std::unique_ptr<observe::Logger> mLogger;
   BoundedRing<EntryInput> mRing;
   std::unique_ptr<wire::PeerTransport> mTransport;
