Let no refused key begin again where a loss may hide its run

Cause: a refused key may now begin again. After a loss the surviving copy may be older than such a beginning: it says "refused", though the order was accepted once more, sent, and lost with the replicas that knew.

Change: within the loss window an accept that would begin a refused request again is kLost if it may not run twice.

--- a/src/ledger/PrimaryDuty.cpp
+++ b/src/ledger/PrimaryDuty.cpp
@@ -97,11 +97,16 @@
   const StoredRecord* stored = aShard.mStore.Find(aOperation.mKey);
   Judgement judgement =
     Judge(stored, aOperation.mOperation, aOperation.mOrigin);
-  if (stored != nullptr) {
-    return judgement;
-  }
   const bool mayBeLost = mContext.mNow < aShard.mLossUntil;
   const auto* accept = std::get_if<AcceptOperation>(&aOperation.mOperation);
+  if (stored != nullptr) {
+    // A refused key may begin again, but the copy that says "refused" may be
+    // older than a lost beginning, which may have run.
+    const bool runsAgain =
+      accept != nullptr && judgement.mChanges && !accept->mTerms.mIdempotent;
+    return mayBeLost && runsAgain ? Judgement{ .mVerdict = Verdict::kLost }
+                                  : judgement;
+  }
   if (accept == nullptr) {
     if (mayBeLost && judgement.mVerdict == Verdict::kNoSuchRequest) {
       judgement.mVerdict = Verdict::kLost;
--- a/test/ledger/CommitRuleTest.cpp
+++ b/test/ledger/CommitRuleTest.cpp
@@ -197,6 +197,33 @@
   CHECK(ask(FinishWith(OutcomeKind::kUnknown, "")) == Verdict::kDone);
 }
 
+TEST_CASE("AfterALossARefusedKeyDoesNotBeginAgain")
+{
+  // Symptom: an order runs twice, though its record survived.
+  // Sequence: an order is refused; the third replica turns silent; the order
+  // begins again and is sent; the other two replicas are lost; the caller
+  // sends the order once more.
+  // Cause: the surviving copy still says "refused", and was believed.
+  OneOrder order(CommitRule::kPrimaryPlusOne);
+  TestCluster& cluster = order.mEntries.mCluster;
+  const auto ask = [&](const Operation& aOperation) {
+    return cluster.Do(order.mGateway, order.mKey, aOperation).mVerdict;
+  };
+  REQUIRE(order.Accept() == Verdict::kDone);
+  REQUIRE(ask(FinishWith(OutcomeKind::kRefused, "")) == Verdict::kDone);
+  cluster.Run(seconds(1));
+  cluster.Cut(order.mSet[2]);
+  REQUIRE(order.Accept() == Verdict::kDone);
+  REQUIRE(ask(IntendTo("jobs-1", 1, 2)) == Verdict::kDone);
+  cluster.Kill(order.mSet[0]);
+  cluster.Kill(order.mSet[1]);
+  cluster.Mend(order.mSet[2]);
+  order.mEntries.Replace({ order.mSet[0], order.mSet[1] });
+  order.mEntries.Settle();
+  CHECK(order.Losses() > 0);
+  CHECK(order.Accept() == Verdict::kLost);
+}
+
 TEST_CASE("RemembersALossThroughTheNextRepair")
 {
   OneOrder order(CommitRule::kAllReplicas);
