--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -2,16 +2,15 @@
 
 #include "http/ApiError.h"
 #include "peridotspool/observe/Counters.h"
-#include "peridotspool/runtime/KeyFiles.h"
 #include "peridotspool/runtime/StopSignal.h"
 #include "peridotspool/runtime/SystemClock.h"
 #include "peridotspool/settings/SettingsTree.h"
 #include "peridotspool/storage/ControlStore.h"
 #include "peridotspool/wire/Codec.h"
 #include "runtime/ControlDecider.h"
+#include "runtime/HostParts.h"
 
 #include <atomic>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -24,13 +23,6 @@
 constexpr std::size_t kMaxOperatorBody = 8U << 20;
 constexpr std::uint32_t kStatusUnavailable = 503;
 
-std::uint64_t
-RandomNumber()
-{
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device() | 1;
-}
-
 std::optional<std::string>
 CheckTree(const std::string& aText)
 {
@@ -101,27 +93,19 @@
 
   bool Start(LastReason& aReason)
   {
-    mLogger =
-      observe::Logger::Open(mSettings.mLog, mSettings.mName.Value(), aReason);
-    if (!mLogger) {
-      return false;
-    }
-    const auto key = ReadPeerKey(mSettings.mPeerKeyFile, aReason);
-    if (!key) {
-      return false;
-    }
-    const auto operators = ReadOperators(mSettings.mOperatorsFile, aReason);
-    if (!operators) {
+    auto basics = OpenHostBasics(mSettings, aReason);
+    if (!basics) {
       return false;
     }
-    mKeys = *operators;
+    mLogger = std::move(basics->mLogger);
+    mKeys = std::move(basics->mKeys);
     control::RestoredState restored;
     mStore =
       storage::ControlStore::Open(mSettings.mDataFolder, restored, aReason);
     if (!mStore) {
       return false;
     }
-    MakeParts(*key);
+    MakeParts(basics->mPeerKey);
     if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
       return false;
     }
@@ -203,13 +187,7 @@
 
   http::HttpResponse Metrics()
   {
-    const wire::PeerTransportCounts peers = mTransport->Counts();
-    using observe::CounterId;
-    mCounters.Set(CounterId::kPeerBytesSent, peers.mBytesSent);
-    mCounters.Set(CounterId::kPeerBytesReceived, peers.mBytesReceived);
-    mCounters.Set(CounterId::kPeerMessagesDropped, peers.mFramesDropped);
-    mCounters.Set(CounterId::kPeerAuthFailed, peers.mHandshakesRefused);
-    mCounters.Set(CounterId::kLogLinesDropped, mLogger->Dropped());
+    SetHostGauges(mCounters, *mTransport, *mLogger);
     return http::HttpResponse{ .mStatus = 200,
                                .mHeaders = { { "content-type",
                                                "text/plain; version=0.0.4" } },
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -1,6 +1,7 @@
 #include "runtime/EntryDecider.h"
 
 #include "peridotspool/wire/Codec.h"
+#include "runtime/HostParts.h"
 #include "runtime/StatusJson.h"
 
 #include <boost/describe/enum_to_string.hpp>
@@ -461,7 +462,6 @@
 EntryDecider::SetGauges()
 {
   const request::EntryNodeStatus status = mNode.Status(mNow);
-  const wire::PeerTransportCounts peers = mParts.mTransport.Counts();
   observe::Counters& counters = mParts.mCounters;
   using observe::CounterId;
   counters.Set(CounterId::kUpstreamsKnown, status.mUpstreams.size());
@@ -470,11 +470,7 @@
   counters.Set(CounterId::kCallersWaiting, status.mCallers);
   counters.Set(CounterId::kSettingsRevision, status.mInForce.Value());
   counters.Set(CounterId::kEpoch, status.mEpoch.mEpoch.Value());
-  counters.Set(CounterId::kPeerBytesSent, peers.mBytesSent);
-  counters.Set(CounterId::kPeerBytesReceived, peers.mBytesReceived);
-  counters.Set(CounterId::kPeerMessagesDropped, peers.mFramesDropped);
-  counters.Set(CounterId::kPeerAuthFailed, peers.mHandshakesRefused);
-  counters.Set(CounterId::kLogLinesDropped, mParts.mLogger.Dropped());
+  SetHostGauges(counters, mParts.mTransport, mParts.mLogger);
 }
 
 void
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -2,16 +2,15 @@
 
 #include "http/ApiError.h"
 #include "peridotspool/runtime/BoundedRing.h"
-#include "peridotspool/runtime/KeyFiles.h"
 #include "peridotspool/runtime/StopSignal.h"
 #include "peridotspool/runtime/SystemClock.h"
 #include "peridotspool/wire/Codec.h"
 #include "peridotspool/wire/PeerAuth.h"
 #include "runtime/EntryDecider.h"
+#include "runtime/HostParts.h"
 
 #include <atomic>
 #include <optional>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -23,13 +22,6 @@
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr std::uint32_t kStatusUnavailable = 503;
 
-std::uint64_t
-RandomNumber()
-{
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 request::EntryNodeOptions
 NodeOptions(const settings::ProcessSettings& aSettings,
             const Address& aPeerAddress,
@@ -92,21 +84,13 @@
 
   bool Start(LastReason& aReason)
   {
-    mLogger =
-      observe::Logger::Open(mSettings.mLog, mSettings.mName.Value(), aReason);
-    if (!mLogger) {
-      return false;
-    }
-    const auto key = ReadPeerKey(mSettings.mPeerKeyFile, aReason);
-    if (!key) {
-      return false;
-    }
-    const auto operators = ReadOperators(mSettings.mOperatorsFile, aReason);
-    if (!operators) {
+    auto basics = OpenHostBasics(mSettings, aReason);
+    if (!basics) {
       return false;
     }
-    mKeys = *operators;
-    MakeParts(*key);
+    mLogger = std::move(basics->mLogger);
+    mKeys = std::move(basics->mKeys);
+    MakeParts(basics->mPeerKey);
     if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
       return false;
     }
--- a/test/routing/AdmissionTest.cpp
+++ b/test/routing/AdmissionTest.cpp
@@ -143,6 +143,21 @@
   });
 }
 
+// Symptom: a customer far below its limit is refused at one entry.
+// Sequence: its callers have used entry 1; entry 1 is gone, or the list of
+// entries sends them to entry 2, which had no demand so far.
+// Cause: parts that follow demand alone.
+TEST_CASE("CustomerBelowItsLimitIsLetInWhereItTurnsUpNext")
+{
+  const settings::Limits limits{ .mRatePerSecond = 40, .mConcurrency = 40 };
+  const PublishedDemand published{ { MemberId(1), 4 },
+                                   { MemberId(2), 0 },
+                                   { MemberId(3), 0 } };
+  const auto part = LimitShare(limits, published, MemberId(2));
+  CHECK(part.mRatePerSecond == Approx(12));
+  CHECK(part.mConcurrency == 12);
+}
+
 // Symptom: a customer gets several times its limit after its callers move to
 // other entries.
 // Sequence: entry 1 has most of the demand, then entry 2; entry 2 takes the
