Bound a customer's total over all its services

Cause: totals were read and resolved, but each service bounded only its own requests. Change: the desk asks a total's admission before the service's, and gives its place back when the service refuses. Entries publish demand for it as for a service. Also: as many voters as control replicas are configured, odd; a check that a merge had eased from > to >= is back.

--- a/src/request/ServiceDesk.cpp
+++ b/src/request/ServiceDesk.cpp
@@ -1,6 +1,7 @@
 #include "request/ServiceDesk.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace peridotspool::request {
@@ -11,6 +12,22 @@
  * are never spread quite evenly, and an engine batches a little beyond. */
 constexpr std::size_t kSlotsTimes = 2;
 
+/** Stands for all services of a customer; no service can have this name. */
+const ServiceName&
+TotalName()
+{
+  static const ServiceName sName("(total)");
+  return sName;
+}
+
+settings::EffectiveService
+TotalOf(const settings::EffectiveService& aRules)
+{
+  settings::EffectiveService total = aRules;
+  total.mLimits = aRules.mTotal;
+  return total;
+}
+
 } // namespace
 
 ServiceDesk::Service::Service(MemberId aSelf)
@@ -32,6 +49,11 @@
   const auto [place, isNew] = mServices.try_emplace(aService, mSelf);
   if (isNew) {
     place->second.mAdmission.SetMembers(mMembers);
+    if (aService == TotalName()) {
+      // Totals only bound; the queues are the services' own.
+      place->second.mAdmission.SetMaxRunning(
+        std::numeric_limits<std::size_t>::max());
+    }
   }
   return place->second;
 }
@@ -43,6 +65,23 @@
   return mTree ? mTree->Effective(aCustomer, aService) : nullptr;
 }
 
+std::optional<settings::EffectiveService>
+ServiceDesk::RulesOrTotal(const CustomerName& aCustomer,
+                          const ServiceName& aService) const
+{
+  const bool total = aService == TotalName();
+  if (total && (!mTree || mTree->Services().empty())) {
+    return std::nullopt;
+  }
+  // A customer's total is the same whichever of its services is asked.
+  const auto* rules =
+    Rules(aCustomer, total ? mTree->Services().front() : aService);
+  if (rules == nullptr) {
+    return std::nullopt;
+  }
+  return total ? TotalOf(*rules) : *rules;
+}
+
 void
 ServiceDesk::TakeMembers(std::vector<MemberId> aMembers)
 {
@@ -81,7 +120,16 @@
   if (rules == nullptr) {
     return routing::Admitted{};
   }
-  return At(aService).mAdmission.Ask(aQuery, *rules, aNow);
+  const auto whole =
+    At(TotalName()).mAdmission.Ask(aQuery, TotalOf(*rules), aNow);
+  if (std::holds_alternative<routing::Refused>(whole)) {
+    return whole;
+  }
+  const auto outcome = At(aService).mAdmission.Ask(aQuery, *rules, aNow);
+  if (std::holds_alternative<routing::Refused>(outcome)) {
+    At(TotalName()).mAdmission.Ended(aQuery.mKey.mCustomer, Duration(0));
+  }
+  return outcome;
 }
 
 void
@@ -90,6 +138,7 @@
                    Duration aTook)
 {
   At(aService).mAdmission.Ended(aCustomer, aTook);
+  At(TotalName()).mAdmission.Ended(aCustomer, aTook);
 }
 
 std::vector<ServiceDesk::Turn>
@@ -160,7 +209,7 @@
   for (const auto& [customer, rate] : aDemand) {
     auto& published = service.mPublished[customer];
     published[aFrom] = rate;
-    if (const auto* rules = Rules(customer, aService)) {
+    if (const auto rules = RulesOrTotal(customer, aService)) {
       service.mAdmission.TakeDemand(customer, published, *rules, aNow);
     }
   }
--- a/src/request/ServiceDesk.h
+++ b/src/request/ServiceDesk.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,10 @@
   };
 
   Service& At(const ServiceName& aService);
+  /** As Rules, or the customer's total over all its services. */
+  std::optional<settings::EffectiveService> RulesOrTotal(
+    const CustomerName& aCustomer,
+    const ServiceName& aService) const;
 
   MemberId mSelf;
   RequestOptions mOptions;
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -47,6 +47,9 @@
     }
   }
   options.mConsensus.mRandomSeed = RandomNumber();
+  // An even number of voters survives no more losses than one fewer.
+  const std::size_t replicas = aSettings.mControlReplicas.size();
+  options.mVoters = replicas % 2 == 1 ? replicas : replicas - 1;
   options.mChecker = CheckTree;
   return options;
 }
--- a/test/request/ServiceDeskTest.cpp
+++ b/test/request/ServiceDeskTest.cpp
@@ -52,6 +52,36 @@
   CHECK(std::holds_alternative<routing::Admitted>(Ask(desk, "b", later)));
 }
 
+TEST_CASE("CustomerOverItsTotalIsRefusedThoughItsServicesHaveRoom")
+{
+  // Symptom: a customer with two services uses twice what it may. Sequence: it
+  // has one request under way at each of two services, with a total of one.
+  // Cause: each service bounds only its own requests.
+  const std::string text =
+    "services:\n  assistant: { kind: model, idempotent: true }\n"
+    "  floor-data: { kind: plain, idempotent: false }\n"
+    "customers:\n  aspida:\n    key_hashes: [" +
+    std::string(64, 'a') +
+    "]\n    limits: { rate: 100/s, concurrency: 10 }\n"
+    "    total: { rate: 100/s, concurrency: 1 }\n";
+  settings::SettingsErrors errors;
+  auto tree = settings::SettingsTree::Parse(text, "test", errors);
+  INFO(settings::ToText(errors));
+  REQUIRE(tree != nullptr);
+  ServiceDesk desk(MemberId(1), {});
+  desk.TakeSettings(tree);
+  REQUIRE(std::holds_alternative<routing::Admitted>(Ask(desk, "a")));
+  const auto ask = [&] {
+    return desk.Ask(
+      ServiceName("floor-data"),
+      { .mKey = { kLarge, "b" }, .mDeadline = kNow + std::chrono::seconds(5) },
+      kNow);
+  };
+  CHECK(std::holds_alternative<routing::Refused>(ask()));
+  desk.Ended(kService, kLarge, std::chrono::seconds(1));
+  CHECK(std::holds_alternative<routing::Admitted>(ask()));
+}
+
 TEST_CASE("WithoutSettingsEverybodyIsAdmitted")
 {
   ServiceDesk desk(MemberId(1), {});
--- a/test/routing/AdmissionTest.cpp
+++ b/test/routing/AdmissionTest.cpp
@@ -300,7 +300,7 @@
   const auto part = LimitShare(limits, published, MemberId(2));
   INFO("the part must take the 10/s that move, and is " << part.mRatePerSecond);
   CHECK(part.mRatePerSecond > 10);
-  CHECK(part.mConcurrency >= 40);
+  CHECK(part.mConcurrency > 40);
 }
 
 } // namespace peridotspool::routing
