Hold refusals of each turn against the intents given in it

The concurrent case had grown weaker for an unchecked 'did not run' when refused keys could begin again.

--- a/test/ledger/DifferentialTest.cpp
+++ b/test/ledger/DifferentialTest.cpp
@@ -84,7 +84,8 @@
 /** What the answers to one request say together. */
 struct Witness
 {
-  std::set<DispatchIntent> mGivenIntents;
+  /** With the executor turn that each was given in. */
+  std::map<DispatchIntent, AttemptNumber> mGivenIntents;
   std::set<AttemptNumber> mVoided;
   /** The outcome that was told for each executor turn. */
   std::map<AttemptNumber, OutcomeKind> mOutcomes;
@@ -108,7 +109,7 @@
   RC_ASSERT(aAnswer.mVerdict != Verdict::kLost);
   const auto* intend = std::get_if<IntendOperation>(&aAsked.mOperation);
   if (aAnswer.mVerdict == Verdict::kDone && intend != nullptr) {
-    aWitness.mGivenIntents.insert(intend->mIntent);
+    aWitness.mGivenIntents.emplace(intend->mIntent, intend->mExecutorTurn);
   }
   aWitness.mAccepted |= aAnswer.mRecord.has_value();
   if (aAnswer.mRecord && aAnswer.mRecord->mOutcome) {
@@ -161,12 +162,17 @@
     RC_ASSERT(record.mOutcome.has_value());
     RC_ASSERT(record.mOutcome->mKind == kind);
   }
-  const auto standing =
-    std::count_if(aWitness.mGivenIntents.begin(),
-                  aWitness.mGivenIntents.end(),
-                  [&](const DispatchIntent& aIntent) {
-                    return !aWitness.mVoided.contains(aIntent.mAttempt);
-                  });
+  int standing = 0;
+  for (const auto& [intent, turn] : aWitness.mGivenIntents) {
+    if (aWitness.mVoided.contains(intent.mAttempt)) {
+      continue;
+    }
+    ++standing;
+    // Whoever was told "did not run" of that turn was told the truth.
+    const auto told = aWitness.mOutcomes.find(turn);
+    RC_ASSERT(told == aWitness.mOutcomes.end() ||
+              told->second != OutcomeKind::kRefused);
+  }
   RC_ASSERT(record.mTerms.mIdempotent || standing <= 1);
   const bool refused =
     record.mOutcome && record.mOutcome->mKind == OutcomeKind::kRefused;
