--- a/include/peridotspool/runtime/CtlCommands.h
+++ b/include/peridotspool/runtime/CtlCommands.h
@@ -75,6 +75,7 @@
   CtlExit Commit(std::uint64_t aBase, const std::string& aText);
   CtlExit WaitInForce(std::uint64_t aRevision);
   CtlExit PrintEntryAnswer(const std::string& aPath);
+  void PrintCounters();
   CtlExit PrintAnswer(const http::HttpResponse& aResponse);
 
   OperatorClient& mClient;
--- a/src/runtime/CtlCommands.cpp
+++ b/src/runtime/CtlCommands.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 
 #include <iostream>
+#include <map>
 
 namespace peridotspool::runtime {
 
@@ -152,9 +153,37 @@
                          "revision",
                          "epoch",
                          "silent_ms" });
+  PrintCounters();
   return CtlExit::kDone;
 }
 
+void
+CtlCommands::PrintCounters()
+{
+  // What entries count, added up; a row for each that is not zero.
+  std::map<std::string, std::uint64_t> sums;
+  const auto answers =
+    mClient.AskEveryEntry({ .mMethod = "GET", .mPath = "/v1/status" });
+  for (const auto& answer : answers) {
+    const json::value counters = FieldOf(ObjectOf(answer), "counters");
+    if (!counters.is_object()) {
+      continue;
+    }
+    for (const auto& counter : counters.get_object()) {
+      sums[std::string(counter.key())] +=
+        http::UnsignedField(counters.get_object(), counter.key()).value_or(0);
+    }
+  }
+  std::vector<std::vector<std::string>> rows{ { "counter", "sum" } };
+  for (const auto& [name, sum] : sums) {
+    if (sum > 0) {
+      rows.push_back({ name, std::to_string(sum) });
+    }
+  }
+  std::cout << "\ncounters of " << answers.size() << " entries\n"
+            << FormatTable(rows);
+}
+
 CtlExit
 CtlCommands::Entries()
 {
