Split the largest files; call a peer unreachable only after two seconds

Execution, RequestManagerState, EntryDecider and EntryNodeState had grown to 800, 640, 480 and 460 lines; each part that has a job of its own is a file now. Cause not shown; suspected: one handshake that times out on a busy machine made a peer a suspect at once, and it was removed and had to wait to join again. Change: failures have to go on for 2 s without a success between them.

--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -73,8 +73,8 @@
 
   PeerTransportCounts Counts() const;
   /**
-   * Returns the peers to which the last connection could not be made or went
-   * silent, within the last few seconds and with none made since.
+   * Returns the peers to which connections have failed or gone silent for two
+   * seconds and more, up to now, with none made meanwhile.
    */
   std::vector<Address> Unreachable() const;
 
--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -44,13 +44,6 @@
   mToldDone = false;
 }
 
-bool
-EntryNodeState::MayServe() const
-{
-  return !mLeaving && mRequests &&
-         mSession->MayServe(mNow) == membership::ServeVerdict::kMayServe;
-}
-
 void
 EntryNodeState::On(const FromMemberEvent& aEvent)
 {
@@ -83,70 +76,6 @@
   std::visit([this](const auto& aAny) { OnCaller(aAny); }, aEvent.mEvent);
 }
 
-void
-EntryNodeState::OnCaller(const SubmitEvent& aEvent)
-{
-  if (MayServe()) {
-    StepRequests(aEvent);
-    return;
-  }
-  if (mLeaving) {
-    ReplyTo(aEvent.mExchange, MovedReply{});
-    return;
-  }
-  // An entry cut off from the control replicas may work by old settings; the
-  // caller is sent to another one at once.
-  mEffects->emplace_back(CountEffect{ Tally::kRefusedNotConfirmed });
-  ReplyTo(aEvent.mExchange, NoAnswerReply{});
-}
-
-void
-EntryNodeState::OnCaller(const AttachEvent& aEvent)
-{
-  if (mRequests && !mLeaving) {
-    StepRequests(aEvent);
-  } else if (mLeaving) {
-    ReplyTo(aEvent.mExchange, MovedReply{});
-  } else {
-    ReplyTo(aEvent.mExchange, NoAnswerReply{});
-  }
-}
-
-void
-EntryNodeState::OnCaller(const CancelEvent& aEvent)
-{
-  PassOn(aEvent);
-}
-
-void
-EntryNodeState::OnCaller(const AcknowledgeEvent& aEvent)
-{
-  PassOn(aEvent);
-}
-
-void
-EntryNodeState::OnCaller(const ShowEvent& aEvent)
-{
-  PassOn(aEvent);
-}
-
-template<typename Asked>
-void
-EntryNodeState::PassOn(const Asked& aEvent)
-{
-  if (mRequests) {
-    StepRequests(aEvent);
-  } else {
-    ReplyTo(aEvent.mExchange, NoAnswerReply{});
-  }
-}
-
-void
-EntryNodeState::OnCaller(const CallerGoneEvent& aEvent)
-{
-  StepRequests(aEvent);
-}
-
 void
 EntryNodeState::On(const UpstreamEvent& aEvent)
 {
--- /dev/null
+++ b/src/request/ExecutionEnd.cpp
@@ -0,0 +1,165 @@
+// How an execution tries again, and how it gives up.
+
+#include "request/Execution.h"
+#include "request/Life.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::request {
+
+namespace {
+
+constexpr std::int32_t kStatusBadGateway = 502;
+constexpr std::int32_t kStatusUnavailable = 503;
+constexpr std::int32_t kStatusGatewayTimeout = 504;
+
+} // namespace
+
+void
+Execution::RetryAfterNoRun(StepContext& aContext, Tally aWhy)
+{
+  mMayHaveRun = mMayHaveRunBefore;
+  if (mRecord.mTerms.mIdempotent) {
+    RetryLater(aContext, aWhy);
+    return;
+  }
+  // Its committed intent still forbids a second one on every replica.
+  mLife->Take(LifeEvent::kMustVoid);
+  aContext.Count(aWhy);
+  Propose(aContext,
+          ledger::VoidIntentOperation{ .mExecutorTurn = mRecord.mExecutorTurn,
+                                       .mAttempt = mAttempt->mNumber });
+}
+
+void
+Execution::RetryOrGiveUp(StepContext& aContext, Tally aWhy)
+{
+  if (mRecord.mTerms.mIdempotent) {
+    RetryLater(aContext, aWhy);
+    return;
+  }
+  GiveUp(aContext, MakeLoss("upstream-lost"));
+}
+
+void
+Execution::RetryLater(StepContext& aContext, Tally aWhy)
+{
+  const auto decision = aContext.mDesk.DecideRetry(
+    mRecord.mKey.mCustomer,
+    mRecord.mTerms.mService,
+    routing::FailedTry{ .mTries = mAttempts,
+                        .mDeadline = mDeadline,
+                        .mRandom = aContext.mRandom() },
+    aContext.mNow);
+  if (const auto* never = std::get_if<routing::NoRetry>(&decision)) {
+    GiveUpRetrying(aContext, *never);
+    return;
+  }
+  if (!mLife->Take(LifeEvent::kRetry)) {
+    return;
+  }
+  aContext.Count(aWhy);
+  const Duration pause = std::get<routing::RetryAfterPause>(decision).mPause;
+  mNotBefore = std::max(mNotBefore, aContext.mNow + pause);
+  mQueuedSince = aContext.mNow;
+  WakeAt(mNotBefore);
+}
+
+void
+Execution::GiveUpRetrying(StepContext& aContext, routing::NoRetry aWhy)
+{
+  switch (aWhy) {
+    case routing::NoRetry::kAttemptsSpent:
+      aContext.Count(Tally::kRefusedRetriesSpent);
+      GiveUp(aContext,
+             MakeRefusal(aContext, kStatusBadGateway, "retries-spent"));
+      return;
+    case routing::NoRetry::kBudgetSpent:
+      aContext.Count(Tally::kRefusedRetryBudget);
+      GiveUp(aContext,
+             MakeRefusal(aContext, kStatusUnavailable, "retry-budget"));
+      return;
+    case routing::NoRetry::kDeadlineTooNear:
+      aContext.Count(Tally::kRefusedDeadline);
+      GiveUp(aContext,
+             MakeRefusal(aContext, kStatusGatewayTimeout, "deadline"));
+      return;
+  }
+}
+
+ledger::Outcome
+Execution::MakeRefusal(const StepContext& aContext,
+                       std::int32_t aStatus,
+                       std::string aReason) const
+{
+  // Only a request that no upstream can have begun is said not to have run.
+  return ledger::Outcome{ .mKind = MayHaveRun() ? ledger::OutcomeKind::kFailed
+                                                : ledger::OutcomeKind::kRefused,
+                          .mStatus = aStatus,
+                          .mReason = std::move(aReason),
+                          .mRetryAfter = aContext.mOptions.mRetryAfter };
+}
+
+ledger::Outcome
+Execution::MakeLoss(std::string aReason) const
+{
+  const bool once = !mRecord.mTerms.mIdempotent;
+  ledger::Outcome outcome{ .mKind = once ? ledger::OutcomeKind::kUnknown
+                                         : ledger::OutcomeKind::kFailed,
+                           .mStatus = kStatusBadGateway,
+                           .mReason = std::move(aReason) };
+  if (mRecord.mIntent) {
+    outcome.mAttempt = mRecord.mIntent->mAttempt;
+    outcome.mUpstream = mRecord.mIntent->mUpstream;
+  }
+  return outcome;
+}
+
+void
+Execution::GiveUpOnDeadline(StepContext& aContext)
+{
+  if (mLife->State() == LifeState::kIntending) {
+    // The intent may be committed already; its answer decides.
+    return;
+  }
+  if (!MayHaveRun()) {
+    aContext.Count(Tally::kRefusedDeadline);
+    GiveUp(aContext, MakeRefusal(aContext, kStatusGatewayTimeout, "deadline"));
+    return;
+  }
+  ledger::Outcome outcome = MakeLoss("deadline");
+  outcome.mStatus = kStatusGatewayTimeout;
+  GiveUp(aContext, std::move(outcome));
+}
+
+void
+Execution::GiveUp(StepContext& aContext, ledger::Outcome aOutcome)
+{
+  if (!mLife->Take(LifeEvent::kGiveUp)) {
+    return;
+  }
+  StopUpstream(aContext, true);
+  mPendingOutcome = std::move(aOutcome);
+  ProposeFinish(aContext);
+}
+
+void
+Execution::StopUpstream(StepContext& aContext, bool aTellUpstream)
+{
+  if (!mUpstreamCall.IsSet()) {
+    return;
+  }
+  aContext.mEffects.emplace_back(DropUpstreamEffect{ mUpstreamCall });
+  mUpstreamCall = CallId();
+  if (aTellUpstream) {
+    aContext.mRouter.Ended(
+      mAttempt->mUpstream, routing::AttemptEnd::kCancelled, aContext.mNow);
+    aContext.mEffects.emplace_back(CancelUpstreamEffect{ mAttempt->mAddress,
+                                                         mAttempt->mKind,
+                                                         UpstreamRequestName(),
+                                                         mAttempt->mNumber });
+  }
+}
+
+} // namespace peridotspool::request
--- /dev/null
+++ b/src/request/ExecutionLedger.cpp
@@ -0,0 +1,202 @@
+// What an execution proposes to the ledger, and does with its answers.
+
+#include "peridotspool/base/Invariant.h"
+#include "request/Execution.h"
+#include "request/Life.h"
+
+#include <utility>
+
+namespace peridotspool::request {
+
+void
+Execution::ProposeFinish(StepContext& aContext)
+{
+  PERIDOTSPOOL_INVARIANT(mPendingOutcome.has_value());
+  Propose(aContext,
+          ledger::FinishOperation{ .mExecutorTurn = mRecord.mExecutorTurn,
+                                   .mOutcome = *mPendingOutcome });
+}
+
+void
+Execution::Propose(StepContext& aContext, ledger::Operation aOperation)
+{
+  mProposal = aContext.NewCall();
+  aContext.mEffects.emplace_back(
+    ProposeEffect{ mProposal, mRecord.mKey, std::move(aOperation) });
+}
+
+void
+Execution::OnLedgerAnswer(StepContext& aContext,
+                          CallId aCall,
+                          const ledger::OperationAnswer& aAnswer)
+{
+  if (aCall != mProposal || EndsHere(aContext, aAnswer)) {
+    return;
+  }
+  switch (mLife->State()) {
+    case LifeState::kIntending:
+      OnIntentAnswer(aContext, aAnswer);
+      break;
+    case LifeState::kVoiding:
+      OnVoidAnswer(aContext, aAnswer);
+      break;
+    case LifeState::kFinishing:
+      OnFinishAnswer(aContext, aAnswer);
+      break;
+    default:
+      // The answer to an intent that was not waited for.
+      break;
+  }
+}
+
+bool
+Execution::EndsHere(StepContext& aContext,
+                    const ledger::OperationAnswer& aAnswer)
+{
+  if (aAnswer.mVerdict == ledger::Verdict::kOldTurn ||
+      aAnswer.mVerdict == ledger::Verdict::kNoSuchRequest) {
+    OnTurnLost(aContext);
+    return true;
+  }
+  if (aAnswer.mVerdict == ledger::Verdict::kFinished && aAnswer.mRecord &&
+      aAnswer.mRecord->mOutcome) {
+    OnOutcome(aContext, *aAnswer.mRecord->mOutcome);
+    return true;
+  }
+  return false;
+}
+
+void
+Execution::OnIntentAnswer(StepContext& aContext,
+                          const ledger::OperationAnswer& aAnswer)
+{
+  if (aAnswer.mVerdict == ledger::Verdict::kMayHaveRun) {
+    GiveUp(aContext, MakeLoss("may-have-run"));
+    return;
+  }
+  if (aAnswer.mVerdict != ledger::Verdict::kDone) {
+    // Without an answer the intent may or may not stand; sending now could be
+    // a second run after another executor's first.
+    Propose(aContext,
+            ledger::IntendOperation{
+              .mExecutorTurn = mRecord.mExecutorTurn,
+              .mIntent = { .mAttempt = mAttempt->mNumber,
+                           .mUpstream = mAttempt->mUpstream,
+                           .mIncarnation = mAttempt->mIncarnation,
+                           .mFromIndex = mAttempt->mFromIndex } });
+    return;
+  }
+  TakeIntent(aAnswer);
+  if (aContext.mNow >= mDeadline) {
+    RetryAfterNoRun(aContext, Tally::kRefusedDeadline);
+    return;
+  }
+  mLife->Take(LifeEvent::kDispatch);
+  Send(aContext,
+       GenerateMode{ .mPrefix = mAnswer.mText, .mFromIndex = mNextIndex });
+}
+
+void
+Execution::TakeIntent(const ledger::OperationAnswer& aAnswer)
+{
+  // The ledger leaves the terms out of its answers to what an executor, which
+  // has them, proposes; only the intent is news.
+  if (aAnswer.mRecord) {
+    mRecord.mIntent = aAnswer.mRecord->mIntent;
+    mRecord.mIntentVoid = aAnswer.mRecord->mIntentVoid;
+  }
+}
+
+void
+Execution::OnVoidAnswer(StepContext& aContext,
+                        const ledger::OperationAnswer& aAnswer)
+{
+  if (aAnswer.mVerdict != ledger::Verdict::kDone) {
+    Propose(aContext,
+            ledger::VoidIntentOperation{ .mExecutorTurn = mRecord.mExecutorTurn,
+                                         .mAttempt = mAttempt->mNumber });
+    return;
+  }
+  mMayHaveRun = false;
+  TakeIntent(aAnswer);
+  if (aContext.mNow >= mDeadline) {
+    GiveUpOnDeadline(aContext);
+    return;
+  }
+  RetryLater(aContext, Tally::kRetryUpstreamRefused);
+}
+
+void
+Execution::OnFinishAnswer(StepContext& aContext,
+                          const ledger::OperationAnswer& aAnswer)
+{
+  if (aAnswer.mVerdict == ledger::Verdict::kDone) {
+    Conclude(aContext, *mPendingOutcome);
+    return;
+  }
+  if (aAnswer.mVerdict == ledger::Verdict::kMayHaveRun) {
+    mPendingOutcome = MakeLoss("may-have-run");
+  }
+  if (aContext.mNow > mDeadline + aContext.mOptions.mFinishGrace) {
+    // The ledger can't be reached for good: the callers are told at least
+    // that nothing sure is known.
+    mAnswer.mOutcome = MakeLoss("ledger-lost");
+    mLife->Take(LifeEvent::kFinishCommitted);
+    return;
+  }
+  ProposeFinish(aContext);
+}
+
+void
+Execution::Conclude(StepContext& aContext, const ledger::Outcome& aOutcome)
+{
+  mLife->Take(LifeEvent::kFinishCommitted);
+  const Answer kept = AnswerOf(aOutcome, mRecord.mExecutor);
+  if (kept.mLineage.IsSet()) {
+    mAnswer = kept;
+  } else {
+    mAnswer.mOutcome = aOutcome;
+  }
+  switch (aOutcome.mKind) {
+    case ledger::OutcomeKind::kAnswered:
+      aContext.Count(Tally::kAnswered);
+      break;
+    case ledger::OutcomeKind::kFailed:
+      aContext.Count(Tally::kFailed);
+      break;
+    case ledger::OutcomeKind::kUnknown:
+      aContext.Count(Tally::kUnknownOutcome);
+      break;
+    case ledger::OutcomeKind::kCancelled:
+      aContext.Count(Tally::kCancelled);
+      break;
+    case ledger::OutcomeKind::kRefused:
+      break;
+  }
+}
+
+void
+Execution::OnOutcome(StepContext& aContext, const ledger::Outcome& aOutcome)
+{
+  if (Ended()) {
+    return;
+  }
+  StopUpstream(aContext, true);
+  mLife->Take(LifeEvent::kGiveUp);
+  Conclude(aContext, aOutcome);
+}
+
+void
+Execution::OnTurnLost(StepContext& aContext)
+{
+  if (!mLife->Take(LifeEvent::kTurnLost)) {
+    return;
+  }
+  mLostTurn = true;
+  aContext.Count(Tally::kTurnLost);
+  // The engine's stream belongs to the next executor now: only the connection
+  // is closed, the stream is not cancelled.
+  StopUpstream(aContext, false);
+}
+
+} // namespace peridotspool::request
--- /dev/null
+++ b/src/request/ExecutionUpstream.cpp
@@ -0,0 +1,184 @@
+// What an execution does with what comes from its upstream.
+
+#include "peridotspool/base/Overloaded.h"
+#include "request/Execution.h"
+#include "request/Life.h"
+
+#include <utility>
+
+namespace peridotspool::request {
+
+namespace {
+
+/** New connections tried for a stream before its upstream is given up. */
+constexpr std::uint32_t kMaxResumes = 2;
+constexpr std::int32_t kStatusOk = 200;
+constexpr std::uint32_t kFirstServerError = 500;
+
+} // namespace
+
+void
+Execution::OnUpstream(StepContext& aContext, const UpstreamEvent& aEvent)
+{
+  const LifeState state = mLife->State();
+  const bool expected =
+    aEvent.mCall == mUpstreamCall &&
+    (state == LifeState::kDispatched || state == LifeState::kStreaming);
+  if (!expected) {
+    aContext.Count(Tally::kLatePieceDropped);
+    return;
+  }
+  std::visit(
+    Overloaded{
+      [&](const UpstreamPiece& aPiece) { OnPiece(aContext, aPiece); },
+      [&](const UpstreamDone& aDone) { OnDone(aContext, aDone); },
+      [&](const UpstreamRefused& aRefused) { OnRefused(aContext, aRefused); },
+      [&](const UpstreamBroken& aBroken) { OnBroken(aContext, aBroken); } },
+    aEvent.mOutcome);
+}
+
+bool
+Execution::Belongs(const std::string& aRequest, AttemptNumber aAttempt) const
+{
+  return aRequest == UpstreamRequestName() && aAttempt == mAttempt->mNumber;
+}
+
+void
+Execution::OnPiece(StepContext& aContext, const UpstreamPiece& aPiece)
+{
+  if (!Belongs(aPiece.mRequest, aPiece.mAttempt)) {
+    // Answers crossed inside the upstream. The piece is somebody else's and
+    // this caller must never see it; the caller's own pieces go on.
+    aContext.Count(Tally::kCrossedPieceDropped);
+    return;
+  }
+  if (aPiece.mIndex < mNextIndex) {
+    aContext.Count(Tally::kLatePieceDropped);
+    return;
+  }
+  if (aPiece.mIndex > mNextIndex) {
+    // A piece is missing (it went to somebody else, say): what follows would
+    // leave a hole in the answer, so the stream is fetched again from here.
+    StopUpstream(aContext, false);
+    OnBroken(aContext, UpstreamBroken{ .mReason = "gap in the stream" });
+    return;
+  }
+  if (!mAnswer.mLineage.IsSet()) {
+    mAnswer.mLineage = mAttempt->mNumber;
+  }
+  mLife->Take(LifeEvent::kPiece);
+  ++mNextIndex;
+  mAttempt->mResumes = 0;
+  mAnswer.mText += aPiece.mText;
+}
+
+void
+Execution::OnDone(StepContext& aContext, const UpstreamDone& aDone)
+{
+  if (!Belongs(aDone.mRequest, aDone.mAttempt)) {
+    aContext.Count(Tally::kCrossedPieceDropped);
+    StopUpstream(aContext, false);
+    OnBroken(aContext, UpstreamBroken{ .mReason = "crossed answer" });
+    return;
+  }
+  const bool engine = mAttempt->mKind == routing::UpstreamKind::kModelEngine;
+  if (engine && aDone.mTokens != mNextIndex) {
+    StopUpstream(aContext, false);
+    OnBroken(aContext, UpstreamBroken{ .mReason = "answer ended early" });
+    return;
+  }
+  mUpstreamCall = CallId();
+  aContext.mRouter.Ended(
+    mAttempt->mUpstream, routing::AttemptEnd::kCompleted, aContext.mNow);
+  if (engine) {
+    aContext.mRouter.Answered(
+      mAttempt->mUpstream, MakeQuery(aContext), aDone.mCachedTokens);
+  }
+  if (aDone.mRecomputedTokens > 0) {
+    aContext.Count(mAfterTakeover ? Tally::kRecomputedAfterTakeover
+                                  : Tally::kRecomputedAfterUpstreamLoss,
+                   aDone.mRecomputedTokens);
+  }
+  if (!engine) {
+    mAnswer.mLineage = mAttempt->mNumber;
+    mAnswer.mText = aDone.mResult;
+  }
+  mLife->Take(LifeEvent::kComplete);
+  mPendingOutcome = ledger::Outcome{ .mKind = ledger::OutcomeKind::kAnswered,
+                                     .mStatus = kStatusOk,
+                                     .mBody = mAnswer.mText,
+                                     .mAttempt = mAttempt->mNumber,
+                                     .mUpstream = mAttempt->mUpstream,
+                                     .mLineage = mAnswer.mLineage };
+  ProposeFinish(aContext);
+}
+
+void
+Execution::OnRefused(StepContext& aContext, const UpstreamRefused& aRefused)
+{
+  mUpstreamCall = CallId();
+  aContext.mRouter.Ended(
+    mAttempt->mUpstream, routing::AttemptEnd::kFailed, aContext.mNow);
+  if (aRefused.mNoSuchStream && mAttempt->mResumes > 0) {
+    RetryOrGiveUp(aContext, Tally::kRetryStreamGone);
+    return;
+  }
+  if (aRefused.mDidNotRun) {
+    mNotBefore = aContext.mNow + aRefused.mRetryAfter;
+    mAvoid.push_back(mAttempt->mUpstream);
+    RetryAfterNoRun(aContext, Tally::kRetryUpstreamRefused);
+    return;
+  }
+  if (aRefused.mStatus >= kFirstServerError) {
+    RetryOrGiveUp(aContext, Tally::kRetryUpstreamRefused);
+    return;
+  }
+  // The upstream understood the request and will not do it: another try would
+  // get the same answer.
+  GiveUp(
+    aContext,
+    ledger::Outcome{ .mKind = ledger::OutcomeKind::kFailed,
+                     .mStatus = static_cast<std::int32_t>(aRefused.mStatus),
+                     .mReason = "upstream-rejected",
+                     .mAttempt = mAttempt->mNumber,
+                     .mUpstream = mAttempt->mUpstream });
+}
+
+void
+Execution::OnBroken(StepContext& aContext, const UpstreamBroken& aBroken)
+{
+  mUpstreamCall = CallId();
+  const Tally why =
+    aBroken.mTimedOut ? Tally::kRetrySilent : Tally::kRetryConnectionBroken;
+  if (aBroken.mMayHaveRun && TryResumeSameStream(aContext)) {
+    aContext.Count(why);
+    return;
+  }
+  aContext.mRouter.Ended(mAttempt->mUpstream,
+                         aBroken.mTimedOut ? routing::AttemptEnd::kTimedOut
+                                           : routing::AttemptEnd::kFailed,
+                         aContext.mNow);
+  mAvoid.push_back(mAttempt->mUpstream);
+  mAfterLoss = true;
+  if (!aBroken.mMayHaveRun && mAttempt->mResumes == 0) {
+    RetryAfterNoRun(aContext, why);
+  } else {
+    RetryOrGiveUp(aContext, why);
+  }
+}
+
+bool
+Execution::TryResumeSameStream(StepContext& aContext)
+{
+  // The connection may be dead while the engine still generates (something
+  // between the two lost track of it): a new connection to the same stream
+  // costs nothing, and is no second run.
+  const bool engine = mAttempt->mKind == routing::UpstreamKind::kModelEngine;
+  if (!engine || mAttempt->mResumes >= kMaxResumes) {
+    return false;
+  }
+  Resume(aContext);
+  return true;
+}
+
+} // namespace peridotspool::request
--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds kStopGrace{ 200 };
 /** A failure counts for this long if nothing is tried since. */
 constexpr std::chrono::milliseconds kFailureMemory{ 3000 };
+/** One handshake can time out on a busy machine; only failures that go on for
+ * this long say that a peer can't be reached. */
+constexpr std::chrono::milliseconds kFailureProof{ 2000 };
 /** How long after a failed connect the next one to that peer is tried. */
 constexpr std::chrono::milliseconds kReconnectPause{ 100 };
 
@@ -118,8 +121,9 @@
     const std::lock_guard lock(mFailedMutex);
     std::vector<Address> peers;
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& [peer, failedAt] : mFailed) {
-      if (now - failedAt < kFailureMemory) {
+    for (const auto& [peer, failures] : mFailed) {
+      const bool lasting = now - failures.mFirst >= kFailureProof;
+      if (lasting && now - failures.mLast < kFailureMemory) {
         peers.push_back(peer);
       }
     }
@@ -127,14 +131,23 @@
   }
 
 private:
+  /** Failures to reach a peer with no success between them. */
+  struct Failures
+  {
+    std::chrono::steady_clock::time_point mFirst;
+    std::chrono::steady_clock::time_point mLast;
+  };
+
   void NoteFailure(const Address& aPeer)
   {
     const std::lock_guard lock(mFailedMutex);
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(mFailed, [&](const auto& aPair) {
-      return now - aPair.second >= kFailureMemory;
+      return now - aPair.second.mLast >= kFailureMemory;
     });
-    mFailed[aPeer] = now;
+    const auto [place, isNew] =
+      mFailed.try_emplace(aPeer, Failures{ now, now });
+    place->second.mLast = now;
   }
 
   void NoteSuccess(const Address& aPeer)
@@ -280,7 +293,7 @@
   std::map<Address, std::chrono::steady_clock::time_point> mNotBefore;
   AtomicCounts mCounts;
   mutable std::mutex mFailedMutex;
-  std::map<Address, std::chrono::steady_clock::time_point> mFailed;
+  std::map<Address, Failures> mFailed;
   std::thread mThread;
 };
 
