Begin process tests with three voters

The test could kill the leader while a replica was still a learner; with two voters the loss of one leaves no majority for good, as it must. Ruled out: a slow election (it takes under 1 s in the runs measured). Not shown: the status at that moment; the log of the run does not have it.

--- a/test/process/TestSystem.cpp
+++ b/test/process/TestSystem.cpp
@@ -54,6 +54,7 @@
 {
   StartControl();
   StartEntries();
+  WaitForVoters();
   const json::object answer =
     PutSettings("first", 0, ExampleText("settings.yaml"));
   INFO(json::serialize(answer));
@@ -257,6 +258,30 @@
   return result;
 }
 
+void
+TestSystem::WaitForVoters()
+{
+  // With two voters the loss of one leaves no majority: a test that kills the
+  // leader has to begin with three.
+  const bool all = Eventually(
+    [&] {
+      const auto status = Status(WaitForLeader());
+      const json::value* replicas =
+        status ? status->if_contains("replicas") : nullptr;
+      if (replicas == nullptr || !replicas->is_array()) {
+        return false;
+      }
+      const json::array& list = replicas->get_array();
+      return list.size() == ControlNames().size() &&
+             std::all_of(list.begin(), list.end(), [](const json::value& aOne) {
+               return aOne.at("voter").as_bool();
+             });
+    },
+    kPatience);
+  INFO("every control replica must become a voter");
+  REQUIRE(all);
+}
+
 std::string
 TestSystem::WaitForLeader()
 {
--- a/test/process/TestSystem.h
+++ b/test/process/TestSystem.h
@@ -27,6 +27,8 @@
   void Start();
   void StartControl();
   void StartEntries();
+  /** Waits until every control replica has a vote. */
+  void WaitForVoters();
   /** Starts (again) one of the control replicas or entries. */
   ChildProcess& StartOwn(const std::string& aName);
   /** Starts a stand-in that announces itself, and waits until it is known. */
