Run one whole system at a time in the process tests

They start ten processes and more each; four at once took the processor from each other's leases on a machine that also ran the linter. The verdict has to be the same each time.

--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -43,6 +43,11 @@
       ${test_name}
       PROPERTIES LABELS "${labels}" TIMEOUT 240 ENVIRONMENT
                  "RC_PARAMS=seed=20261202")
+    if(folder_name STREQUAL "process")
+      # Each starts a whole system of ten processes and more; one at a time, so
+      # that they do not take the processor from each other's leases.
+      set_tests_properties(${test_name} PROPERTIES RESOURCE_LOCK system)
+    endif()
   endforeach()
 endforeach()
 
