Say maybe where an entry did not ask the ledger

Cause: an overloaded entry, and one without settings, answered 503 with "ran": "no" though the same key may have come through another entry and run: a caller that believes it may ask again with a fresh key. Found by reading the change again. Change: such answers say "maybe"; answers to malformed or unauthorised requests still say "no", since those never ran.

--- a/src/http/ApiError.cpp
+++ b/src/http/ApiError.cpp
@@ -19,9 +19,12 @@
                   const std::string& aReason,
                   const std::string& aMessage)
 {
+  // An entry that is not ready or overloaded has not asked the ledger: the same
+  // key may have come through another entry, and may run.
+  const char* ran = aStatus == kStatusUnavailable ? "maybe" : "no";
   const boost::json::object body{ { "reason", aReason },
                                   { "message", aMessage },
-                                  { "ran", "no" } };
+                                  { "ran", ran } };
   return HttpResponse{ .mStatus = aStatus,
                        .mHeaders = { { "content-type", "application/json" } },
                        .mBody = boost::json::serialize(body) };
--- a/src/http/ApiError.h
+++ b/src/http/ApiError.h
@@ -6,7 +6,8 @@
 
 namespace peridotspool::http {
 
-/** Returns a JSON error answer: {"reason", "message", "ran": "no"}. */
+/** Returns a JSON error answer: {"reason", "message", "ran"}. The last is "no",
+ * but "maybe" for an entry that could not ask the ledger (503). */
 HttpResponse
 MakeErrorResponse(std::uint32_t aStatus,
                   const std::string& aReason,
