--- a/daemon/controld.cpp
+++ b/daemon/controld.cpp
@@ -6,6 +6,7 @@
 
 #include <exception>
 #include <iostream>
+#include <utility>
 
 namespace {
 
@@ -17,8 +18,13 @@
 Run(const settings::ProcessSettings& aSettings)
 {
   runtime::BlockStopSignals();
-  runtime::ControlHost host(aSettings);
   LastReason reason;
+  auto options = runtime::MakeControlOptions(aSettings, reason);
+  if (!options) {
+    std::cerr << "cannot start: " << reason.Text() << "\n";
+    return 1;
+  }
+  runtime::ControlHost host(std::move(*options));
   if (!host.Start(reason)) {
     std::cerr << "cannot start: " << reason.Text() << "\n";
     return 1;
--- a/include/peridotspool/control/Command.h
+++ b/include/peridotspool/control/Command.h
@@ -71,10 +71,21 @@
 };
 BOOST_DESCRIBE_STRUCT(FencingCommand, (), ())
 
+/** Replaces the settings by a whole document with the operator's number. */
+struct DocumentCommand
+{
+  std::uint64_t mVersion = 0;
+  std::string mText;
+
+  auto operator<=>(const DocumentCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DocumentCommand, (), (mVersion, mText))
+
 using Command = std::variant<NoopCommand,
                              ReplicaSetCommand,
                              EditCommand,
                              MembershipCommand,
-                             FencingCommand>;
+                             FencingCommand,
+                             DocumentCommand>;
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/Consensus.h
+++ b/include/peridotspool/control/Consensus.h
@@ -58,6 +58,8 @@
   ReplicaId Leader() const { return mLeader; }
   LogIndex LastIndex() const { return mLog.LastIndex(); }
   LogIndex Commit() const { return mCommit; }
+  /** The newest write that was given out. */
+  SyncToken LastToken() const { return mLastToken; }
   /** Entries kept in memory. */
   std::size_t LogSize() const { return mLog.Size(); }
   /** The newest replica set in the log, committed or not. */
--- a/include/peridotspool/control/ControlEffect.h
+++ b/include/peridotspool/control/ControlEffect.h
@@ -44,6 +44,7 @@
   kMemberSilent,
   kSnapshotMade,
   kSnapshotInstalled,
+  kIdentityLost,
 };
 BOOST_DESCRIBE_ENUM(ControlNotice,
                     kTookLead,
@@ -54,7 +55,8 @@
                     kReplicaJoinRefused,
                     kMemberSilent,
                     kSnapshotMade,
-                    kSnapshotInstalled)
+                    kSnapshotInstalled,
+                    kIdentityLost)
 
 /** For the host's log. */
 struct NoticeEffect
--- a/include/peridotspool/control/ControlNode.h
+++ b/include/peridotspool/control/ControlNode.h
@@ -4,8 +4,11 @@
 #include "peridotspool/control/ControlEvent.h"
 #include "peridotspool/control/ControlOptions.h"
 #include "peridotspool/control/RestoredState.h"
+#include "peridotspool/membership/EntryProfile.h"
 
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace peridotspool::control {
 
@@ -36,6 +39,12 @@
   const MachineState& State() const;
   const ReplicaSet& Replicas() const;
   ReplicaId Self() const;
+  /** Entries that were heard lately, work by settings and don't leave. */
+  std::vector<membership::EntryProfile> ReadyEntries(TimePoint aNow) const;
+  /** Where the control replicas listen for each other, as known here. */
+  std::vector<Address> ReplicaAddresses() const;
+  /** Where the leader listens; empty when it isn't known. */
+  std::optional<Address> LeaderAddress() const;
 
 private:
   std::unique_ptr<ControlNodeState> mState;
--- a/include/peridotspool/control/ControlOptions.h
+++ b/include/peridotspool/control/ControlOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Address.h"
+#include "peridotspool/base/Ids.h"
 #include "peridotspool/control/ConsensusOptions.h"
 #include "peridotspool/control/ControlIds.h"
 #include "peridotspool/control/StateMachineOptions.h"
@@ -37,6 +38,13 @@
 
   /** How many voters the leader brings the replica set up to. */
   std::size_t mVoters = 3;
+  /** Further replicas that only receive the log, ready to take a place. */
+  std::size_t mMaxLearners = 2;
+  /**
+   * A voter that has been silent for this long loses its place to a learner
+   * that has caught up; unset: only its own next identity takes its place.
+   */
+  std::optional<Duration> mReplaceSilentAfter;
   /** How long a heartbeat's answer lets an entry work, from its sending. */
   Duration mEntryLease = std::chrono::milliseconds(1000);
   /** A member not heard by a majority for this long is removed. */
@@ -53,6 +61,8 @@
   /** A process whose name was lately removed waits this long, doubling. */
   Duration mRejoinBackoff = std::chrono::seconds(1);
   Duration mRejoinBackoffMost = std::chrono::seconds(30);
+  /** An entry that was not heard for this long is not named to callers. */
+  Duration mListedFor = std::chrono::milliseconds(1200);
   /** After this long without effect a push is sent again. */
   Duration mPushResend = std::chrono::milliseconds(600);
   /** A snapshot is made after this many entries. */
--- a/include/peridotspool/control/OperatorAnswer.h
+++ b/include/peridotspool/control/OperatorAnswer.h
@@ -124,6 +124,16 @@
 };
 BOOST_DESCRIBE_STRUCT(FencingAnswer, (), (mNumber))
 
+/** The document, or one with a version as high or higher, is committed. */
+struct DocumentAnswer
+{
+  std::uint64_t mNewest = 0;
+  Revision mRevision;
+
+  auto operator<=>(const DocumentAnswer&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DocumentAnswer, (), (mNewest, mRevision))
+
 /** Ask the leader; nothing was done here. */
 struct NotLeaderAnswer
 {
@@ -161,6 +171,7 @@
                                     FencingAnswer,
                                     NotLeaderAnswer,
                                     UncertainAnswer,
-                                    RefusedAnswer>;
+                                    RefusedAnswer,
+                                    DocumentAnswer>;
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/OperatorRequest.h
+++ b/include/peridotspool/control/OperatorRequest.h
@@ -85,6 +85,19 @@
 };
 BOOST_DESCRIBE_STRUCT(FencingRequest, (), ())
 
+/**
+ * Replaces the settings by a whole document. The highest version wins; one
+ * that is not higher is acknowledged and changes nothing.
+ */
+struct DocumentRequest
+{
+  std::uint64_t mVersion = 0;
+  std::string mText;
+
+  auto operator<=>(const DocumentRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DocumentRequest, (), (mVersion, mText))
+
 using OperatorRequest = std::variant<EditRequest,
                                      InForceRequest,
                                      SettingsRequest,
@@ -92,6 +105,7 @@
                                      DiffRequest,
                                      DrainRequest,
                                      StatusRequest,
-                                     FencingRequest>;
+                                     FencingRequest,
+                                     DocumentRequest>;
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/PersistEffect.h
+++ b/include/peridotspool/control/PersistEffect.h
@@ -11,7 +11,7 @@
 
 /**
  * One write to the disk. The host carries writes out in the order of their
- * tokens: identity, snapshot (it replaces all entries up to its index), cut,
+ * tokens: reset (it drops all that was written before), identity, snapshot (it replaces all entries up to its index), cut,
  * append, vote; syncs; and then reports SyncedEvent with the token. It may
  * sync several writes together and report the last token only. When a write
  * fails, the host stops the process.
@@ -25,6 +25,7 @@
   std::optional<LogIndex> mCutFrom;
   std::vector<LogEntry> mAppend;
   std::optional<VoteRecord> mVote;
+  bool mReset = false;
 
   /** Returns true iff there is nothing to write. */
   bool IsEmpty() const;
@@ -33,7 +34,13 @@
 };
 BOOST_DESCRIBE_STRUCT(PersistEffect,
                       (),
-                      (mToken, mIdentity, mSnapshot, mCutFrom, mAppend, mVote))
+                      (mToken,
+                       mIdentity,
+                       mSnapshot,
+                       mCutFrom,
+                       mAppend,
+                       mVote,
+                       mReset))
 
 /** Carries a write out on a state in memory; what a disk must end up with. */
 void
--- a/include/peridotspool/control/ReplicaMessage.h
+++ b/include/peridotspool/control/ReplicaMessage.h
@@ -124,6 +124,18 @@
 };
 BOOST_DESCRIBE_STRUCT(JoinReply, (), (mNonce, mReplica, mLeader, mReason))
 
+/**
+ * The committed replica set no longer holds the identity that was spoken for.
+ * Identities are never given twice, so this is final.
+ */
+struct RemovedNotice
+{
+  ReplicaId mRemoved;
+
+  auto operator<=>(const RemovedNotice&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(RemovedNotice, (), (mRemoved))
+
 using ReplicaMessage = std::variant<VoteRequest,
                                     VoteReply,
                                     AppendRequest,
@@ -131,7 +143,8 @@
                                     InstallSnapshot,
                                     SilenceReport,
                                     JoinRequest,
-                                    JoinReply>;
+                                    JoinReply,
+                                    RemovedNotice>;
 
 /** What travels between control replicas. */
 struct ReplicaEnvelope
--- a/include/peridotspool/control/RestoredState.h
+++ b/include/peridotspool/control/RestoredState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peridotspool/base/Address.h"
 #include "peridotspool/control/LogEntry.h"
 #include "peridotspool/control/Snapshot.h"
 
@@ -53,4 +54,14 @@
 RestoredState
 InitialState(SystemId aSystem, ReplicaInfo aFirst);
 
+/**
+ * Returns the first state of a new system whose founders all know each other's
+ * addresses: each of them makes the same one, without a message between them.
+ * Returns an empty state iff aSelf is no founder. To be used only where the
+ * settings say that the whole system starts for the first time: a replica that
+ * founded with a lost disk would outvote what the others acknowledged.
+ */
+RestoredState
+FoundingState(const Address& aSelf, std::vector<Address> aFounders);
+
 } // namespace peridotspool::control
--- a/include/peridotspool/control/SettingsState.h
+++ b/include/peridotspool/control/SettingsState.h
@@ -44,11 +44,13 @@
   std::map<EditId, EditRecord> mEdits;
   /** Ids of mEdits from the oldest on; bounded. */
   std::vector<EditId> mEditOrder;
+  /** The operator's number of mText; 0 when edits made it. */
+  std::uint64_t mDocument = 0;
 
   auto operator<=>(const SettingsState&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(SettingsState,
                       (),
-                      (mRevision, mText, mHistory, mEdits, mEditOrder))
+                      (mRevision, mText, mHistory, mEdits, mEditOrder, mDocument))
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/StateMachine.h
+++ b/include/peridotspool/control/StateMachine.h
@@ -26,9 +26,21 @@
   auto operator<=>(const EpochApplied&) const = default;
 };
 
+/** A document was judged; the newest one now has this version. */
+struct DocumentApplied
+{
+  std::uint64_t mNewest = 0;
+
+  auto operator<=>(const DocumentApplied&) const = default;
+};
+
 /** What applying a command gave. */
 using ApplyResult =
-  std::variant<NothingApplied, EditAnswer, EpochApplied, FencingNumber>;
+  std::variant<NothingApplied,
+               EditAnswer,
+               EpochApplied,
+               FencingNumber,
+               DocumentApplied>;
 
 /** The state that the control log's commands make; alike on all replicas. */
 class StateMachine
@@ -56,7 +68,9 @@
   ApplyResult ApplyOne(const EditCommand& aCommand);
   ApplyResult ApplyOne(const MembershipCommand& aCommand);
   ApplyResult ApplyOne(const FencingCommand& aCommand);
+  ApplyResult ApplyOne(const DocumentCommand& aCommand);
 
+  void ReplaceText(std::string aText, EditId aEdit, std::string aAuthor);
   EditAnswer Judge(const EditCommand& aCommand);
   EditAnswer ConflictOf(Revision aBase) const;
   void Remember(const EditCommand& aCommand, const EditAnswer& aAnswer);
--- /dev/null
+++ b/include/peridotspool/gateway/AttemptPolicy.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "peridotspool/gateway/Route.h"
+
+#include <cstdint>
+
+namespace peridotspool::gateway {
+
+/** How far one request has come. */
+struct AttemptFacts
+{
+  RequestKind mKind = RequestKind::kNonIdempotent;
+  bool mResumable = false;
+  /** Upstreams that may have begun to run it. */
+  std::uint32_t mRuns = 0;
+  std::uint32_t mMaxAttempts = 1;
+  /** Upstreams that were asked and surely did not run it. */
+  std::uint32_t mRefusals = 0;
+  /** The caller has a part of the answer. */
+  bool mBegun = false;
+  /** Enough time is left for another upstream. */
+  bool mTimeLeft = true;
+};
+
+enum class NextStep
+{
+  /** Send it to another upstream, if the budget of repeats allows it. */
+  kTryAnother,
+  /** Tell the caller that it did not run, and when to come back. */
+  kRefuse,
+  /** Tell the caller that it failed, and may have run. */
+  kFail,
+  /** End the connection: the answer under way can't be made whole. */
+  kBreakOff,
+  /** Hand the upstream's own answer on. */
+  kPassOn,
+};
+
+/** The last upstream said, or is known, not to have run the request. */
+NextStep
+AfterNotRun(const AttemptFacts& aFacts);
+
+/** The last upstream may have run the request, and its answer is lost. */
+NextStep
+AfterLost(const AttemptFacts& aFacts);
+
+/** The last upstream ran the request and says that it failed. */
+NextStep
+AfterFailure(const AttemptFacts& aFacts);
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/include/peridotspool/gateway/UpstreamBoard.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/membership/UpstreamDirectory.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotspool::gateway {
+
+/** How a send to an upstream ended. */
+enum class SendResult
+{
+  /** It gave an answer of its own, good or bad, or was no longer wanted. */
+  kAnswered,
+  /** It said that it did not run the request: it is full. */
+  kFull,
+  /** It isn't the upstream that was meant: that one is gone. */
+  kOther,
+  /** It failed the request. */
+  kFailed,
+  /** The connection could not be made, or broke. */
+  kBroken,
+  /** Nothing came in time. */
+  kSilent,
+};
+
+struct UpstreamBoardOptions
+{
+  /** The instance's own domain is preferred among equals. */
+  FailureDomain mDomain;
+  /** An upstream that breaks is left out for this long, doubling. */
+  Duration mEjectFor = std::chrono::milliseconds(700);
+  Duration mEjectForMost = std::chrono::milliseconds(5000);
+  /** Failures in a row that eject an upstream that answers. */
+  std::uint32_t mFailuresToEject = 4;
+  /** A report older than this says nothing about the load any more. */
+  Duration mReportAge = std::chrono::milliseconds(1500);
+  /** A sticky request leaves its upstream when that is fuller than this. */
+  double mStickyFullness = 0.8;
+};
+
+/** What is asked of the board. */
+struct ChooseQuestion
+{
+  ServiceName mService;
+  /** Requests with the same one share a prompt prefix; 0 for none. */
+  std::uint64_t mAffinity = 0;
+  /** Upstreams that this request was sent to already. */
+  std::set<UpstreamName> mTried;
+};
+
+/** An upstream that was chosen, and the beliefs that chose it. */
+struct UpstreamChoice
+{
+  UpstreamName mName;
+  Address mAddress;
+  double mFullness = 0.0;
+  /** Place in the order that the affinity gives; 0 is the first. */
+  std::size_t mRank = 0;
+  std::size_t mCandidates = 0;
+  /** Age of the newest load report; empty without one. */
+  std::optional<Duration> mReportAge;
+};
+
+/**
+ * What an entry believes of the upstreams, from announcements, their own load
+ * reports, and how sends to them ended; and the choice among them.
+ *
+ * A pure step without clock, thread, socket or randomness. Not thread-safe.
+ */
+class UpstreamBoard
+{
+public:
+  explicit UpstreamBoard(UpstreamBoardOptions aOptions);
+
+  /** Takes what the directory knows of one upstream; null forgets it. */
+  void Take(const UpstreamName& aName,
+            const membership::KnownUpstream* aKnown,
+            TimePoint aNow);
+  void TakeLoad(const UpstreamName& aName,
+                std::uint32_t aRunning,
+                std::uint32_t aWaiting,
+                TimePoint aNow);
+
+  /** Returns empty iff no upstream may be tried. */
+  std::optional<UpstreamChoice> Choose(const ChooseQuestion& aQuestion,
+                                       TimePoint aNow) const;
+  void Sent(const UpstreamName& aName, TimePoint aNow);
+  /** Returns true iff the upstream is ejected because of it. */
+  bool Ended(const UpstreamName& aName, SendResult aResult, TimePoint aNow);
+
+  std::size_t ReadyCount(const ServiceName& aService, TimePoint aNow) const;
+  /** Own sends under way to an upstream. */
+  std::uint32_t InFlight(const UpstreamName& aName) const;
+  /** Returns true iff new work may go to it, ejected or not. */
+  bool IsReady(const UpstreamName& aName) const;
+
+private:
+  struct Belief
+  {
+    membership::UpstreamReport mReport;
+    bool mSilent = false;
+    bool mGone = false;
+    std::uint32_t mInFlight = 0;
+    std::uint32_t mReported = 0;
+    std::uint32_t mInFlightAtReport = 0;
+    std::optional<TimePoint> mReportedAt;
+    std::uint32_t mFailures = 0;
+    std::uint32_t mEjections = 0;
+    TimePoint mEjectedUntil;
+  };
+
+  static bool TakesWork(const Belief& aBelief);
+  double FullnessOf(const Belief& aBelief, TimePoint aNow) const;
+  bool Eject(Belief& aBelief, TimePoint aNow);
+  std::vector<const Belief*> Candidates(const ChooseQuestion& aQuestion,
+                                        TimePoint aNow,
+                                        bool aEjectedToo) const;
+  std::size_t PickSticky(const std::vector<const Belief*>& aCandidates,
+                         TimePoint aNow) const;
+  std::size_t PickLeastFull(const std::vector<const Belief*>& aCandidates,
+                            TimePoint aNow) const;
+
+  UpstreamBoardOptions mOptions;
+  std::unordered_map<UpstreamName, Belief> mBeliefs;
+};
+
+/**
+ * Returns what requests with the same shared prompt prefix have in common: a
+ * hash of all parts but the last, which is the request's own. 0 for none.
+ */
+std::uint64_t
+PrefixAffinity(std::string_view aParts);
+
+} // namespace peridotspool::gateway
--- a/include/peridotspool/membership/ControlSession.h
+++ b/include/peridotspool/membership/ControlSession.h
@@ -56,6 +56,8 @@
    */
   bool LeaseHolds(TimePoint aNow) const;
 
+  /** The control replicas as the leader last named them, or the first list. */
+  const std::vector<Address>& Controls() const { return mControls; }
   /** Unset until the process is a member. */
   MemberId Member() const { return mMember; }
   /** The newest epoch that was taken. */
@@ -91,10 +93,13 @@
   void TakeChange(const EpochChange& aChange);
 
   void SendHeartbeat();
+  std::vector<Address> Reachable() const;
   void SendToAll(const FromEntryMessage& aMessage);
   const SentHeartbeat* FindSent(std::uint64_t aSequence) const;
 
   ControlSessionOptions mOptions;
+  std::vector<Address> mControls;
+  std::optional<TimePoint> mLeaderHeardAt;
   ControlSessionEffects mEffects;
   TimePoint mNow;
   std::optional<TimePoint> mLastSent;
--- a/include/peridotspool/membership/EntryMessage.h
+++ b/include/peridotspool/membership/EntryMessage.h
@@ -97,6 +97,8 @@
   EpochNumber mEpoch;
   /** Runs from the moment when the heartbeat was sent; zero for none. */
   Duration mLease{ 0 };
+  /** Where the control replicas are now; empty from one that doesn't lead. */
+  std::vector<Address> mControls;
 
   auto operator<=>(const HeartbeatAnswer&) const = default;
 };
@@ -109,7 +111,8 @@
                        mMember,
                        mConfirmed,
                        mEpoch,
-                       mLease))
+                       mLease,
+                       mControls))
 
 /** Committed settings: either deltas on mBase or the whole tree. */
 struct SettingsPush
--- /dev/null
+++ b/include/peridotspool/membership/RegistryMessage.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "peridotspool/base/Address.h"
+#include "peridotspool/membership/UpstreamReport.h"
+
+#include <boost/describe/class.hpp>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotspool::membership {
+
+/** Names one life of a registry; its versions mean nothing in another one. */
+using RegistryLife = NumberId<struct RegistryLifeTag>;
+
+/** One upstream in a registry. */
+struct RegistryRow
+{
+  UpstreamReport mReport;
+  /** The registry has not heard from it lately; it may speak to another. */
+  bool mSilent = false;
+
+  auto operator<=>(const RegistryRow&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(RegistryRow, (), (mReport, mSilent))
+
+/** Says what a subscriber has of a registry, and keeps its subscription. */
+struct RegistryPull
+{
+  RegistryLife mLife;
+  std::uint64_t mVersion = 0;
+
+  auto operator<=>(const RegistryPull&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(RegistryPull, (), (mLife, mVersion))
+
+/** The rows that changed after mFrom up to mTo; from 0 it is all of them. */
+struct RegistryPush
+{
+  RegistryLife mLife;
+  std::uint64_t mFrom = 0;
+  std::uint64_t mTo = 0;
+  std::vector<RegistryRow> mRows;
+
+  auto operator<=>(const RegistryPush&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(RegistryPush, (), (mLife, mFrom, mTo, mRows))
+
+using RegistryMessage = std::variant<RegistryPull, RegistryPush>;
+
+} // namespace peridotspool::membership
--- /dev/null
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/membership/RegistryMessage.h"
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace peridotspool::membership {
+
+struct UpstreamRegistryOptions
+{
+  /** Random; differs for each start of the process, never zero. */
+  RegistryLife mLife;
+  /** An upstream that was not heard for this long counts as silent. */
+  Duration mSilentAfter = std::chrono::milliseconds(4500);
+  /** Rows of silent and gone upstreams are forgotten after this long. */
+  Duration mForgetAfter = std::chrono::seconds(90);
+  /** A push that was not confirmed for this long is sent again. */
+  Duration mResendAfter = std::chrono::milliseconds(250);
+  /** A subscriber that did not pull for this long has gone. */
+  Duration mSubscriberTimeout = std::chrono::milliseconds(2500);
+  std::size_t mMaxRows = 16384;
+  std::size_t mMaxSubscribers = 4096;
+};
+
+/** A message that the host is to send; it may be lost. */
+struct RegistrySend
+{
+  Address mTo;
+  RegistryPush mPush;
+};
+
+/**
+ * The upstreams that announce themselves to this process, and who is told of
+ * them. Soft state: upstreams repeat their heartbeats, so nothing is kept on a
+ * disk, and each registry knows only what it was told itself; a subscriber
+ * puts the registries together (UpstreamDirectory).
+ *
+ * A pure step without clock, thread or socket. Not thread-safe.
+ */
+class UpstreamRegistry
+{
+public:
+  explicit UpstreamRegistry(UpstreamRegistryOptions aOptions);
+
+  /** Takes a heartbeat; returns what its subscribers are to be told at once. */
+  std::vector<RegistrySend> TakeReport(UpstreamReport aReport, TimePoint aNow);
+  /** Takes a goodbye from an upstream by its name alone. */
+  std::vector<RegistrySend> TakeGoodbye(const UpstreamName& aName,
+                                        TimePoint aNow);
+  std::vector<RegistrySend> TakePull(const Address& aFrom,
+                                     const RegistryPull& aPull,
+                                     TimePoint aNow);
+  /** About every 100 ms: silence, and pushes that were not confirmed. */
+  std::vector<RegistrySend> Tick(TimePoint aNow);
+
+  std::size_t Size() const { return mRows.size(); }
+  std::uint64_t Version() const { return mVersion; }
+
+private:
+  struct Row
+  {
+    RegistryRow mRow;
+    TimePoint mHeardAt;
+    std::uint64_t mVersion = 0;
+  };
+  struct Subscriber
+  {
+    std::uint64_t mConfirmed = 0;
+    std::uint64_t mPushed = 0;
+    TimePoint mPushedAt;
+    TimePoint mHeardAt;
+  };
+
+  void Change(Row& aRow);
+  std::vector<RegistrySend> PushAll(TimePoint aNow);
+  RegistrySend Push(const Address& aTo, Subscriber& aSubscriber, TimePoint aNow);
+
+  UpstreamRegistryOptions mOptions;
+  std::unordered_map<UpstreamName, Row> mRows;
+  /** Rows by the version of their last change. */
+  std::map<std::uint64_t, UpstreamName> mByVersion;
+  std::map<Address, Subscriber> mSubscribers;
+  std::uint64_t mVersion = 1;
+};
+
+} // namespace peridotspool::membership
--- /dev/null
+++ b/include/peridotspool/runtime/ControlDialect.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "peridotspool/control/ControlOptions.h"
+#include "peridotspool/control/OperatorAnswer.h"
+#include "peridotspool/control/OperatorRequest.h"
+#include "peridotspool/http/HttpMessage.h"
+#include "peridotspool/membership/EntryProfile.h"
+#include "peridotspool/membership/UpstreamReport.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotspool::runtime {
+
+/** An upstream's heartbeat. */
+struct AnnounceCall
+{
+  membership::UpstreamReport mReport;
+};
+
+/** An upstream's goodbye. */
+struct GoodbyeCall
+{
+  UpstreamName mName;
+};
+
+/** A caller asks which entries to connect to. */
+struct DirectoryCall
+{
+  Region mRegion;
+  FailureDomain mDomain;
+};
+
+/** The dialect answers by itself, most often because a request is malformed. */
+struct AnsweredCall
+{
+  http::HttpResponse mResponse;
+};
+
+using ControlCall = std::variant<control::OperatorRequest,
+                                 AnnounceCall,
+                                 GoodbyeCall,
+                                 DirectoryCall,
+                                 AnsweredCall>;
+
+/**
+ * How requests to a control replica look on the outside. Pure functions of
+ * their arguments; called on several threads.
+ */
+struct ControlDialect
+{
+  std::function<ControlCall(const http::HttpRequest&)> mRead;
+  /**
+   * Writes an operator's answer. The target (path and query) and the leader's
+   * peer address are there for a redirection.
+   */
+  std::function<http::HttpResponse(const control::OperatorAnswer&,
+                                   const std::string& aTarget)>
+    mWriteAnswer;
+  std::function<http::HttpResponse()> mWriteAnnounced;
+  /** Entries in the order in which a caller is to try them; may be empty. */
+  std::function<http::HttpResponse(const std::vector<membership::EntryProfile>&,
+                                   const DirectoryCall&)>
+    mWriteDirectory;
+  /** Checks settings that an operator sends. */
+  control::SettingsChecker mChecker;
+};
+
+} // namespace peridotspool::runtime
--- a/include/peridotspool/runtime/ControlHost.h
+++ b/include/peridotspool/runtime/ControlHost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/LastReason.h"
+#include "peridotspool/runtime/ControlHostOptions.h"
 #include "peridotspool/settings/ProcessSettings.h"
 
 #include <memory>
@@ -24,7 +25,7 @@
 class ControlHost
 {
 public:
-  explicit ControlHost(settings::ProcessSettings aSettings);
+  explicit ControlHost(ControlHostOptions aOptions);
   ~ControlHost();
 
   /** Opens the data folder and starts all threads. */
--- a/include/peridotspool/runtime/KeyFiles.h
+++ b/include/peridotspool/runtime/KeyFiles.h
@@ -8,6 +8,12 @@
 
 namespace peridotspool::runtime {
 
+/**
+ * The key of a deployment that gives its processes none: peers then rely on
+ * the network alone, and prove only that they speak the same protocol.
+ */
+inline constexpr const char* kNoPeerKey = "no key was given to us";
+
 /** Returns a file's text, at most aMaxBytes, or empty with the reason. */
 std::optional<std::string>
 ReadSmallFile(const std::string& aPath,
--- a/include/peridotspool/settings/LogSettings.h
+++ b/include/peridotspool/settings/LogSettings.h
@@ -25,7 +25,7 @@
 {
   LogLevel mLevel = LogLevel::kInfo;
   LogFormat mFormat = LogFormat::kKeyValue;
-  /** Empty for standard error. */
+  /** Empty for standard error, "-" for standard output. */
   std::string mFile;
   /** Lines that wait for the writer; beyond it the oldest are dropped. */
   std::uint64_t mQueueLines = 8192;
--- a/include/peridotspool/wire/PeerEnvelope.h
+++ b/include/peridotspool/wire/PeerEnvelope.h
@@ -4,6 +4,7 @@
 #include "peridotspool/control/ReplicaMessage.h"
 #include "peridotspool/ledger/Message.h"
 #include "peridotspool/membership/EntryMessage.h"
+#include "peridotspool/membership/RegistryMessage.h"
 #include "peridotspool/request/RelayMessage.h"
 #include "peridotspool/routing/UpstreamReport.h"
 
@@ -43,7 +44,8 @@
 using PeerPayload = std::variant<control::ReplicaEnvelope,
                                  membership::EntryEnvelope,
                                  ToEntryEnvelope,
-                                 MemberEnvelope>;
+                                 MemberEnvelope,
+                                 membership::RegistryMessage>;
 
 /** One frame between two of our processes. */
 struct PeerEnvelope
--- a/src/control/ControlEntries.cpp
+++ b/src/control/ControlEntries.cpp
@@ -83,6 +83,10 @@
     return answer;
   }
   answer.mLeads = true;
+  for (const ReplicaInfo& replica : mConsensus->Replicas().mReplicas) {
+    answer.mControls.push_back(
+      AddressOf(replica.mId).value_or(replica.mAddress));
+  }
   answer.mConfirmed = State().mSettings.mRevision;
   answer.mEpoch = members.mCurrent.mEpoch;
   TakeStanding(aNonce, aHeartbeat, answer);
--- a/src/control/ControlJoin.cpp
+++ b/src/control/ControlJoin.cpp
@@ -80,13 +80,58 @@
   }
   const ReplicaIdentity identity{ .mSystem = aSystem,
                                   .mReplica = *aReply.mReplica };
-  mNewIdentity = Identity{ .mIdentity = identity, .mToken = SyncToken(1) };
+  mNewIdentity =
+    Identity{ .mIdentity = identity, .mToken = mTokensUsed.Next() };
   PersistEffect write;
+  write.mReset = true;
   write.mToken = mNewIdentity->mToken;
   write.mIdentity = identity;
   mEffects.emplace_back(std::move(write));
 }
 
+// A voter that was cut off may lose its place meanwhile. When it comes back it
+// asks for votes for ever, and its disk is of no use to anybody; told that its
+// identity is over it can join again. Only the committed set says so: a set
+// that is not committed may still be replaced.
+bool
+ControlNodeState::AnswerRemoved(const ReplicaEnvelope& aEnvelope)
+{
+  const ReplicaSet& set = mConsensus->Replicas();
+  const bool removed = mConsensus->ReplicaSetSettled() &&
+                       aEnvelope.mFrom.IsSet() &&
+                       aEnvelope.mFrom < set.mNextId &&
+                       set.Find(aEnvelope.mFrom) == nullptr;
+  if (removed) {
+    SendTo(aEnvelope.mReplyTo,
+           aEnvelope.mFrom,
+           RemovedNotice{ .mRemoved = aEnvelope.mFrom });
+  }
+  return removed;
+}
+
+void
+ControlNodeState::TakeRemoved(const ReplicaEnvelope& aEnvelope)
+{
+  const auto& notice = std::get<RemovedNotice>(aEnvelope.mMessage);
+  if (!mConsensus || aEnvelope.mSystem != mIdentity->mSystem ||
+      notice.mRemoved != mIdentity->mReplica) {
+    return;
+  }
+  Notice(ControlNotice::kIdentityLost,
+         "replica=" + std::to_string(notice.mRemoved.Value()));
+  for (const Address& address : ReplicaAddresses()) {
+    if (address != mOptions.mAddress &&
+        std::find(mSeeds.begin(), mSeeds.end(), address) == mSeeds.end()) {
+      mSeeds.push_back(address);
+    }
+  }
+  mTokensUsed = mConsensus->LastToken();
+  mConsensus.reset();
+  mIdentity.reset();
+  mLearnedAddresses.clear();
+  mOptions.mNonce = JoinNonce(mOptions.mNonce.Value() * 2654435761U + 1);
+}
+
 // A replica asks four times a second; the log needs each reason once.
 void
 ControlNodeState::NoticeRefusal(const std::string& aText)
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -48,4 +48,22 @@
   return mState->Self();
 }
 
+std::vector<membership::EntryProfile>
+ControlNode::ReadyEntries(TimePoint aNow) const
+{
+  return mState->ReadyEntries(aNow);
+}
+
+std::vector<Address>
+ControlNode::ReplicaAddresses() const
+{
+  return mState->ReplicaAddresses();
+}
+
+std::optional<Address>
+ControlNode::LeaderAddress() const
+{
+  return mState->LeaderAddress();
+}
+
 } // namespace peridotspool::control
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -70,12 +70,19 @@
     TakeJoinReply(envelope.mSystem, *reply);
     return;
   }
+  if (std::holds_alternative<RemovedNotice>(envelope.mMessage)) {
+    TakeRemoved(envelope);
+    return;
+  }
   // A message of another system, or for an identity that was lost with its
   // disk, must not count as this replica's: it never made those promises.
   if (!mConsensus || envelope.mSystem != mIdentity->mSystem ||
       envelope.mTo != mIdentity->mReplica) {
     return;
   }
+  if (AnswerRemoved(envelope)) {
+    return;
+  }
   mLearnedAddresses[envelope.mFrom] = envelope.mReplyTo;
   if (const auto* report = std::get_if<SilenceReport>(&envelope.mMessage)) {
     if (mEpochPlanner && report->mTerm == mConsensus->CurrentTerm()) {
@@ -92,6 +99,7 @@
   if (mNewIdentity && aEvent.mToken >= mNewIdentity->mToken) {
     RestoredState state;
     state.mIdentity = mNewIdentity->mIdentity;
+    mMachine = StateMachine(mOptions.mStateMachine, MachineState{});
     mNewIdentity.reset();
     StartConsensus(std::move(state), aEvent.mToken);
     return;
@@ -217,6 +225,11 @@
       [&](FencingNumber aNumber) {
         Answer(pending.mCall, FencingAnswer{ aNumber });
       },
+      [&](DocumentApplied aApplied) {
+        Answer(pending.mCall,
+               DocumentAnswer{ .mNewest = aApplied.mNewest,
+                               .mRevision = State().mSettings.mRevision });
+      },
       [&](const auto&) {
         Answer(pending.mCall, RefusedAnswer{ "nothing was changed" });
       },
@@ -245,11 +258,17 @@
   }
   mHadLead = leads;
   const std::string term =
-    "term=" + std::to_string(mConsensus->CurrentTerm().Value());
+    mConsensus ? "term=" + std::to_string(mConsensus->CurrentTerm().Value())
+               : "term=none";
   if (leads) {
     mEpochPlanner.emplace(mOptions, Self(), mNow);
     mReplicaPlanner.emplace(
-      mOptions.mVoters, 4 * mOptions.mConsensus.mElectionTimeout, mNow);
+      ReplicaSetPlannerOptions{
+        .mVoters = mOptions.mVoters,
+        .mMaxLearners = mOptions.mMaxLearners,
+        .mAlive = 4 * mOptions.mConsensus.mElectionTimeout,
+        .mReplaceSilentAfter = mOptions.mReplaceSilentAfter },
+      mNow);
     Notice(ControlNotice::kTookLead, term);
   } else {
     mEpochPlanner.reset();
@@ -281,6 +300,30 @@
                                         : AddressOf(mConsensus->Leader());
 }
 
+std::vector<Address>
+ControlNodeState::ReplicaAddresses() const
+{
+  std::vector<Address> addresses;
+  for (const ReplicaInfo& replica : Replicas().mReplicas) {
+    addresses.push_back(AddressOf(replica.mId).value_or(replica.mAddress));
+  }
+  return addresses;
+}
+
+std::vector<membership::EntryProfile>
+ControlNodeState::ReadyEntries(TimePoint aNow) const
+{
+  std::vector<membership::EntryProfile> ready;
+  for (const auto& [nonce, session] : mSessions.All()) {
+    if (session.mProfile && session.mInForce.IsSet() && !session.mLeaving &&
+        aNow - session.mHeardAt < mOptions.mListedFor) {
+      ready.push_back(*session.mProfile);
+    }
+  }
+  std::sort(ready.begin(), ready.end());
+  return ready;
+}
+
 std::optional<Address>
 ControlNodeState::AddressOf(ReplicaId aReplica) const
 {
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -30,6 +30,9 @@
   const MachineState& State() const { return mMachine.State(); }
   const ReplicaSet& Replicas() const;
   ReplicaId Self() const;
+  std::vector<membership::EntryProfile> ReadyEntries(TimePoint aNow) const;
+  std::vector<Address> ReplicaAddresses() const;
+  std::optional<Address> LeaderAddress() const;
 
 private:
   /** An operator's request that waits for its log entry. */
@@ -71,7 +74,6 @@
   void CompactIfDue();
   void NoteRole();
   std::optional<LogIndex> Propose(Command aCommand);
-  std::optional<Address> LeaderAddress() const;
   std::optional<Address> AddressOf(ReplicaId aReplica) const;
   void SendTo(const Address& aTo, ReplicaId aReplica, ReplicaMessage aMessage);
   void Notice(ControlNotice aNotice, std::string aText);
@@ -81,6 +83,8 @@
   void TakeJoinReply(SystemId aSystem, const JoinReply& aReply);
   void AskForIdentity();
   void StartConsensus(RestoredState aState, SyncToken aLastToken);
+  bool AnswerRemoved(const ReplicaEnvelope& aEnvelope);
+  void TakeRemoved(const ReplicaEnvelope& aEnvelope);
   void PlanReplicas();
   void NoticeRefusal(const std::string& aText);
 
@@ -123,6 +127,7 @@
   void TakeRequest(CallId aCall, const DrainRequest& aRequest);
   void TakeRequest(CallId aCall, const StatusRequest& aRequest);
   void TakeRequest(CallId aCall, const FencingRequest& aRequest);
+  void TakeRequest(CallId aCall, const DocumentRequest& aRequest);
   std::optional<EditAnswer> AnswerWithoutLog(const EditRequest& aRequest,
                                              std::uint64_t aDigest) const;
   void ProposeFor(CallId aCall, Command aCommand);
@@ -139,6 +144,8 @@
   std::optional<Consensus> mConsensus;
   std::optional<ReplicaIdentity> mIdentity;
   std::optional<Identity> mNewIdentity;
+  /** Writes up to here were given out, also by an earlier identity. */
+  SyncToken mTokensUsed;
   TimePoint mAskedAt;
   std::vector<Address> mSeeds;
   std::string mLastRefusal;
--- a/src/control/ControlOperators.cpp
+++ b/src/control/ControlOperators.cpp
@@ -93,6 +93,26 @@
   ProposeFor(aCall, FencingCommand{});
 }
 
+void
+ControlNodeState::TakeRequest(CallId aCall, const DocumentRequest& aRequest)
+{
+  if (aRequest.mText.size() > mOptions.mMaxSettingsBytes) {
+    Answer(aCall, RefusedAnswer{ "the document is larger than the bound" });
+    return;
+  }
+  const SettingsState& settings = State().mSettings;
+  // What is applied is committed, and the lease says that nothing newer is.
+  if (aRequest.mVersion <= settings.mDocument) {
+    Answer(aCall,
+           DocumentAnswer{ .mNewest = settings.mDocument,
+                           .mRevision = settings.mRevision });
+    return;
+  }
+  ProposeFor(aCall,
+             DocumentCommand{ .mVersion = aRequest.mVersion,
+                              .mText = aRequest.mText });
+}
+
 void
 ControlNodeState::TakeRequest(CallId aCall, const InForceRequest& aRequest)
 {
--- a/src/control/EntrySessions.h
+++ b/src/control/EntrySessions.h
@@ -53,6 +53,10 @@
   {
     return mSessions;
   }
+  const std::unordered_map<membership::EntryNonce, EntrySession>& All() const
+  {
+    return mSessions;
+  }
 
   /** Takes the current members: new ones count as heard now. */
   void TakeMembers(const std::map<membership::EntryNonce, MemberId>& aNonces,
--- a/src/control/PersistEffect.cpp
+++ b/src/control/PersistEffect.cpp
@@ -7,12 +7,16 @@
 bool
 PersistEffect::IsEmpty() const
 {
-  return !mIdentity && !mSnapshot && !mCutFrom && mAppend.empty() && !mVote;
+  return !mIdentity && !mSnapshot && !mCutFrom && mAppend.empty() && !mVote &&
+         !mReset;
 }
 
 void
 ApplyPersist(RestoredState& aState, const PersistEffect& aWrite)
 {
+  if (aWrite.mReset) {
+    aState = RestoredState{};
+  }
   if (aWrite.mIdentity) {
     aState.mIdentity = aWrite.mIdentity;
   }
--- a/src/control/ReplicaSetPlanner.cpp
+++ b/src/control/ReplicaSetPlanner.cpp
@@ -8,8 +8,6 @@
 
 /** A joining replica asks again within this time, or has given up. */
 constexpr Duration kAskedLately = std::chrono::seconds(3);
-/** Learners beyond the wanted voters, at most. */
-constexpr std::size_t kMaxLearners = 2;
 /** A learner this close to the log's end has caught up. */
 constexpr std::uint64_t kCaughtUpWithin = 16;
 
@@ -67,11 +65,9 @@
 
 } // namespace
 
-ReplicaSetPlanner::ReplicaSetPlanner(std::size_t aVoters,
-                                     Duration aAlive,
+ReplicaSetPlanner::ReplicaSetPlanner(ReplicaSetPlannerOptions aOptions,
                                      TimePoint aLeaderSince)
-  : mVoters(aVoters)
-  , mAlive(aAlive)
+  : mOptions(aOptions)
   , mLeaderSince(aLeaderSince)
   , mNow(aLeaderSince)
 {
@@ -88,15 +84,49 @@
 bool
 ReplicaSetPlanner::IsAlive(const Consensus& aConsensus,
                            ReplicaId aReplica) const
+{
+  return !IsSilentFor(aConsensus, aReplica, mOptions.mAlive);
+}
+
+bool
+ReplicaSetPlanner::IsSilentFor(const Consensus& aConsensus,
+                               ReplicaId aReplica,
+                               Duration aTime) const
 {
   // A new leader hasn't had the time to hear the others; none of them is to
   // be replaced for that.
-  if (aReplica == aConsensus.Self() || mNow - mLeaderSince < mAlive) {
-    return true;
+  if (aReplica == aConsensus.Self() || mNow - mLeaderSince < aTime) {
+    return false;
   }
   const auto found = aConsensus.Progress().find(aReplica);
-  return found != aConsensus.Progress().end() && found->second.mAnsweredAt &&
-         mNow - *found->second.mAnsweredAt < mAlive;
+  return found == aConsensus.Progress().end() || !found->second.mAnsweredAt ||
+         mNow - *found->second.mAnsweredAt >= aTime;
+}
+
+// Only one process can listen at an address: one that asks for an identity
+// from there is proof that the earlier process is gone, without a wait.
+bool
+ReplicaSetPlanner::IsReborn(const ReplicaInfo& aEarlier,
+                            const JoinRequest& aRequest) const
+{
+  return mOptions.mReplaceSilentAfter &&
+         aEarlier.mAddress == aRequest.mAddress;
+}
+
+const ReplicaInfo*
+ReplicaSetPlanner::FindLost(const Consensus& aConsensus, bool aVoter) const
+{
+  if (!mOptions.mReplaceSilentAfter) {
+    return nullptr;
+  }
+  const auto& replicas = aConsensus.Replicas().mReplicas;
+  const auto found =
+    std::find_if(replicas.begin(), replicas.end(), [&](const auto& aReplica) {
+      return aReplica.mVoter == aVoter &&
+             IsSilentFor(
+               aConsensus, aReplica.mId, *mOptions.mReplaceSilentAfter);
+    });
+  return found == replicas.end() ? nullptr : &*found;
 }
 
 bool
@@ -119,11 +149,14 @@
   const ReplicaSet& set = aConsensus.Replicas();
   const ReplicaInfo* earlier =
     FindEarlier(set, aRequest.mName, aRequest.mNonce);
-  if (earlier != nullptr && IsAlive(aConsensus, earlier->mId)) {
+  if (earlier != nullptr && !IsReborn(*earlier, aRequest) &&
+      IsAlive(aConsensus, earlier->mId)) {
     return "replica " + aRequest.mName.Value() + " is alive with identity " +
            std::to_string(earlier->mId.Value());
   }
-  if (earlier == nullptr && set.mReplicas.size() >= mVoters + kMaxLearners) {
+  const std::size_t most = mOptions.mVoters + mOptions.mMaxLearners;
+  if (earlier == nullptr && set.mReplicas.size() >= most &&
+      FindLost(aConsensus, false) == nullptr) {
     return "the system has " + std::to_string(set.mReplicas.size()) +
            " control replicas already";
   }
@@ -186,6 +219,11 @@
     if (earlier != nullptr && !earlier->mVoter) {
       return Without(set, earlier->mId);
     }
+    const ReplicaInfo* lost = FindLost(aConsensus, false);
+    if (set.mReplicas.size() >= mOptions.mVoters + mOptions.mMaxLearners &&
+        lost != nullptr) {
+      return Without(set, lost->mId);
+    }
     return WithLearner(set, pending.mRequest);
   }
   return std::nullopt;
@@ -201,13 +239,18 @@
     }
     const ReplicaInfo* earlier =
       FindEarlier(set, learner.mName, learner.mNonce);
+    const bool reborn = mOptions.mReplaceSilentAfter && earlier != nullptr &&
+                        earlier->mAddress == learner.mAddress;
     if (earlier != nullptr && earlier->mVoter &&
-        !IsAlive(aConsensus, earlier->mId)) {
+        (reborn || !IsAlive(aConsensus, earlier->mId))) {
       return Without(set, earlier->mId);
     }
-    if (set.VoterCount() < mVoters) {
+    if (set.VoterCount() < mOptions.mVoters) {
       return WithVoter(set, learner.mId);
     }
+    if (const ReplicaInfo* lost = FindLost(aConsensus, true)) {
+      return Without(set, lost->mId);
+    }
   }
   return std::nullopt;
 }
--- a/src/control/ReplicaSetPlanner.h
+++ b/src/control/ReplicaSetPlanner.h
@@ -29,6 +29,17 @@
   std::string mReason;
 };
 
+struct ReplicaSetPlannerOptions
+{
+  std::size_t mVoters = 3;
+  /** Learners beyond the wanted voters, at most. */
+  std::size_t mMaxLearners = 2;
+  /** A replica that answered within this time is alive. */
+  Duration mAlive = std::chrono::seconds(2);
+  /** See ControlOptions::mReplaceSilentAfter. */
+  std::optional<Duration> mReplaceSilentAfter;
+};
+
 /**
  * The leader's decisions about control replicas: one with an empty folder gets
  * a new identity as a learner; a learner that has caught up takes the place of
@@ -37,9 +48,7 @@
 class ReplicaSetPlanner
 {
 public:
-  ReplicaSetPlanner(std::size_t aVoters,
-                    Duration aAlive,
-                    TimePoint aLeaderSince);
+  ReplicaSetPlanner(ReplicaSetPlannerOptions aOptions, TimePoint aLeaderSince);
 
   void TakeJoin(const JoinRequest& aRequest,
                 const Address& aReplyTo,
@@ -53,15 +62,18 @@
 
 private:
   bool IsAlive(const Consensus& aConsensus, ReplicaId aReplica) const;
+  bool IsSilentFor(const Consensus& aConsensus,
+                   ReplicaId aReplica,
+                   Duration aTime) const;
+  bool IsReborn(const ReplicaInfo& aEarlier, const JoinRequest& aRequest) const;
+  const ReplicaInfo* FindLost(const Consensus& aConsensus, bool aVoter) const;
   bool HasCaughtUp(const Consensus& aConsensus, ReplicaId aReplica) const;
   std::string Refusal(const Consensus& aConsensus,
                       const JoinRequest& aRequest) const;
   std::optional<ReplicaSet> PlanLearner(const Consensus& aConsensus) const;
   std::optional<ReplicaSet> PlanVoter(const Consensus& aConsensus) const;
 
-  std::size_t mVoters;
-  /** A replica that answered within this time is alive. */
-  Duration mAlive;
+  ReplicaSetPlannerOptions mOptions;
   TimePoint mLeaderSince;
   TimePoint mNow;
   std::map<JoinNonce, PendingJoin> mPending;
--- a/src/control/StateMachineSettings.cpp
+++ b/src/control/StateMachineSettings.cpp
@@ -35,20 +35,45 @@
                        .mWinner = EditId(),
                        .mReason = reason.Text() };
   }
-  settings.mText = std::move(*text);
-  settings.mRevision = settings.mRevision.Next();
-  mSettingsDigest = DigestOf(settings.mText);
-  settings.mHistory.push_back({ .mRevision = settings.mRevision,
-                                .mEdit = aCommand.mEdit,
-                                .mAuthor = aCommand.mAuthor,
-                                .mDelta = aCommand.mDelta });
-  TrimHistory();
+  ReplaceText(std::move(*text), aCommand.mEdit, aCommand.mAuthor);
   return EditAnswer{ .mVerdict = EditVerdict::kCommitted,
                      .mRevision = settings.mRevision,
                      .mWinner = EditId(),
                      .mReason = {} };
 }
 
+void
+StateMachine::ReplaceText(std::string aText, EditId aEdit, std::string aAuthor)
+{
+  SettingsState& settings = mState.mSettings;
+  TextDelta delta = MakeDelta(settings.mText, aText);
+  settings.mText = std::move(aText);
+  settings.mRevision = settings.mRevision.Next();
+  mSettingsDigest = DigestOf(settings.mText);
+  settings.mHistory.push_back({ .mRevision = settings.mRevision,
+                                .mEdit = std::move(aEdit),
+                                .mAuthor = std::move(aAuthor),
+                                .mDelta = std::move(delta) });
+  TrimHistory();
+}
+
+// Two operators may send documents at the same time, and an older one may come
+// again after its answer was lost. The highest version wins whatever the order
+// in the log; what it overtakes is answered as accepted, because a refusal
+// would contradict an acknowledgement that was given before.
+ApplyResult
+StateMachine::ApplyOne(const DocumentCommand& aCommand)
+{
+  SettingsState& settings = mState.mSettings;
+  if (aCommand.mVersion > settings.mDocument) {
+    settings.mDocument = aCommand.mVersion;
+    ReplaceText(aCommand.mText,
+                EditId("document-" + std::to_string(aCommand.mVersion)),
+                "operator");
+  }
+  return DocumentApplied{ settings.mDocument };
+}
+
 EditAnswer
 StateMachine::ConflictOf(Revision aBase) const
 {
--- /dev/null
+++ b/src/gateway/CallerLink.cpp
@@ -0,0 +1,331 @@
+#include "gateway/CallerLink.h"
+
+#include "gateway/SocketOptions.h"
+#include "peridotspool/gateway/HeaderRules.h"
+
+#include <boost/asio/write.hpp>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+namespace net = http::net;
+namespace beast_http = http::beast_http;
+
+constexpr std::size_t kReadBytes = 16U << 10;
+/** Bytes of requests to come that are taken while one is being served. */
+constexpr std::size_t kMostAhead = 64U << 10;
+/** A body that is not whole this long after its head is given up. */
+constexpr Duration kBodyTimeout = std::chrono::seconds(20);
+/** Callers use a connection up to its idle timeout; it ends a little later. */
+constexpr Duration kIdleExtra = std::chrono::seconds(1);
+
+} // namespace
+
+CallerLink::CallerLink(http::Tcp::socket aSocket, CallerLinkOwner& aOwner)
+  : mSocket(std::move(aSocket))
+  , mOwner(aOwner)
+  , mSince(aOwner.Now())
+{
+  SetSocketOptions(mSocket);
+}
+
+void
+CallerLink::Run()
+{
+  Read();
+}
+
+bool
+CallerLink::IsIdle() const
+{
+  return !mServing && mBuffer.size() == 0 &&
+         (!mParser || !mParser->got_some());
+}
+
+void
+CallerLink::Read()
+{
+  if (mReading || mClosed || (mServing && mBuffer.size() > kMostAhead)) {
+    return;
+  }
+  mReading = true;
+  mSocket.async_read_some(
+    mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+CallerLink::OnRead(http::ErrorCode aError, std::size_t aBytes)
+{
+  mReading = false;
+  if (mClosed) {
+    return;
+  }
+  if (aError) {
+    if (mServing) {
+      mOwner.OnGone(*this);
+    }
+    Close();
+    return;
+  }
+  mBuffer.commit(aBytes);
+  if (!mServing) {
+    Parse();
+  }
+  Read();
+}
+
+void
+CallerLink::Parse()
+{
+  if (!mParser) {
+    const CallerLimits limits = mOwner.Limits();
+    mParser.emplace();
+    mParser->eager(true);
+    mParser->header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
+    mParser->body_limit(limits.mBodyBytes);
+    mContinued = false;
+    mSince = mOwner.Now();
+  }
+  while (mBuffer.size() > 0) {
+    http::ErrorCode error;
+    const std::size_t used = mParser->put(mBuffer.data(), error);
+    mBuffer.consume(used);
+    if (error && error != beast_http::error::need_more) {
+      RefuseFor(error);
+      return;
+    }
+    if (mParser->is_header_done() && !mContinued) {
+      mContinued = true;
+      if (const std::string fault = FramingFault(); !fault.empty()) {
+        Refuse(400, fault);
+        return;
+      }
+      if (!mParser->is_done() &&
+          SameName(mParser->get()[beast_http::field::expect], "100-continue")) {
+        Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    }
+    if (mParser->is_done()) {
+      OnParsed();
+      return;
+    }
+    if (error || used == 0) {
+      return;
+    }
+  }
+}
+
+// A request that two readers take apart differently can carry another one
+// inside its body. The parser settles most of it; what is legal but rare is
+// refused as well, because a runner may read it in its own way.
+std::string
+CallerLink::FramingFault() const
+{
+  const auto& head = mParser->get();
+  const auto count = [&](beast_http::field aField) {
+    return head.count(aField);
+  };
+  if (count(beast_http::field::content_length) > 1) {
+    return "two content lengths";
+  }
+  const std::size_t encodings = count(beast_http::field::transfer_encoding);
+  if (encodings > 0 && count(beast_http::field::content_length) > 0) {
+    return "a length and an encoding";
+  }
+  if (encodings > 1 ||
+      (encodings == 1 &&
+       !SameName(head[beast_http::field::transfer_encoding], "chunked"))) {
+    return "an unknown transfer encoding";
+  }
+  if (head.version() != 11 && encodings > 0) {
+    return "chunks in an old version";
+  }
+  if (count(beast_http::field::host) != 1) {
+    return "not one host";
+  }
+  return {};
+}
+
+void
+CallerLink::OnParsed()
+{
+  auto message = mParser->release();
+  mParser.reset();
+  CallerRequest request{ .mMethod = std::string(message.method_string()),
+                         .mTarget = std::string(message.target()),
+                         .mFields = {},
+                         .mBody = std::move(message.body()),
+                         .mKeepAlive =
+                           message.keep_alive() && message.version() == 11 };
+  for (const auto& field : message.base()) {
+    request.mFields.emplace_back(field.name_string(), field.value());
+  }
+  mServing = true;
+  mOwner.OnRequest(shared_from_this(), std::move(request));
+}
+
+void
+CallerLink::RefuseFor(http::ErrorCode aError)
+{
+  if (aError == beast_http::error::body_limit) {
+    Refuse(413, "the body is over its bound");
+  } else if (aError == beast_http::error::header_limit) {
+    Refuse(431, "the header is over its bound");
+  } else {
+    Refuse(400, aError.message());
+  }
+}
+
+void
+CallerLink::Refuse(unsigned aStatus, const std::string& aReason)
+{
+  mOwner.OnMalformed(aStatus, aReason);
+  mParser.reset();
+  mServing = true;
+  Answer(WriteOwnAnswer({ .mStatus = aStatus, .mReason = aReason }, "", "", false),
+         false);
+}
+
+void
+CallerLink::Answer(std::string aBytes, bool aKeepAlive)
+{
+  Write(aBytes);
+  EndAnswer(aKeepAlive);
+}
+
+void
+CallerLink::Begin(std::string aHead)
+{
+  Write(aHead);
+}
+
+void
+CallerLink::Piece(std::string_view aBytes)
+{
+  if (!aBytes.empty()) {
+    mPending += fmt::format("{:x}\r\n", aBytes.size());
+    mPending.append(aBytes).append("\r\n");
+    Flush();
+  }
+}
+
+void
+CallerLink::Finish(bool aKeepAlive)
+{
+  Write("0\r\n\r\n");
+  EndAnswer(aKeepAlive);
+}
+
+void
+CallerLink::EndAnswer(bool aKeepAlive)
+{
+  mServing = false;
+  mSince = mOwner.Now();
+  if (!aKeepAlive) {
+    mClosing = true;
+    if (mWriting.empty()) {
+      Close();
+    }
+    return;
+  }
+  if (mBuffer.size() > 0) {
+    // Not at once: the owner is still busy with the request before.
+    net::post(mSocket.get_executor(), [self = shared_from_this()] {
+      if (!self->mClosed && !self->mServing) {
+        self->Parse();
+        self->Read();
+      }
+    });
+  }
+  Read();
+}
+
+void
+CallerLink::Abort()
+{
+  mServing = false;
+  Close();
+}
+
+void
+CallerLink::Write(std::string_view aBytes)
+{
+  mPending.append(aBytes);
+  Flush();
+}
+
+void
+CallerLink::Flush()
+{
+  if (!mWriting.empty() || mPending.empty() || mClosed) {
+    return;
+  }
+  mWriting.swap(mPending);
+  net::async_write(
+    mSocket,
+    net::buffer(mWriting),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
+      self->OnWritten(aError);
+    });
+}
+
+void
+CallerLink::OnWritten(http::ErrorCode aError)
+{
+  mWriting.clear();
+  if (mClosed) {
+    return;
+  }
+  if (aError) {
+    if (mServing) {
+      mOwner.OnGone(*this);
+    }
+    Close();
+    return;
+  }
+  Flush();
+  if (mWriting.empty() && mClosing) {
+    Close();
+  }
+}
+
+void
+CallerLink::Sweep(TimePoint aNow)
+{
+  if (mServing || mClosed) {
+    return;
+  }
+  const CallerLimits limits = mOwner.Limits();
+  const Duration quiet = aNow - mSince;
+  if (IsIdle()) {
+    if (quiet > limits.mIdleTimeout + kIdleExtra) {
+      Close();
+    }
+    return;
+  }
+  const bool header = !mParser || !mParser->is_header_done();
+  if (quiet > (header ? limits.mHeaderTimeout : kBodyTimeout)) {
+    Refuse(408, "the request took too long to come");
+  }
+}
+
+void
+CallerLink::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  http::ErrorCode ignored;
+  mSocket.shutdown(http::Tcp::socket::shutdown_send, ignored);
+  mSocket.close(ignored);
+  mOwner.OnClosed(*this);
+}
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/src/gateway/EventSplitter.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace peridotspool::gateway {
+
+/**
+ * Cuts the bytes of an event stream into whole events. An upstream may stop in
+ * the middle of one; what a caller has of a stream must end between two, so
+ * that another upstream can go on.
+ */
+class EventSplitter
+{
+public:
+  /** Takes bytes and returns the whole events that they complete. */
+  std::string Take(std::string_view aBytes);
+  /** Bytes of an event that isn't whole. */
+  const std::string& Rest() const { return mRest; }
+  void DropRest() { mRest.clear(); }
+  /** The id of the last whole event; empty before the first with one. */
+  const std::string& LastId() const { return mLastId; }
+
+private:
+  void NoteIds(std::string_view aEvents);
+
+  std::string mRest;
+  std::string mLastId;
+};
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/src/gateway/Exchange.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "gateway/CallerLink.h"
+#include "gateway/EventSplitter.h"
+#include "gateway/GatewayCore.h"
+#include "gateway/UpstreamLink.h"
+#include "peridotspool/gateway/AttemptPolicy.h"
+#include "peridotspool/gateway/HeaderRules.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace peridotspool::gateway {
+
+/**
+ * The life of one caller's request: its route, the upstreams that it is sent
+ * to, and its one answer. Decisions are AttemptPolicy's and UpstreamBoard's;
+ * this carries them out on the two connections.
+ */
+class Exchange
+  : public UpstreamListener
+  , public std::enable_shared_from_this<Exchange>
+{
+public:
+  Exchange(GatewayCore& aCore,
+           std::shared_ptr<CallerLink> aCaller,
+           CallerRequest aRequest);
+
+  /** Called once when the exchange is over. */
+  void OnOver(std::function<void()> aCall) { mOnOver = std::move(aCall); }
+  void Start();
+  /** The caller left. */
+  void Cancel();
+
+  bool OnHead(UpstreamHead aHead) override;
+  void OnBody(std::string aBytes) override;
+  void OnEnd() override;
+  void OnBroken(const LinkFailure& aFailure) override;
+
+private:
+  bool Admit();
+  void ChooseService();
+  Duration TimeLeft() const;
+  AttemptFacts Facts() const;
+  void Dispatch();
+  void SendTo(const UpstreamChoice& aChoice);
+  void TakeLoad();
+  bool SaysNotRun() const;
+  void EndSend(SendResult aResult);
+  void Follow(NextStep aStep, const char* aReason, observe::CounterId aRetry);
+  void WaitForCaller();
+  void RelayEvents(std::string_view aEvents);
+  void FinishWhole();
+  void FinishStream();
+  void OnTimeout();
+  void AnswerOwn(unsigned aStatus, const char* aReason, double aRetryAfter = 0);
+  void BreakOff(const char* aReason);
+  void End(unsigned aStatus, const char* aReason);
+  bool KeepAlive() const;
+
+  GatewayCore& mCore;
+  std::shared_ptr<CallerLink> mCaller;
+  CallerRequest mRequest;
+  std::shared_ptr<const RouteTable> mTable;
+  const Route* mRoute = nullptr;
+  const Customer* mCustomer = nullptr;
+  ServiceName mService;
+  std::string mId;
+  TimePoint mArrivedAt;
+  TimePoint mDeadline;
+  http::net::steady_timer mTimer;
+  http::net::steady_timer mSlowTimer;
+  ChooseQuestion mQuestion;
+
+  std::shared_ptr<UpstreamLink> mLink;
+  UpstreamName mUpstream;
+  TimePoint mSentAt;
+  std::uint32_t mRuns = 0;
+  std::uint32_t mRefusals = 0;
+  UpstreamHead mHead;
+  std::string mBody;
+  EventSplitter mEvents;
+  bool mIsStream = false;
+  /** The head of the answer is on its way to the caller. */
+  bool mBegun = false;
+  TimePoint mLastEventAt;
+  bool mOver = false;
+  std::function<void()> mOnOver;
+};
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/src/gateway/GatewayCore.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/UpstreamPool.h"
+#include "http/BeastTypes.h"
+#include "peridotspool/base/Time.h"
+#include "peridotspool/gateway/HeaderNames.h"
+#include "peridotspool/gateway/RepeatBudget.h"
+#include "peridotspool/gateway/RouteTable.h"
+#include "peridotspool/gateway/UpstreamBoard.h"
+#include "peridotspool/observe/Counters.h"
+#include "peridotspool/observe/Logger.h"
+
+#include <functional>
+#include <memory>
+
+namespace peridotspool::gateway {
+
+/** What all exchanges of one entry share; lives on the relay thread. */
+struct GatewayCore
+{
+  http::net::io_context& mIo;
+  HeaderNames mNames;
+  UpstreamBoard mBoard;
+  RepeatBudget mBudget;
+  UpstreamPool mPool;
+  observe::Logger& mLogger;
+  observe::Counters& mCounters;
+  std::function<TimePoint()> mNow;
+  /** Null until the first settings have come. */
+  std::shared_ptr<const RouteTable> mTable;
+  /** The process was told to stop: answers end their connections. */
+  bool mStopping = false;
+  /** Requests are refused: the process is about to end. */
+  bool mRefusing = false;
+};
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/src/gateway/RepeatBudget.cpp
@@ -0,0 +1,67 @@
+#include "peridotspool/gateway/RepeatBudget.h"
+
+#include <algorithm>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+/** A part is kept back: windows slide, and slices don't begin with them. */
+constexpr double kUsedPart = 0.8;
+
+} // namespace
+
+RepeatBudget::RepeatBudget(RepeatBudgetOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+RepeatBudget::UseEntries(std::size_t aEntries)
+{
+  mOptions.mEntries = std::max<std::size_t>(1, aEntries);
+}
+
+RepeatBudget::Slice&
+RepeatBudget::Current(const ServiceName& aService, TimePoint aNow)
+{
+  const Duration length = mOptions.mWindow / kSlices;
+  const std::int64_t number = aNow.time_since_epoch() / length;
+  Slice& slice =
+    mSlices[aService][static_cast<std::size_t>(number) % kSlices];
+  if (slice.mNumber != number) {
+    slice = Slice{ .mNumber = number };
+  }
+  return slice;
+}
+
+void
+RepeatBudget::TakeRequest(const ServiceName& aService, TimePoint aNow)
+{
+  ++Current(aService, aNow).mRequests;
+}
+
+bool
+RepeatBudget::TakeRepeat(const ServiceName& aService, TimePoint aNow)
+{
+  Slice& current = Current(aService, aNow);
+  const std::int64_t oldest =
+    current.mNumber - static_cast<std::int64_t>(kSlices);
+  double requests = 0.0;
+  double repeats = 0.0;
+  for (const Slice& slice : mSlices.at(aService)) {
+    if (slice.mNumber > oldest) {
+      requests += slice.mRequests;
+      repeats += slice.mRepeats;
+    }
+  }
+  const double extra =
+    mOptions.mExtra / static_cast<double>(mOptions.mEntries);
+  if (repeats + 1.0 > kUsedPart * (mOptions.mRatio * requests + extra)) {
+    return false;
+  }
+  ++current.mRepeats;
+  return true;
+}
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/src/gateway/UpstreamLink.cpp
@@ -0,0 +1,326 @@
+#include "gateway/UpstreamLink.h"
+
+#include "gateway/SocketOptions.h"
+#include "peridotspool/gateway/HeaderRules.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+namespace net = http::net;
+namespace beast_http = http::beast_http;
+
+constexpr std::size_t kReadBytes = 8U << 10;
+constexpr std::uint32_t kHeaderBytes = 64U << 10;
+/** Late answers to earlier requests that are skipped on one connection. */
+constexpr std::size_t kMostSkipped = 4;
+
+/** Reads "timeout=N" of a Keep-Alive field. */
+std::optional<Duration>
+ReadKeepAlive(std::string_view aValue)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t place = aValue.find(kTimeout);
+  if (place == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view rest = aValue.substr(place + kTimeout.size());
+  const auto seconds =
+    ReadNumber(rest.substr(0, rest.find_first_not_of("0123456789")));
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(*seconds);
+}
+
+} // namespace
+
+UpstreamLink::UpstreamLink(net::io_context& aIo, UpstreamName aName)
+  : mSocket(aIo)
+  , mTimer(aIo)
+  , mName(std::move(aName))
+{
+}
+
+void
+UpstreamLink::Open(const Address& aAddress,
+                   Duration aTimeout,
+                   std::string aRequest,
+                   UpstreamListener* aListener)
+{
+  mListener = aListener;
+  mRequest = std::move(aRequest);
+  http::ErrorCode error;
+  const auto host = net::ip::make_address(aAddress.mHost, error);
+  if (error) {
+    net::post(mSocket.get_executor(),
+              [self = shared_from_this()] { self->Break("no IP number"); });
+    return;
+  }
+  mTimer.expires_after(aTimeout);
+  mTimer.async_wait([self = shared_from_this()](http::ErrorCode aError) {
+    if (!aError) {
+      self->Break("connecting took too long");
+    }
+  });
+  mSocket.async_connect(
+    http::Tcp::endpoint(host, aAddress.mPort),
+    [self = shared_from_this()](http::ErrorCode aError) {
+      self->OnConnected(aError);
+    });
+}
+
+void
+UpstreamLink::OnConnected(http::ErrorCode aError)
+{
+  if (mClosed) {
+    return;
+  }
+  mTimer.cancel();
+  if (aError) {
+    Break(aError.message());
+    return;
+  }
+  SetSocketOptions(mSocket);
+  StartParser();
+  WriteRequest();
+  Read();
+}
+
+void
+UpstreamLink::Send(std::string aRequest, UpstreamListener* aListener)
+{
+  mListener = aListener;
+  mRequest = std::move(aRequest);
+  mSkipped = 0;
+  StartParser();
+  WriteRequest();
+  Read();
+}
+
+void
+UpstreamLink::StartParser()
+{
+  mParser.emplace();
+  mParser->eager(true);
+  mParser->header_limit(kHeaderBytes);
+  mParser->body_limit(boost::none);
+  mHeadTold = false;
+  mSkipping = false;
+  mPaused = false;
+}
+
+// The whole request is written even when its answer comes first: where the
+// rest of a body is due, the upstream would take other bytes for it.
+void
+UpstreamLink::WriteRequest()
+{
+  mWriting = true;
+  mSent = true;
+  net::async_write(
+    mSocket,
+    net::buffer(mRequest),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
+      self->mWriting = false;
+      self->mRequest.clear();
+      if (aError && !self->mClosed && !self->mReading) {
+        self->Break(aError.message());
+      }
+    });
+}
+
+void
+UpstreamLink::Read()
+{
+  if (mReading || mClosed || mPaused) {
+    return;
+  }
+  mReading = true;
+  mSocket.async_read_some(
+    mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+UpstreamLink::Resume()
+{
+  mPaused = false;
+  Read();
+}
+
+void
+UpstreamLink::OnRead(http::ErrorCode aError, std::size_t aBytes)
+{
+  mReading = false;
+  if (mClosed) {
+    return;
+  }
+  if (aError) {
+    OnReadEnd(aError);
+    return;
+  }
+  mBuffer.commit(aBytes);
+  if (mListener == nullptr) {
+    // Nobody asked for these bytes: whatever they are, they could pass for the
+    // answer to the next request.
+    Close();
+    return;
+  }
+  Parse();
+  Read();
+}
+
+// An answer without a length ends with its connection; one that was reset may
+// lack its end and must not pass for whole.
+void
+UpstreamLink::OnReadEnd(http::ErrorCode aError)
+{
+  if (mListener == nullptr) {
+    Close();
+    return;
+  }
+  const bool clean = aError == net::error::eof;
+  if (clean && mParser && mParser->is_header_done() && mHeadTold &&
+      !mSkipping && mParser->need_eof()) {
+    http::ErrorCode error;
+    mParser->put_eof(error);
+    if (!error && mParser->is_done()) {
+      mKeepAlive = false;
+      EndAnswer();
+      return;
+    }
+  }
+  Break(clean ? "the upstream closed" : aError.message());
+}
+
+void
+UpstreamLink::Parse()
+{
+  while (mBuffer.size() > 0 && mListener != nullptr && !mClosed) {
+    http::ErrorCode error;
+    const std::size_t used = mParser->put(mBuffer.data(), error);
+    mBuffer.consume(used);
+    if (error && error != beast_http::error::need_more) {
+      Break("not an answer: " + error.message());
+      return;
+    }
+    if (mParser->is_header_done() && !mHeadTold && !TakeHead()) {
+      return;
+    }
+    TakeBody();
+    if (mListener == nullptr || mClosed) {
+      return;
+    }
+    if (mParser->is_done()) {
+      EndAnswer();
+      return;
+    }
+    if (error || used == 0) {
+      return;
+    }
+  }
+}
+
+bool
+UpstreamLink::TakeHead()
+{
+  const auto& message = mParser->get();
+  mHeadTold = true;
+  if (message.result_int() < 200) {
+    mSkipping = true;
+    return true;
+  }
+  UpstreamHead head{ .mStatus = message.result_int(),
+                     .mReason = std::string(message.reason()),
+                     .mFields = {} };
+  for (const auto& field : message) {
+    head.mFields.emplace_back(field.name_string(), field.value());
+  }
+  mKeepAlive = mParser->keep_alive();
+  mKeptFor = ReadKeepAlive(FieldOf(head.mFields, "keep-alive"));
+  mSkipping = !mListener->OnHead(std::move(head));
+  if (mSkipping && ++mSkipped > kMostSkipped) {
+    Break("too many answers that nobody asked for");
+  }
+  return !mClosed && mListener != nullptr;
+}
+
+void
+UpstreamLink::TakeBody()
+{
+  auto& body = mParser->get().body();
+  if (body.empty() || !mHeadTold) {
+    return;
+  }
+  std::string bytes = std::exchange(body, {});
+  if (!mSkipping) {
+    mListener->OnBody(std::move(bytes));
+  }
+}
+
+void
+UpstreamLink::EndAnswer()
+{
+  if (mSkipping) {
+    StartParser();
+    Parse();
+    return;
+  }
+  ++mServed;
+  UpstreamListener* listener = std::exchange(mListener, nullptr);
+  listener->OnEnd();
+}
+
+bool
+UpstreamLink::IsReusable() const
+{
+  return !mClosed && mKeepAlive && !mWriting && mBuffer.size() == 0 &&
+         mListener == nullptr;
+}
+
+bool
+UpstreamLink::IsSound()
+{
+  return IsReusable() && !HasEnded(mSocket);
+}
+
+void
+UpstreamLink::Break(const std::string& aReason)
+{
+  const LinkFailure failure{ .mReason = aReason,
+                             .mMayHaveBeenSent = mSent,
+                             .mReused = mServed > 0 };
+  UpstreamListener* listener = std::exchange(mListener, nullptr);
+  Close();
+  if (listener != nullptr) {
+    listener->OnBroken(failure);
+  }
+}
+
+void
+UpstreamLink::Drop()
+{
+  mListener = nullptr;
+  Close();
+}
+
+void
+UpstreamLink::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  mTimer.cancel();
+  http::ErrorCode ignored;
+  mSocket.close(ignored);
+}
+
+} // namespace peridotspool::gateway
--- a/src/http/OperatorApi.cpp
+++ b/src/http/OperatorApi.cpp
@@ -257,6 +257,13 @@
   return JsonAnswer({ { "fencing", aAnswer.mNumber.Value() } });
 }
 
+HttpResponse
+Write(const control::DocumentAnswer& aAnswer)
+{
+  return JsonAnswer({ { "version", aAnswer.mNewest },
+                      { "revision", aAnswer.mRevision.Value() } });
+}
+
 HttpResponse
 Write(const control::RefusedAnswer& aAnswer)
 {
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -10,6 +10,10 @@
 
 /** Heartbeats whose answers still count. */
 constexpr std::size_t kMaxSent = 64;
+/** A control replica that restarted learns the profile from every so many. */
+constexpr std::uint64_t kProfileEvery = 4;
+/** Without a leader's word for this long, the first list is asked as well. */
+constexpr Duration kLeaderQuiet = std::chrono::seconds(2);
 
 bool
 Contains(const EpochMap& aMap, MemberId aMember)
@@ -23,6 +27,7 @@
 
 ControlSession::ControlSession(ControlSessionOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mControls(mOptions.mControls)
 {
 }
 
@@ -130,16 +135,34 @@
                             .mLeaving = mLeaving,
                             .mDone = mDone,
                             .mSuspected = mSuspects };
-  if (!mMember.IsSet()) {
+  const bool due = mSequence % kProfileEvery == 1;
+  if (!mMember.IsSet() || due) {
     heartbeat.mProfile = mOptions.mProfile;
   }
   SendToAll(heartbeat);
 }
 
+// All replicas that the leader named may be gone since, with an entry that was
+// cut off meanwhile; the first list is what it can begin again from.
+std::vector<Address>
+ControlSession::Reachable() const
+{
+  std::vector<Address> all = mControls;
+  if (mLeaderHeardAt && mNow - *mLeaderHeardAt < kLeaderQuiet) {
+    return all;
+  }
+  for (const Address& seed : mOptions.mControls) {
+    if (std::find(all.begin(), all.end(), seed) == all.end()) {
+      all.push_back(seed);
+    }
+  }
+  return all;
+}
+
 void
 ControlSession::SendToAll(const FromEntryMessage& aMessage)
 {
-  for (const Address& control : mOptions.mControls) {
+  for (const Address& control : Reachable()) {
     mEffects.emplace_back(ToControlEffect{
       control,
       EntryEnvelope{ .mNonce = mOptions.mNonce, .mMessage = aMessage } });
@@ -163,6 +186,10 @@
   if (!aAnswer.mLeads || sent == nullptr || mRemoved) {
     return;
   }
+  mLeaderHeardAt = mNow;
+  if (!aAnswer.mControls.empty()) {
+    mControls = aAnswer.mControls;
+  }
   TakeStanding(aAnswer);
   if (mRemoved) {
     return;
--- a/src/observe/Logger.cpp
+++ b/src/observe/Logger.cpp
@@ -19,12 +19,17 @@
 
 namespace {
 
+constexpr const char* kStandardOutput = "-";
+
 spdlog::sink_ptr
 OpenSink(const std::string& aFile)
 {
   if (aFile.empty()) {
     return std::make_shared<spdlog::sinks::stderr_sink_mt>();
   }
+  if (aFile == kStandardOutput) {
+    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  }
   return std::make_shared<spdlog::sinks::basic_file_sink_mt>(aFile);
 }
 
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -1,6 +1,7 @@
 #include "runtime/ControlDecider.h"
 
 #include "peridotspool/wire/Codec.h"
+#include "runtime/HostParts.h"
 
 #include <utility>
 
@@ -10,6 +11,7 @@
 
 /** Addresses of entry processes kept; old lives are dropped beyond it. */
 constexpr std::size_t kMaxEntryAddresses = 8192;
+constexpr Duration kRegistryPeriod = std::chrono::milliseconds(100);
 
 observe::EventId
 EventOf(control::ControlNotice aNotice)
@@ -35,6 +37,8 @@
       return EventId::kSnapshotTaken;
     case ControlNotice::kSnapshotInstalled:
       return EventId::kSnapshotInstalled;
+    case ControlNotice::kIdentityLost:
+      return EventId::kReplicaIdentityLost;
   }
   return EventId::kEpochChanged;
 }
@@ -43,7 +47,9 @@
 
 ControlDecider::ControlDecider(control::ControlNode aNode, ControlParts aParts)
   : mNode(std::move(aNode))
-  , mParts(std::move(aParts))
+  , mParts(aParts)
+  , mRegistry(membership::UpstreamRegistryOptions{
+      .mLife = membership::RegistryLife(RandomNumber()) })
 {
 }
 
@@ -59,6 +65,10 @@
 {
   mNow = aNow;
   Step(control::TickEvent{});
+  if (aNow - mRegistryAt >= kRegistryPeriod) {
+    mRegistryAt = aNow;
+    SendAll(mRegistry.Tick(aNow));
+  }
 }
 
 void
@@ -70,10 +80,84 @@
 }
 
 void
-ControlDecider::On(OperatorInput& aInput)
+ControlDecider::On(HttpInput& aInput)
+{
+  std::visit([&](auto& aCall) { Take(aInput, aCall); }, aInput.mCall);
+}
+
+void
+ControlDecider::Take(HttpInput& aInput, control::OperatorRequest& aRequest)
+{
+  mLastCall = mLastCall.Next();
+  control::OperatorEvent event{ mLastCall, std::move(aRequest) };
+  mCalls.emplace(mLastCall, std::move(aInput));
+  Step(event);
+}
+
+void
+ControlDecider::Take(HttpInput& aInput, AnnounceCall& aCall)
+{
+  const membership::UpstreamReport report = aCall.mReport;
+  auto sends = mRegistry.TakeReport(report, mNow);
+  // Entries are told before the upstream is answered: it counts the time
+  // until it gets no more work from the answer.
+  if (!sends.empty()) {
+    const bool leaving = report.mStage != membership::UpstreamStage::kReady;
+    mParts.mLogger.Log(leaving ? observe::EventId::kUpstreamLeaving
+                               : observe::EventId::kUpstreamAnnounced,
+                       { { "upstream", report.mName },
+                         { "service", report.mService },
+                         { "address", ToText(report.mAddress) },
+                         { "sequence", report.mSequence },
+                         { "version", mRegistry.Version() },
+                         { "told", sends.size() } });
+  }
+  SendAll(std::move(sends));
+  aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteAnnounced());
+}
+
+void
+ControlDecider::Take(HttpInput& aInput, GoodbyeCall& aCall)
+{
+  auto sends = mRegistry.TakeGoodbye(aCall.mName, mNow);
+  mParts.mLogger.Log(observe::EventId::kUpstreamLeaving,
+                     { { "upstream", aCall.mName },
+                       { "stage", "gone" },
+                       { "version", mRegistry.Version() },
+                       { "told", sends.size() } });
+  SendAll(std::move(sends));
+  aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteAnnounced());
+}
+
+void
+ControlDecider::Take(HttpInput& aInput, DirectoryCall& aCall)
+{
+  aInput.mServer->Respond(
+    aInput.mExchange,
+    mParts.mDialect.mWriteDirectory(mNode.ReadyEntries(mNow), aCall));
+}
+
+void
+ControlDecider::Take(HttpInput& aInput, AnsweredCall& aCall)
+{
+  aInput.mServer->Respond(aInput.mExchange, std::move(aCall.mResponse));
+}
+
+void
+ControlDecider::TakeRegistry(const Address& aFrom,
+                             const membership::RegistryMessage& aMessage)
+{
+  if (const auto* pull = std::get_if<membership::RegistryPull>(&aMessage)) {
+    SendAll(mRegistry.TakePull(aFrom, *pull, mNow));
+  }
+}
+
+void
+ControlDecider::SendAll(std::vector<membership::RegistrySend> aSends)
 {
-  Step(control::OperatorEvent{ CallId(aInput.mExchange),
-                               std::move(aInput.mRequest) });
+  for (membership::RegistrySend& send : aSends) {
+    SendPeer(send.mTo, membership::RegistryMessage(std::move(send.mPush)));
+  }
 }
 
 void
@@ -85,6 +169,9 @@
   } else if (auto* entry = std::get_if<membership::EntryEnvelope>(&payload)) {
     Remember(aInput.mEnvelope.mFrom, entry->mNonce);
     Step(control::FromEntryEvent{ std::move(*entry) });
+  } else if (const auto* registry =
+               std::get_if<membership::RegistryMessage>(&payload)) {
+    TakeRegistry(aInput.mEnvelope.mFrom, *registry);
   }
 }
 
@@ -143,9 +230,15 @@
 void
 ControlDecider::Carry(const control::AnswerEffect& aEffect)
 {
-  mParts.mServer.Respond(
-    aEffect.mCall.Value(),
-    http::WriteOperatorAnswer(aEffect.mAnswer, mParts.mFindHttp));
+  const auto call = mCalls.find(aEffect.mCall);
+  if (call == mCalls.end()) {
+    return;
+  }
+  const HttpInput input = std::move(call->second);
+  mCalls.erase(call);
+  input.mServer->Respond(
+    input.mExchange,
+    mParts.mDialect.mWriteAnswer(aEffect.mAnswer, input.mTarget));
 }
 
 void
--- a/src/runtime/ControlDecider.h
+++ b/src/runtime/ControlDecider.h
@@ -2,7 +2,7 @@
 
 #include "peridotspool/control/ControlNode.h"
 #include "peridotspool/http/HttpServer.h"
-#include "peridotspool/http/OperatorApi.h"
+#include "peridotspool/membership/UpstreamRegistry.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/runtime/BoundedRing.h"
 #include "peridotspool/wire/PeerTransport.h"
@@ -15,10 +15,9 @@
 /** The parts around the node that its effects are carried out with. */
 struct ControlParts
 {
-  http::HttpServer& mServer;
   wire::PeerTransport& mTransport;
   BoundedRing<control::PersistEffect>& mDisk;
-  http::FindHttpAddress mFindHttp;
+  const ControlDialect& mDialect;
   observe::Logger& mLogger;
 };
 
@@ -36,11 +35,20 @@
   bool Stopped() const { return mStopped; }
 
 private:
-  void On(OperatorInput& aInput);
+  void On(HttpInput& aInput);
   void On(ControlPeerInput& aInput);
   void On(SyncedInput& aInput);
   void On(StopInput& aInput);
 
+  void Take(HttpInput& aInput, control::OperatorRequest& aRequest);
+  void Take(HttpInput& aInput, AnnounceCall& aCall);
+  void Take(HttpInput& aInput, GoodbyeCall& aCall);
+  void Take(HttpInput& aInput, DirectoryCall& aCall);
+  void Take(HttpInput& aInput, AnsweredCall& aCall);
+  void TakeRegistry(const Address& aFrom,
+                    const membership::RegistryMessage& aMessage);
+  void SendAll(std::vector<membership::RegistrySend> aSends);
+
   void Step(const control::ControlEvent& aEvent);
   void Carry(const control::ToReplicaEffect& aEffect);
   void Carry(const control::ToEntryEffect& aEffect);
@@ -52,6 +60,11 @@
 
   control::ControlNode mNode;
   ControlParts mParts;
+  membership::UpstreamRegistry mRegistry;
+  /** Operators' calls that wait for an answer. */
+  std::unordered_map<CallId, HttpInput> mCalls;
+  CallId mLastCall;
+  TimePoint mRegistryAt;
   /** Where each entry process listens. */
   std::unordered_map<membership::EntryNonce, Address> mEntries;
   bool mStopped = false;
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -23,37 +23,6 @@
 constexpr std::size_t kMaxOperatorBody = 8U << 20;
 constexpr std::uint32_t kStatusUnavailable = 503;
 
-std::optional<std::string>
-CheckTree(const std::string& aText)
-{
-  settings::SettingsErrors errors;
-  if (settings::SettingsTree::Parse(aText, "settings", errors)) {
-    return std::nullopt;
-  }
-  return settings::ToText(errors);
-}
-
-control::ControlOptions
-NodeOptions(const settings::ProcessSettings& aSettings, const Address& aAddress)
-{
-  control::ControlOptions options;
-  options.mName = control::ReplicaName(aSettings.mName.Value());
-  options.mDomain = aSettings.mDomain;
-  options.mAddress = aAddress;
-  options.mNonce = control::JoinNonce(RandomNumber());
-  for (const auto& replica : aSettings.mControlReplicas) {
-    if (replica.mPeerAddress != aAddress) {
-      options.mSeeds.push_back(replica.mPeerAddress);
-    }
-  }
-  options.mConsensus.mRandomSeed = RandomNumber();
-  // An even number of voters survives no more losses than one fewer.
-  const std::size_t replicas = aSettings.mControlReplicas.size();
-  options.mVoters = replicas % 2 == 1 ? replicas : replicas - 1;
-  options.mChecker = CheckTree;
-  return options;
-}
-
 } // namespace
 
 bool
@@ -73,9 +42,9 @@
 class ControlHost::Impl
 {
 public:
-  explicit Impl(settings::ProcessSettings aSettings)
-    : mSettings(std::move(aSettings))
-    , mRing(mSettings.mBounds.mRingSlots)
+  explicit Impl(ControlHostOptions aOptions)
+    : mOptions(std::move(aOptions))
+    , mRing(mOptions.mBounds.mRingSlots)
     , mDisk(kDiskSlots)
   {
   }
@@ -96,20 +65,14 @@
 
   bool Start(LastReason& aReason)
   {
-    auto basics = OpenHostBasics(mSettings, aReason);
-    if (!basics) {
-      return false;
-    }
-    mLogger = std::move(basics->mLogger);
-    mKeys = std::move(basics->mKeys);
+    mLogger = observe::Logger::Open(mOptions.mLog, mOptions.mName, aReason);
     control::RestoredState restored;
-    mStore =
-      storage::ControlStore::Open(mSettings.mDataFolder, restored, aReason);
-    if (!mStore) {
+    if (!mLogger || !OpenStore(restored, aReason)) {
       return false;
     }
-    MakeParts(basics->mPeerKey);
-    if (!mTransport->Start(aReason) || !mServer->Start(aReason)) {
+    MakeParts();
+    if (!mTransport->Start(aReason) || !mServer->Start(aReason) ||
+        (mDirectory && !mDirectory->Start(aReason))) {
       return false;
     }
     mLogger->Log(observe::EventId::kProcessStarted,
@@ -134,29 +97,65 @@
     mDisk.Close();
     mWriting.join();
     mServer->Stop();
+    if (mDirectory) {
+      mDirectory->Stop();
+    }
     mTransport->Stop();
     mLogger->Log(observe::EventId::kProcessStopped);
     return !mDiskFailed;
   }
 
 private:
-  void MakeParts(const std::string& aKey)
+  // An empty folder is where a founder of a new system starts from what all
+  // founders agree on. The state is on the disk before anything is sent.
+  bool OpenStore(control::RestoredState& aRestored, LastReason& aReason)
   {
-    const auto& bounds = mSettings.mBounds;
+    mStore =
+      storage::ControlStore::Open(mOptions.mDataFolder, aRestored, aReason);
+    if (!mStore) {
+      return false;
+    }
+    if (aRestored.mIdentity || !mOptions.mFirstState.mIdentity) {
+      return true;
+    }
+    control::PersistEffect write;
+    write.mIdentity = mOptions.mFirstState.mIdentity;
+    write.mSnapshot = mOptions.mFirstState.mSnapshot;
+    write.mVote = mOptions.mFirstState.mVote;
+    aRestored = mOptions.mFirstState;
+    return mStore->Write(write, aReason);
+  }
+
+  void MakeParts()
+  {
+    const auto& bounds = mOptions.mBounds;
     mTransport = std::make_unique<wire::PeerTransport>(
-      wire::PeerTransportOptions{ .mListen = mSettings.mPeerListen,
-                                  .mSharedKey = aKey,
+      wire::PeerTransportOptions{ .mListen = mOptions.mPeerListen,
+                                  .mSharedKey = mOptions.mPeerKey,
                                   .mMaxFrameBytes = bounds.mFrameBytes },
       [this](const std::string& aFrame) { OnFrame(aFrame); });
-    mServer = std::make_unique<http::HttpServer>(
-      http::HttpServerOptions{ .mListen = mSettings.mHttpListen,
+    mServer = MakeServer(mOptions.mOperatorsListen);
+    if (mOptions.mDirectoryListen) {
+      mDirectory = MakeServer(*mOptions.mDirectoryListen);
+    }
+  }
+
+  std::unique_ptr<http::HttpServer> MakeServer(const Address& aListen)
+  {
+    const auto which = std::make_shared<http::HttpServer*>(nullptr);
+    auto server = std::make_unique<http::HttpServer>(
+      http::HttpServerOptions{ .mListen = aListen,
                                .mMaxBodyBytes = kMaxOperatorBody,
-                               .mMaxHeaderBytes = bounds.mHeaderBytes,
-                               .mMaxConnections = bounds.mConnections },
-      [this](http::ExchangeId aExchange, const http::HttpRequest& aRequest) {
-        OnRequest(aExchange, aRequest);
+                               .mMaxHeaderBytes = mOptions.mBounds.mHeaderBytes,
+                               .mMaxConnections =
+                                 mOptions.mBounds.mConnections },
+      [this, which](http::ExchangeId aExchange,
+                    const http::HttpRequest& aRequest) {
+        OnRequest(**which, aExchange, aRequest);
       },
       [](http::ExchangeId) {});
+    *which = server.get();
+    return server;
   }
 
   void OnFrame(const std::string& aFrame)
@@ -168,23 +167,27 @@
     }
   }
 
-  void OnRequest(http::ExchangeId aExchange, const http::HttpRequest& aRequest)
+  void OnRequest(http::HttpServer& aServer,
+                 http::ExchangeId aExchange,
+                 const http::HttpRequest& aRequest)
   {
     if (aRequest.mMethod == "GET" && aRequest.mPath == "/metrics") {
-      mServer->Respond(aExchange, Metrics());
+      aServer.Respond(aExchange, Metrics());
       return;
     }
-    http::OperatorCommand command = http::ReadOperatorRequest(aRequest, mKeys);
-    if (auto* refused = std::get_if<http::RefusedCommand>(&command)) {
-      mServer->Respond(aExchange, std::move(refused->mResponse));
+    ControlCall call = mOptions.mDialect.mRead(aRequest);
+    if (auto* answered = std::get_if<AnsweredCall>(&call)) {
+      aServer.Respond(aExchange, std::move(answered->mResponse));
       return;
     }
-    auto& request = std::get<control::OperatorRequest>(command);
-    if (!mRing.TryPush(OperatorInput{ aExchange, std::move(request) })) {
-      mServer->Respond(aExchange,
-                       http::MakeErrorResponse(kStatusUnavailable,
-                                               "overloaded",
-                                               "too much waits to be decided"));
+    if (!mRing.TryPush(HttpInput{ .mServer = &aServer,
+                                  .mExchange = aExchange,
+                                  .mCall = std::move(call),
+                                  .mTarget = aRequest.mPath })) {
+      aServer.Respond(aExchange,
+                      http::MakeErrorResponse(kStatusUnavailable,
+                                              "overloaded",
+                                              "too much waits to be decided"));
     }
   }
 
@@ -197,31 +200,20 @@
                                .mBody = mCounters.MetricsText() };
   }
 
-  std::optional<Address> FindHttp(const Address& aPeer) const
-  {
-    for (const auto& replica : mSettings.mControlReplicas) {
-      if (replica.mPeerAddress == aPeer) {
-        return replica.mHttpAddress;
-      }
-    }
-    return std::nullopt;
-  }
-
   void Decide(control::RestoredState& aRestored)
   {
     TimePoint now = ReadClock();
-    Address self = mSettings.mPeerAdvertise;
-    if (self.mPort == 0) {
-      self = mTransport->LocalAddress();
+    control::ControlOptions node = mOptions.mNode;
+    node.mChecker = mOptions.mDialect.mChecker;
+    if (node.mAddress.mPort == 0) {
+      node.mAddress = mTransport->LocalAddress();
     }
     ControlDecider decider(
-      control::ControlNode(
-        NodeOptions(mSettings, self), std::move(aRestored), now),
-      ControlParts{ *mServer,
-                    *mTransport,
-                    mDisk,
-                    [this](const Address& aPeer) { return FindHttp(aPeer); },
-                    *mLogger });
+      control::ControlNode(std::move(node), std::move(aRestored), now),
+      ControlParts{ .mTransport = *mTransport,
+                    .mDisk = mDisk,
+                    .mDialect = mOptions.mDialect,
+                    .mLogger = *mLogger });
     TimePoint nextTick = now;
     while (!decider.Stopped() && !mDiskFailed) {
       auto input = mRing.Pop(std::max(Duration(0), nextTick - now));
@@ -267,21 +259,21 @@
 
   // First: it is aligned to cache lines.
   observe::Counters mCounters;
-  settings::ProcessSettings mSettings;
-  http::KeyHashes mKeys;
+  ControlHostOptions mOptions;
   BoundedRing<ControlInput> mRing;
   BoundedRing<control::PersistEffect> mDisk;
   std::optional<storage::ControlStore> mStore;
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
+  std::unique_ptr<http::HttpServer> mDirectory;
   std::unique_ptr<observe::Logger> mLogger;
   std::atomic<bool> mDiskFailed{ false };
   std::thread mDeciding;
   std::thread mWriting;
 };
 
-ControlHost::ControlHost(settings::ProcessSettings aSettings)
-  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+ControlHost::ControlHost(ControlHostOptions aOptions)
+  : mImpl(std::make_unique<Impl>(std::move(aOptions)))
 {
 }
 
--- a/src/runtime/ControlInput.h
+++ b/src/runtime/ControlInput.h
@@ -3,16 +3,21 @@
 #include "peridotspool/control/OperatorRequest.h"
 #include "peridotspool/control/PersistEffect.h"
 #include "peridotspool/http/HttpServer.h"
+#include "peridotspool/runtime/ControlDialect.h"
 #include "peridotspool/wire/PeerEnvelope.h"
 
+#include <string>
 #include <variant>
 
 namespace peridotspool::runtime {
 
-struct OperatorInput
+/** A request at one of the replica's HTTP addresses. */
+struct HttpInput
 {
+  http::HttpServer* mServer = nullptr;
   http::ExchangeId mExchange = 0;
-  control::OperatorRequest mRequest;
+  ControlCall mCall;
+  std::string mTarget;
 };
 
 struct ControlPeerInput
@@ -31,6 +36,6 @@
 
 /** What the deciding thread of a control replica takes from its ring. */
 using ControlInput =
-  std::variant<OperatorInput, ControlPeerInput, SyncedInput, StopInput>;
+  std::variant<HttpInput, ControlPeerInput, SyncedInput, StopInput>;
 
 } // namespace peridotspool::runtime
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -120,6 +120,13 @@
   // Meant for a control replica.
 }
 
+void
+EntryDecider::OnPayload(const Address& /*aFrom*/,
+                        const membership::RegistryMessage& /*aOne*/)
+{
+  // Upstreams announce themselves to this kind of entry.
+}
+
 void
 EntryDecider::OnPayload(const Address& /*aFrom*/,
                         const wire::ToEntryEnvelope& aOne)
--- a/src/runtime/EntryDecider.h
+++ b/src/runtime/EntryDecider.h
@@ -78,6 +78,8 @@
   void OnPayload(const Address& aFrom, const membership::EntryEnvelope& aOne);
   void OnPayload(const Address& aFrom, const wire::ToEntryEnvelope& aOne);
   void OnPayload(const Address& aFrom, const wire::MemberEnvelope& aOne);
+  void OnPayload(const Address& aFrom,
+                 const membership::RegistryMessage& aOne);
 
   void Step(const request::EntryNodeEvent& aEvent);
   void Carry(const request::ToControlReplicaEffect& aEffect);
--- a/src/runtime/StopSignal.cpp
+++ b/src/runtime/StopSignal.cpp
@@ -15,6 +15,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -29,12 +30,20 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void
-WaitForStopSignal()
+ProcessSignal
+WaitForSignal()
 {
   const sigset_t signals = StopSignals();
   int signal = 0;
   sigwait(&signals, &signal);
+  return signal == SIGHUP ? ProcessSignal::kReload : ProcessSignal::kStop;
+}
+
+void
+WaitForStopSignal()
+{
+  while (WaitForSignal() == ProcessSignal::kReload) {
+  }
 }
 
 void
--- a/src/settings/ProcessSchema.cpp
+++ b/src/settings/ProcessSchema.cpp
@@ -2,22 +2,8 @@
 
 namespace peridotspool::settings {
 
-namespace {
-
 using Kind = ValueKind;
 
-BranchRule
-AddressesRule(bool aRequired)
-{
-  BranchRule addresses;
-  addresses.mRequired = aRequired;
-  addresses.mValues = {
-    { "peer", { .mKind = Kind::kAddress, .mRequired = aRequired } },
-    { "http", { .mKind = Kind::kAddress, .mRequired = aRequired } },
-  };
-  return addresses;
-}
-
 BranchRule
 LogRule()
 {
@@ -53,6 +39,21 @@
   return bounds;
 }
 
+namespace {
+
+
+BranchRule
+AddressesRule(bool aRequired)
+{
+  BranchRule addresses;
+  addresses.mRequired = aRequired;
+  addresses.mValues = {
+    { "peer", { .mKind = Kind::kAddress, .mRequired = aRequired } },
+    { "http", { .mKind = Kind::kAddress, .mRequired = aRequired } },
+  };
+  return addresses;
+}
+
 BranchRule
 MakeProcessSchema()
 {
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -1,53 +1,13 @@
 #include "peridotspool/settings/ProcessSettings.h"
 
 #include "settings/CheckedTree.h"
+#include "settings/FileReader.h"
 
 #include <algorithm>
 #include <charconv>
 
 namespace peridotspool::settings {
 
-namespace {
-
-/** Reads the values of one checked file. */
-class FileReader
-{
-public:
-  FileReader(const CheckedTree& aTree, const BranchRule& aSchema)
-    : mTree(aTree)
-    , mSchema(aSchema)
-  {
-  }
-
-  template<typename T>
-  T Value(const std::string& aPath) const
-  {
-    return ValueOr<T>(mTree, mSchema, aPath);
-  }
-
-  std::string Text(const std::string& aPath) const
-  {
-    return Value<std::string>(aPath);
-  }
-
-  std::uint64_t Count(const std::string& aPath) const
-  {
-    return static_cast<std::uint64_t>(Value<std::int64_t>(aPath));
-  }
-
-  Address AddressOr(const std::string& aPath, const Address& aElse) const
-  {
-    const auto found = mTree.mValues.find(aPath);
-    return found == mTree.mValues.end()
-             ? aElse
-             : std::get<Address>(found->second.mValue);
-  }
-
-private:
-  const CheckedTree& mTree;
-  const BranchRule& mSchema;
-};
-
 LogSettings
 ReadLog(const FileReader& aFile)
 {
@@ -76,6 +36,8 @@
            .mUpstreams = aFile.Count("bounds.upstreams") };
 }
 
+namespace {
+
 std::string
 WrongReplica(const std::string& aPath, const std::string& aName)
 {
@@ -102,8 +64,8 @@
     }
     replicas.push_back(
       { .mId = ReplicaId(id),
-        .mPeerAddress = aReader.AddressOr(path + ".peer", {}),
-        .mHttpAddress = aReader.AddressOr(path + ".http", {}) });
+        .mPeerAddress = aReader.AddressAt(path + ".peer").value_or(Address{}),
+        .mHttpAddress = aReader.AddressAt(path + ".http").value_or(Address{}) });
   }
   std::sort(replicas.begin(), replicas.end());
   if (replicas.empty() && aErrors.empty()) {
@@ -125,9 +87,9 @@
   settings.mPeerListen = aFile.Value<Address>("listen.peer");
   settings.mHttpListen = aFile.Value<Address>("listen.http");
   settings.mPeerAdvertise =
-    aFile.AddressOr("advertise.peer", settings.mPeerListen);
+    aFile.AddressAt("advertise.peer").value_or(settings.mPeerListen);
   settings.mHttpAdvertise =
-    aFile.AddressOr("advertise.http", settings.mHttpListen);
+    aFile.AddressAt("advertise.http").value_or(settings.mHttpListen);
   settings.mPeerKeyFile = aFile.Text("peer_key_file");
   settings.mOperatorsFile = aFile.Text("operators_file");
   settings.mLog = ReadLog(aFile);
