Keep customers' limits together, report usage and order upstreams

Ruled out: fixed shares of a limit for each entry (a request of 60,000 tokens empties an entry's share for seconds); counting by the leader's own clock (it may jump).

--- a/include/peridotspool/control/Command.h
+++ b/include/peridotspool/control/Command.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/TextDelta.h"
 #include "peridotspool/control/ReplicaSet.h"
+#include "peridotspool/gateway/SharedMessage.h"
 #include "peridotspool/membership/EntryNonce.h"
 #include "peridotspool/membership/EntryProfile.h"
 
@@ -81,11 +82,21 @@
 };
 BOOST_DESCRIBE_STRUCT(DocumentCommand, (), (mVersion, mText))
 
+/** Settles what is told of one window's usage, for good. */
+struct UsageCommand
+{
+  gateway::UsageWindow mWindow;
+
+  auto operator<=>(const UsageCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(UsageCommand, (), (mWindow))
+
 using Command = std::variant<NoopCommand,
                              ReplicaSetCommand,
                              EditCommand,
                              MembershipCommand,
                              FencingCommand,
-                             DocumentCommand>;
+                             DocumentCommand,
+                             UsageCommand>;
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/ControlNode.h
+++ b/include/peridotspool/control/ControlNode.h
@@ -45,6 +45,7 @@
   std::vector<Address> ReplicaAddresses() const;
   /** Where the leader listens; empty when it isn't known. */
   std::optional<Address> LeaderAddress() const;
+  Term CurrentTerm() const;
 
 private:
   std::unique_ptr<ControlNodeState> mState;
--- a/include/peridotspool/control/MachineState.h
+++ b/include/peridotspool/control/MachineState.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/control/MembershipState.h"
 #include "peridotspool/control/SettingsState.h"
+#include "peridotspool/gateway/SharedMessage.h"
 
 #include <boost/describe/class.hpp>
 
@@ -13,9 +14,11 @@
   SettingsState mSettings;
   MembershipState mMembership;
   FencingNumber mLastFencing;
+  /** The last windows of usage that were settled, in rising order. */
+  std::vector<gateway::UsageWindow> mUsage;
 
   auto operator<=>(const MachineState&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(MachineState, (), (mSettings, mMembership, mLastFencing))
+BOOST_DESCRIBE_STRUCT(MachineState, (), (mSettings, mMembership, mLastFencing, mUsage))
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/OperatorRequest.h
+++ b/include/peridotspool/control/OperatorRequest.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/base/Time.h"
+#include "peridotspool/gateway/SharedMessage.h"
 
 #include <boost/describe/class.hpp>
 #include <cstdint>
@@ -98,6 +99,15 @@
 };
 BOOST_DESCRIBE_STRUCT(DocumentRequest, (), (mVersion, mText))
 
+/** Settles one window of usage; of the leader to itself. */
+struct UsageRequest
+{
+  gateway::UsageWindow mWindow;
+
+  auto operator<=>(const UsageRequest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(UsageRequest, (), (mWindow))
+
 using OperatorRequest = std::variant<EditRequest,
                                      InForceRequest,
                                      SettingsRequest,
@@ -106,6 +116,7 @@
                                      DrainRequest,
                                      StatusRequest,
                                      FencingRequest,
-                                     DocumentRequest>;
+                                     DocumentRequest,
+                                     UsageRequest>;
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/StateMachine.h
+++ b/include/peridotspool/control/StateMachine.h
@@ -69,6 +69,7 @@
   ApplyResult ApplyOne(const MembershipCommand& aCommand);
   ApplyResult ApplyOne(const FencingCommand& aCommand);
   ApplyResult ApplyOne(const DocumentCommand& aCommand);
+  ApplyResult ApplyOne(const UsageCommand& aCommand);
 
   void ReplaceText(std::string aText, EditId aEdit, std::string aAuthor);
   EditAnswer Judge(const EditCommand& aCommand);
--- a/include/peridotspool/control/StateMachineOptions.h
+++ b/include/peridotspool/control/StateMachineOptions.h
@@ -12,6 +12,7 @@
   std::size_t mMaxEditIds = 4096;
   std::size_t mMaxEpochs = 64;
   std::size_t mMaxRemovedNonces = 256;
+  std::size_t mMaxUsageWindows = 4;
 };
 
 } // namespace peridotspool::control
--- /dev/null
+++ b/include/peridotspool/fleet/PoolPlanner.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/fleet/DutyCall.h"
+#include "peridotspool/gateway/ServiceProfile.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace peridotspool::fleet {
+
+struct PoolOptions
+{
+  /** Upstreams of a service that are kept even without load. */
+  std::uint32_t mLeast = 8;
+  /** The part of their slots that is to be taken. */
+  double mFullness = 0.25;
+  /** An order is repeated when nothing came of it for boot time and this. */
+  Duration mPatience = std::chrono::seconds(3);
+  /** A refused order is tried again after this long. */
+  Duration mRefusedFor = std::chrono::milliseconds(1500);
+  /** Fewer upstreams are ordered only after they were too many this long. */
+  Duration mShrinkAfter = std::chrono::seconds(8);
+};
+
+/** Ready upstreams of one kind in one failure domain. */
+struct PoolKey
+{
+  FailureDomain mDomain;
+  bool mReclaimable = false;
+
+  auto operator<=>(const PoolKey&) const = default;
+};
+
+/** What is known of one service when its pool is planned. */
+struct PoolView
+{
+  std::map<PoolKey, std::uint32_t> mReady;
+  /** Requests that run at all its upstreams. */
+  double mRunning = 0.0;
+};
+
+/**
+ * How many upstreams of one service to have, where and of which kind.
+ * Reclaimable ones cost a fraction and are spread over all failure domains, so
+ * that a reclaimed domain takes a part only; lasting ones are given up once
+ * reclaimable ones stand in for them, and taken where those are refused.
+ *
+ * A pure step. Not thread-safe.
+ */
+class PoolPlanner
+{
+public:
+  explicit PoolPlanner(PoolOptions aOptions);
+
+  /** Returns the orders to give now. */
+  std::vector<PoolOrder> Plan(const gateway::ServiceProfile& aService,
+                              const PoolView& aView,
+                              TimePoint aNow);
+  /** Says how an order ended; aRefused: there are none to be had. */
+  void TakeResult(const PoolOrder& aOrder,
+                  bool aDone,
+                  bool aRefused,
+                  TimePoint aNow);
+  /** Upstreams wanted in all, as last planned. */
+  std::uint32_t Wanted() const { return mWanted; }
+
+private:
+  struct Slot
+  {
+    /** The last order that the cloud took. */
+    std::optional<std::uint32_t> mOrdered;
+    TimePoint mOrderedAt;
+    bool mUnderWay = false;
+    TimePoint mRefusedUntil;
+  };
+
+  std::uint32_t WantedInAll(const gateway::ServiceProfile& aService,
+                            const PoolView& aView,
+                            TimePoint aNow);
+  void Place(const gateway::ServiceProfile& aService,
+             const PoolView& aView,
+             TimePoint aNow,
+             std::map<PoolKey, std::uint32_t>& aDesired);
+  bool IsDue(const Slot& aSlot,
+             std::uint32_t aReady,
+             std::uint32_t aDesired,
+             Duration aBoot,
+             TimePoint aNow) const;
+
+  PoolOptions mOptions;
+  std::map<PoolKey, Slot> mSlots;
+  std::uint32_t mWanted = 0;
+  std::optional<TimePoint> mTooManySince;
+};
+
+} // namespace peridotspool::fleet
--- /dev/null
+++ b/include/peridotspool/gateway/QuotaBank.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+#include "peridotspool/gateway/Customer.h"
+#include "peridotspool/gateway/SharedMessage.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace peridotspool::gateway {
+
+struct QuotaBounds
+{
+  /** A limit is held over every window of this length. */
+  Duration mWindow = std::chrono::seconds(8);
+  /** How far over its limit a customer may come, as a part and in units. */
+  double mOvershoot = 0.1;
+  double mSlack = 0.0;
+};
+
+/**
+ * The customers' limits, kept in one place for all entries: each request's
+ * units are taken here before it is sent. Lives on the control leader and
+ * begins anew, nearly empty, with each one.
+ *
+ * A pure step. Not thread-safe.
+ */
+class QuotaBank
+{
+public:
+  explicit QuotaBank(QuotaBounds aBounds);
+
+  /** Takes the customers' limits of the newest settings. */
+  void Use(const std::vector<Customer>& aCustomers, TimePoint aNow);
+  QuotaGrant Ask(const QuotaAsk& aAsk, TimePoint aNow);
+
+private:
+  struct Account
+  {
+    double mRate = 0.0;
+    double mMost = 0.0;
+    double mBalance = 0.0;
+    TimePoint mAt;
+  };
+
+  double MostOf(const Customer& aCustomer) const;
+  QuotaVerdict Judge(const QuotaLine& aLine, TimePoint aNow);
+
+  QuotaBounds mBounds;
+  std::unordered_map<CustomerName, Account> mAccounts;
+};
+
+} // namespace peridotspool::gateway
--- /dev/null
+++ b/include/peridotspool/gateway/SharedMessage.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "peridotspool/base/Ids.h"
+
+#include <boost/describe/class.hpp>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace peridotspool::gateway {
+
+/** Units that an entry asks the leader for, for one request or for stock. */
+struct QuotaLine
+{
+  CustomerName mCustomer;
+  std::uint64_t mUnits = 0;
+  /** The entry's number of the request that waits; 0 for stock. */
+  std::uint64_t mTag = 0;
+
+  auto operator<=>(const QuotaLine&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(QuotaLine, (), (mCustomer, mUnits, mTag))
+
+struct QuotaAsk
+{
+  std::vector<QuotaLine> mLines;
+
+  auto operator<=>(const QuotaAsk&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(QuotaAsk, (), (mLines))
+
+struct QuotaVerdict
+{
+  QuotaLine mLine;
+  bool mGranted = false;
+  /** When so many units will be there again; 0 if granted. */
+  std::uint32_t mComeBackMs = 0;
+
+  auto operator<=>(const QuotaVerdict&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(QuotaVerdict, (), (mLine, mGranted, mComeBackMs))
+
+struct QuotaGrant
+{
+  std::vector<QuotaVerdict> mVerdicts;
+
+  auto operator<=>(const QuotaGrant&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(QuotaGrant, (), (mVerdicts))
+
+/** Requests that upstreams began for each customer in one window. */
+struct UsageWindow
+{
+  /** Begins this many window lengths after the start of 1970. */
+  std::uint64_t mNumber = 0;
+  std::map<CustomerName, std::uint64_t> mCounts;
+
+  auto operator<=>(const UsageWindow&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(UsageWindow, (), (mNumber, mCounts))
+
+/** An entry's counts of its last windows; each report replaces the last one. */
+struct UsageReport
+{
+  /** Names one life of the entry's process. */
+  std::uint64_t mLife = 0;
+  /** The entry's time of day when it sent this, in microseconds. */
+  std::int64_t mWallMicros = 0;
+  std::vector<UsageWindow> mWindows;
+
+  auto operator<=>(const UsageReport&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(UsageReport, (), (mLife, mWallMicros, mWindows))
+
+/** What most processes take for the time of day, when the leader sent this. */
+struct CommonTime
+{
+  std::int64_t mMicros = 0;
+
+  auto operator<=>(const CommonTime&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(CommonTime, (), (mMicros))
+
+/** Between entries and the control leader. */
+using SharedMessage =
+  std::variant<QuotaAsk, QuotaGrant, UsageReport, CommonTime>;
+
+} // namespace peridotspool::gateway
--- a/include/peridotspool/runtime/ControlDialect.h
+++ b/include/peridotspool/runtime/ControlDialect.h
@@ -3,6 +3,8 @@
 #include "peridotspool/control/ControlOptions.h"
 #include "peridotspool/control/OperatorAnswer.h"
 #include "peridotspool/control/OperatorRequest.h"
+#include "peridotspool/fleet/DutyCall.h"
+#include "peridotspool/gateway/RouteTable.h"
 #include "peridotspool/http/HttpMessage.h"
 #include "peridotspool/membership/EntryProfile.h"
 #include "peridotspool/membership/UpstreamReport.h"
@@ -65,6 +67,14 @@
   std::function<http::HttpResponse(const std::vector<membership::EntryProfile>&,
                                    const DirectoryCall&)>
     mWriteDirectory;
+  /** Reads a committed document; unset where settings are no documents. */
+  std::function<std::optional<gateway::RouteTable>(const std::string&,
+                                                   LastReason&)>
+    mReadDocument;
+  /** Writes what the holder of the duties tells the cloud. */
+  std::function<http::HttpRequest(const fleet::DutyCall&,
+                                  const fleet::DutyStamp&)>
+    mWriteDuty;
   /** Checks settings that an operator sends. */
   control::SettingsChecker mChecker;
 };
--- a/include/peridotspool/runtime/ControlHostOptions.h
+++ b/include/peridotspool/runtime/ControlHostOptions.h
@@ -3,6 +3,8 @@
 #include "peridotspool/base/Address.h"
 #include "peridotspool/control/ControlOptions.h"
 #include "peridotspool/control/RestoredState.h"
+#include "peridotspool/fleet/DutyDesk.h"
+#include "peridotspool/gateway/QuotaBank.h"
 #include "peridotspool/runtime/ControlDialect.h"
 #include "peridotspool/settings/LogSettings.h"
 #include "peridotspool/settings/NodeSettings.h"
@@ -14,6 +16,16 @@
 
 namespace peridotspool::runtime {
 
+/** What the leader does besides keeping the log. */
+struct DutyHostOptions
+{
+  std::string mHolder;
+  /** Unset: the cloud is told nothing. */
+  std::optional<Address> mCloud;
+  fleet::DutyOptions mDuties;
+  gateway::QuotaBounds mQuota;
+};
+
 /** What one control replica is made of, whatever kind of file says so. */
 struct ControlHostOptions
 {
@@ -32,6 +44,8 @@
   control::ControlOptions mNode;
   /** What an empty folder starts from; without an identity it joins. */
   control::RestoredState mFirstState;
+  /** Unset where there are none. */
+  std::optional<DutyHostOptions> mDuties;
 };
 
 /** The options of a replica of a deployment with a written list of replicas. */
--- a/include/peridotspool/runtime/SystemClock.h
+++ b/include/peridotspool/runtime/SystemClock.h
@@ -2,6 +2,8 @@
 
 #include "peridotspool/base/Time.h"
 
+#include <cstdint>
+
 namespace peridotspool::runtime {
 
 /**
@@ -12,4 +14,8 @@
 TimePoint
 ReadClock();
 
+/** Returns the time of day in microseconds since 1970; it may jump. */
+std::int64_t
+ReadWallMicros();
+
 } // namespace peridotspool::runtime
--- a/include/peridotspool/settings/NodeSettings.h
+++ b/include/peridotspool/settings/NodeSettings.h
@@ -57,6 +57,8 @@
   Duration mUsageLate = std::chrono::seconds(10);
   /** Two holders are never in charge within this time of each other. */
   Duration mLease = std::chrono::seconds(3);
+  /** Upstreams of a service that scales, kept even without load. */
+  std::uint64_t mPoolLeast = 8;
 
   auto operator<=>(const DutySettings&) const = default;
 };
--- a/include/peridotspool/wire/PeerEnvelope.h
+++ b/include/peridotspool/wire/PeerEnvelope.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Address.h"
 #include "peridotspool/control/ReplicaMessage.h"
+#include "peridotspool/gateway/SharedMessage.h"
 #include "peridotspool/ledger/Message.h"
 #include "peridotspool/membership/EntryMessage.h"
 #include "peridotspool/membership/RegistryMessage.h"
@@ -45,7 +46,8 @@
                                  membership::EntryEnvelope,
                                  ToEntryEnvelope,
                                  MemberEnvelope,
-                                 membership::RegistryMessage>;
+                                 membership::RegistryMessage,
+                                 gateway::SharedMessage>;
 
 /** One frame between two of our processes. */
 struct PeerEnvelope
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -60,6 +60,12 @@
   return mState->ReplicaAddresses();
 }
 
+Term
+ControlNode::CurrentTerm() const
+{
+  return mState->CurrentTerm();
+}
+
 std::optional<Address>
 ControlNode::LeaderAddress() const
 {
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -300,6 +300,12 @@
                                         : AddressOf(mConsensus->Leader());
 }
 
+Term
+ControlNodeState::CurrentTerm() const
+{
+  return mConsensus ? mConsensus->CurrentTerm() : Term();
+}
+
 std::vector<Address>
 ControlNodeState::ReplicaAddresses() const
 {
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -33,6 +33,7 @@
   std::vector<membership::EntryProfile> ReadyEntries(TimePoint aNow) const;
   std::vector<Address> ReplicaAddresses() const;
   std::optional<Address> LeaderAddress() const;
+  Term CurrentTerm() const;
 
 private:
   /** An operator's request that waits for its log entry. */
@@ -128,6 +129,7 @@
   void TakeRequest(CallId aCall, const StatusRequest& aRequest);
   void TakeRequest(CallId aCall, const FencingRequest& aRequest);
   void TakeRequest(CallId aCall, const DocumentRequest& aRequest);
+  void TakeRequest(CallId aCall, const UsageRequest& aRequest);
   std::optional<EditAnswer> AnswerWithoutLog(const EditRequest& aRequest,
                                              std::uint64_t aDigest) const;
   void ProposeFor(CallId aCall, Command aCommand);
--- a/src/control/ControlOperators.cpp
+++ b/src/control/ControlOperators.cpp
@@ -113,6 +113,12 @@
                               .mText = aRequest.mText });
 }
 
+void
+ControlNodeState::TakeRequest(CallId aCall, const UsageRequest& aRequest)
+{
+  ProposeFor(aCall, UsageCommand{ aRequest.mWindow });
+}
+
 void
 ControlNodeState::TakeRequest(CallId aCall, const InForceRequest& aRequest)
 {
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -37,4 +37,18 @@
   return mState.mLastFencing;
 }
 
+// The first counts of a window stay: they may have been told already.
+ApplyResult
+StateMachine::ApplyOne(const UsageCommand& aCommand)
+{
+  auto& usage = mState.mUsage;
+  if (usage.empty() || aCommand.mWindow.mNumber > usage.back().mNumber) {
+    usage.push_back(aCommand.mWindow);
+    if (usage.size() > mOptions.mMaxUsageWindows) {
+      usage.erase(usage.begin());
+    }
+  }
+  return NothingApplied{};
+}
+
 } // namespace peridotspool::control
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -26,6 +26,7 @@
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kTooMany = 429;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -73,7 +74,85 @@
       self->OnTimeout();
     }
   });
-  Dispatch();
+  AskQuota();
+}
+
+// A request counts by the sum of its prompt and the most that it may generate.
+double
+Exchange::Units() const
+{
+  if (mCustomer->mUnit == QuotaUnit::kRequests) {
+    return 1.0;
+  }
+  const std::string_view counts =
+    FieldOf(mRequest.mFields, mCore.mNames.mTokenCounts);
+  const std::size_t comma = counts.find(',');
+  const auto prompt = ReadNumber(counts.substr(0, comma));
+  const auto answer = comma == std::string_view::npos
+                        ? std::nullopt
+                        : ReadNumber(counts.substr(comma + 1));
+  return prompt && answer ? static_cast<double>(*prompt + *answer)
+                          : mCustomer->mPlainTokens;
+}
+
+void
+Exchange::AskQuota()
+{
+  if (mCustomer == nullptr) {
+    Dispatch();
+    return;
+  }
+  const QuotaAnswer answer =
+    mCore.mQuota.Take(*mCustomer, Units(), mCore.mNow());
+  switch (answer.mOutcome) {
+    case QuotaOutcome::kGranted:
+      Dispatch();
+      return;
+    case QuotaOutcome::kRefused:
+      RefuseForQuota(answer.mComeBack);
+      return;
+    case QuotaOutcome::kAsked:
+      mQuotaTag = answer.mTag;
+      mCore.mWaiting[mQuotaTag] =
+        [self = shared_from_this()](const QuotaDecided& aDecided) {
+          self->OnQuota(aDecided);
+        };
+      mCore.mTellLeader(answer.mAsk);
+      return;
+  }
+}
+
+void
+Exchange::OnQuota(const QuotaDecided& aDecided)
+{
+  mQuotaTag = 0;
+  if (mOver) {
+    if (aDecided.mGranted) {
+      mCore.mQuota.GiveBack(mCustomer->mName, Units());
+    }
+  } else if (aDecided.mGranted) {
+    Dispatch();
+  } else {
+    RefuseForQuota(aDecided.mComeBack);
+  }
+}
+
+void
+Exchange::RefuseForQuota(Duration aComeBack)
+{
+  mCore.mCounters.Add(CounterId::kRefusedRateLimit);
+  AnswerOwn(kTooMany,
+            "over the customer's limit",
+            std::max(0.2, std::chrono::duration<double>(aComeBack).count()));
+}
+
+void
+Exchange::CountUsage()
+{
+  if (mCustomer != nullptr && !mCounted) {
+    mCounted = true;
+    mCore.mUsage.Count(mCustomer->mName, mCore.mWall(), mCore.mNow());
+  }
 }
 
 bool
@@ -306,6 +385,7 @@
   const TimePoint now = mCore.mNow();
   if (!mBegun) {
     mBegun = true;
+    CountUsage();
     mCore.mCounters.Histogram(observe::HistogramId::kFirstTokenTime)
       .Observe(now - mArrivedAt);
     mCaller->Begin(WriteAnswerHead(mHead, std::nullopt, KeepAlive()));
@@ -384,6 +464,9 @@
            CounterId::kRetryCrossedAnswer);
     return;
   }
+  if (stamped) {
+    CountUsage();
+  }
   const bool failed = mHead.mStatus >= kFirstServerError;
   EndSend(failed ? SendResult::kFailed : SendResult::kAnswered);
   if (failed && AfterFailure(Facts()) == NextStep::kTryAnother &&
@@ -526,6 +609,14 @@
 void
 Exchange::End(unsigned aStatus, const char* aReason)
 {
+  if (mQuotaTag != 0) {
+    mCore.mQuota.Forget(mQuotaTag);
+    mCore.mWaiting.erase(mQuotaTag);
+    mQuotaTag = 0;
+  }
+  if (mCustomer != nullptr && mRuns == 0 && mSentAt != TimePoint()) {
+    mCore.mQuota.GiveBack(mCustomer->mName, Units());
+  }
   mOver = true;
   mTimer.cancel();
   mSlowTimer.cancel();
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -41,6 +41,11 @@
 
 private:
   bool Admit();
+  void AskQuota();
+  void OnQuota(const QuotaDecided& aDecided);
+  void RefuseForQuota(Duration aComeBack);
+  double Units() const;
+  void CountUsage();
   void ChooseService();
   Duration TimeLeft() const;
   AttemptFacts Facts() const;
@@ -77,6 +82,8 @@
   std::shared_ptr<UpstreamLink> mLink;
   UpstreamName mUpstream;
   TimePoint mSentAt;
+  std::uint64_t mQuotaTag = 0;
+  bool mCounted = false;
   std::uint32_t mRuns = 0;
   std::uint32_t mRefusals = 0;
   UpstreamHead mHead;
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -4,14 +4,17 @@
 #include "http/BeastTypes.h"
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/HeaderNames.h"
+#include "peridotspool/gateway/QuotaGate.h"
 #include "peridotspool/gateway/RepeatBudget.h"
 #include "peridotspool/gateway/RouteTable.h"
 #include "peridotspool/gateway/UpstreamBoard.h"
+#include "peridotspool/gateway/UsageTally.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
 
 #include <functional>
 #include <memory>
+#include <unordered_map>
 
 namespace peridotspool::gateway {
 
@@ -26,6 +29,15 @@
   observe::Logger& mLogger;
   observe::Counters& mCounters;
   std::function<TimePoint()> mNow;
+  QuotaGate mQuota;
+  UsageTally mUsage;
+  /** Sends to the leader; dropped where none is known. */
+  std::function<void(SharedMessage)> mTellLeader;
+  /** The own time of day, in microseconds. */
+  std::function<std::int64_t()> mWall;
+  /** Exchanges that wait for the leader's word, by the gate's tag. */
+  std::unordered_map<std::uint64_t, std::function<void(const QuotaDecided&)>>
+    mWaiting;
   /** Null until the first settings have come. */
   std::shared_ptr<const RouteTable> mTable;
   /** The process was told to stop: answers end their connections. */
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -12,6 +12,7 @@
 /** Addresses of entry processes kept; old lives are dropped beyond it. */
 constexpr std::size_t kMaxEntryAddresses = 8192;
 constexpr Duration kRegistryPeriod = std::chrono::milliseconds(100);
+constexpr Duration kPullPeriod = std::chrono::milliseconds(300);
 
 observe::EventId
 EventOf(control::ControlNotice aNotice)
@@ -51,6 +52,17 @@
   , mRegistry(membership::UpstreamRegistryOptions{
       .mLife = membership::RegistryLife(RandomNumber()) })
 {
+  if (mParts.mDuties != nullptr) {
+    mDuties.emplace(*mParts.mDuties,
+                    mParts.mDialect,
+                    mParts.mLogger,
+                    mParts.mTakeCloud,
+                    [this](control::OperatorRequest aRequest) {
+                      mLastCall = mLastCall.Next();
+                      Step(control::OperatorEvent{ mLastCall,
+                                                   std::move(aRequest) });
+                    });
+  }
 }
 
 void
@@ -69,6 +81,10 @@
     mRegistryAt = aNow;
     SendAll(mRegistry.Tick(aNow));
   }
+  if (mDuties) {
+    PullRegistries();
+    mDuties->Tick(mNode, aNow);
+  }
 }
 
 void
@@ -149,6 +165,52 @@
 {
   if (const auto* pull = std::get_if<membership::RegistryPull>(&aMessage)) {
     SendAll(mRegistry.TakePull(aFrom, *pull, mNow));
+  } else if (mDuties) {
+    const auto& push = std::get<membership::RegistryPush>(aMessage);
+    mDuties->TakePush(aFrom, push, mNow);
+    SendPeer(aFrom, membership::RegistryMessage(mDuties->PullFor(aFrom)));
+  }
+}
+
+// A control replica is a subscriber of all registries, its own among them: as
+// the leader it has to know all upstreams.
+void
+ControlDecider::PullRegistries()
+{
+  if (mNow - mPulledAt < kPullPeriod) {
+    return;
+  }
+  mPulledAt = mNow;
+  const Address self = mParts.mTransport.LocalAddress();
+  for (const Address& replica : mNode.ReplicaAddresses()) {
+    if (replica != self) {
+      SendPeer(replica,
+               membership::RegistryMessage(mDuties->PullFor(replica)));
+    }
+  }
+  for (const auto& send :
+       mRegistry.TakePull(self, mDuties->PullFor(self), mNow)) {
+    mDuties->TakePush(self, send.mPush, mNow);
+  }
+}
+
+void
+ControlDecider::TakeShared(const Address& aFrom,
+                           const gateway::SharedMessage& aMessage)
+{
+  if (!mDuties) {
+    return;
+  }
+  if (auto answer = mDuties->Take(aMessage, mNode, mNow)) {
+    SendPeer(aFrom, std::move(*answer));
+  }
+}
+
+void
+ControlDecider::On(CloudInput& aInput)
+{
+  if (mDuties) {
+    mDuties->Take(aInput, mNow);
   }
 }
 
@@ -156,6 +218,12 @@
 ControlDecider::SendAll(std::vector<membership::RegistrySend> aSends)
 {
   for (membership::RegistrySend& send : aSends) {
+    if (send.mTo == mParts.mTransport.LocalAddress()) {
+      if (mDuties) {
+        mDuties->TakePush(send.mTo, send.mPush, mNow);
+      }
+      continue;
+    }
     SendPeer(send.mTo, membership::RegistryMessage(std::move(send.mPush)));
   }
 }
@@ -172,6 +240,9 @@
   } else if (const auto* registry =
                std::get_if<membership::RegistryMessage>(&payload)) {
     TakeRegistry(aInput.mEnvelope.mFrom, *registry);
+  } else if (const auto* shared =
+               std::get_if<gateway::SharedMessage>(&payload)) {
+    TakeShared(aInput.mEnvelope.mFrom, *shared);
   }
 }
 
--- a/src/runtime/ControlDecider.h
+++ b/src/runtime/ControlDecider.h
@@ -18,6 +18,10 @@
   wire::PeerTransport& mTransport;
   BoundedRing<control::PersistEffect>& mDisk;
   const ControlDialect& mDialect;
+  /** Null where there are no duties. */
+  const DutyHostOptions* mDuties = nullptr;
+  /** Takes results of calls to the cloud from another thread. */
+  DutyRunner::TakeCloud mTakeCloud;
   observe::Logger& mLogger;
 };
 
@@ -38,6 +42,7 @@
   void On(HttpInput& aInput);
   void On(ControlPeerInput& aInput);
   void On(SyncedInput& aInput);
+  void On(CloudInput& aInput);
   void On(StopInput& aInput);
 
   void Take(HttpInput& aInput, control::OperatorRequest& aRequest);
@@ -47,6 +52,8 @@
   void Take(HttpInput& aInput, AnsweredCall& aCall);
   void TakeRegistry(const Address& aFrom,
                     const membership::RegistryMessage& aMessage);
+  void PullRegistries();
+  void TakeShared(const Address& aFrom, const gateway::SharedMessage& aMessage);
   void SendAll(std::vector<membership::RegistrySend> aSends);
 
   void Step(const control::ControlEvent& aEvent);
@@ -65,6 +72,8 @@
   std::unordered_map<CallId, HttpInput> mCalls;
   CallId mLastCall;
   TimePoint mRegistryAt;
+  TimePoint mPulledAt;
+  std::optional<DutyRunner> mDuties;
   /** Where each entry process listens. */
   std::unordered_map<membership::EntryNonce, Address> mEntries;
   bool mStopped = false;
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -213,6 +213,9 @@
       ControlParts{ .mTransport = *mTransport,
                     .mDisk = mDisk,
                     .mDialect = mOptions.mDialect,
+                    .mDuties = mOptions.mDuties ? &*mOptions.mDuties : nullptr,
+                    .mTakeCloud =
+                      [this](CloudInput aInput) { mRing.TryPush(aInput); },
                     .mLogger = *mLogger });
     TimePoint nextTick = now;
     while (!decider.Stopped() && !mDiskFailed) {
--- a/src/runtime/ControlHostOptions.cpp
+++ b/src/runtime/ControlHostOptions.cpp
@@ -101,6 +101,22 @@
   return options;
 }
 
+DutyHostOptions
+SeededDuties(const settings::NodeSettings& aSettings)
+{
+  const settings::SharedBounds& shared = aSettings.mShared;
+  return { .mHolder = aSettings.mName.Value(),
+           .mCloud = aSettings.mDuties.mCloud,
+           .mDuties = { .mUsageWindow = aSettings.mDuties.mUsageWindow,
+                        .mUsageLate = aSettings.mDuties.mUsageLate,
+                        .mLease = aSettings.mDuties.mLease,
+                        .mPool = { .mLeast = static_cast<std::uint32_t>(
+                                     aSettings.mDuties.mPoolLeast) } },
+           .mQuota = { .mWindow = shared.mQuotaWindow,
+                       .mOvershoot = shared.mQuotaOvershoot,
+                       .mSlack = shared.mQuotaSlack } };
+}
+
 } // namespace
 
 std::optional<ControlHostOptions>
@@ -124,7 +140,8 @@
                              .mDialect =
                                OwnDialect(aSettings, std::move(*operators)),
                              .mNode = ListedNode(aSettings),
-                             .mFirstState = {} };
+                             .mFirstState = {},
+                             .mDuties = {} };
 }
 
 ControlHostOptions
@@ -145,7 +162,8 @@
     .mFirstState =
       aSettings.mFounding
         ? control::FoundingState(aSettings.mListen.mPeer, aSettings.mSeeds)
-        : control::RestoredState{}
+        : control::RestoredState{},
+    .mDuties = SeededDuties(aSettings),
   };
 }
 
--- a/src/runtime/ControlInput.h
+++ b/src/runtime/ControlInput.h
@@ -6,6 +6,8 @@
 #include "peridotspool/runtime/ControlDialect.h"
 #include "peridotspool/wire/PeerEnvelope.h"
 
+#include "runtime/DutyRunner.h"
+
 #include <string>
 #include <variant>
 
@@ -36,6 +38,10 @@
 
 /** What the deciding thread of a control replica takes from its ring. */
 using ControlInput =
-  std::variant<HttpInput, ControlPeerInput, SyncedInput, StopInput>;
+  std::variant<HttpInput,
+               ControlPeerInput,
+               SyncedInput,
+               CloudInput,
+               StopInput>;
 
 } // namespace peridotspool::runtime
--- /dev/null
+++ b/src/runtime/DutyRunner.cpp
@@ -0,0 +1,191 @@
+#include "runtime/DutyRunner.h"
+
+#include "peridotspool/base/Overloaded.h"
+#include "peridotspool/runtime/SystemClock.h"
+#include "runtime/HostParts.h"
+
+#include <chrono>
+#include <utility>
+
+namespace peridotspool::runtime {
+
+namespace {
+
+constexpr Duration kDutyPeriod = std::chrono::milliseconds(100);
+constexpr std::chrono::milliseconds kCloudTimeout{ 2000 };
+/** This replica's own clock among those of the entries' lives. */
+constexpr std::uint64_t kOwnClock = 0;
+
+std::string
+TextOf(const fleet::DutyCall& aCall)
+{
+  return std::visit(
+    Overloaded{ [](const gateway::UsageWindow& aWindow) {
+                 return "usage window=" + std::to_string(aWindow.mNumber);
+               },
+                [](const fleet::PoolOrder& aOrder) {
+                  return "pool " + aOrder.mService.Value() + " " +
+                         aOrder.mDomain.Value() +
+                         (aOrder.mReclaimable ? " reclaimable=" : " lasting=") +
+                         std::to_string(aOrder.mDesired);
+                } },
+    aCall);
+}
+
+} // namespace
+
+DutyRunner::DutyRunner(const DutyHostOptions& aOptions,
+                       const ControlDialect& aDialect,
+                       observe::Logger& aLogger,
+                       TakeCloud aTakeCloud,
+                       Propose aPropose)
+  : mOptions(aOptions)
+  , mDialect(aDialect)
+  , mLogger(aLogger)
+  , mPropose(std::move(aPropose))
+  , mDesk(aOptions.mDuties)
+  , mBank(aOptions.mQuota)
+{
+  if (!mOptions.mCloud) {
+    return;
+  }
+  mClient = std::make_unique<http::HttpClient>(
+    http::HttpClientOptions{ .mConnectTimeout = kCloudTimeout,
+                             .mSilenceTimeout = kCloudTimeout },
+    [take = std::move(aTakeCloud)](http::ClientCallId aCall,
+                                   const http::CallEvent& aEvent) {
+      if (const auto* head = std::get_if<http::CallHead>(&aEvent)) {
+        take({ aCall, head->mStatus });
+      } else if (std::holds_alternative<http::CallFailed>(aEvent)) {
+        take({ aCall, 0 });
+      }
+    });
+}
+
+std::optional<gateway::SharedMessage>
+DutyRunner::Take(const gateway::SharedMessage& aMessage,
+                 const control::ControlNode& aNode,
+                 TimePoint aNow)
+{
+  if (!aNode.Leads(aNow)) {
+    return std::nullopt;
+  }
+  UseSettings(aNode, aNow);
+  if (const auto* ask = std::get_if<gateway::QuotaAsk>(&aMessage)) {
+    return mBank.Ask(*ask, aNow);
+  }
+  if (const auto* report = std::get_if<gateway::UsageReport>(&aMessage)) {
+    mDesk.TakeReport(*report, aNow);
+    if (const auto micros = mDesk.CommonMicros(aNow)) {
+      return gateway::CommonTime{ *micros };
+    }
+  }
+  return std::nullopt;
+}
+
+void
+DutyRunner::TakePush(const Address& aFrom,
+                     const membership::RegistryPush& aPush,
+                     TimePoint aNow)
+{
+  mDirectory.Take(aFrom, aPush, aNow);
+}
+
+// A new leader starts a new bank: what the earlier one had given out since is
+// not known here.
+void
+DutyRunner::UseSettings(const control::ControlNode& aNode, TimePoint aNow)
+{
+  const auto& settings = aNode.State().mSettings;
+  if (!mLed) {
+    mLed = true;
+    mRevision = Revision();
+    mBank = gateway::QuotaBank(mOptions.mQuota);
+  }
+  if (settings.mRevision == mRevision || !mDialect.mReadDocument) {
+    return;
+  }
+  mRevision = settings.mRevision;
+  LastReason reason;
+  mTable = mDialect.mReadDocument(settings.mText, reason);
+  if (mTable) {
+    mBank.Use(mTable->Source().mCustomers, aNow);
+  }
+}
+
+std::map<ServiceName, fleet::PoolView>
+DutyRunner::Pools() const
+{
+  std::map<ServiceName, fleet::PoolView> pools;
+  for (const auto& [name, known] : mDirectory.All()) {
+    const auto& report = known.mReport;
+    if (report.mStage == membership::UpstreamStage::kReady && !known.mSilent) {
+      ++pools[report.mService]
+          .mReady[{ report.mDomain, report.mReclaimable }];
+    }
+  }
+  return pools;
+}
+
+void
+DutyRunner::Tick(const control::ControlNode& aNode, TimePoint aNow)
+{
+  if (aNow - mTickedAt < kDutyPeriod) {
+    return;
+  }
+  mTickedAt = aNow;
+  const bool leads = aNode.Leads(aNow);
+  if (leads) {
+    UseSettings(aNode, aNow);
+    mDesk.TakeWall(kOwnClock, ReadWallMicros(), aNow);
+    mDirectory.Forget(aNow);
+  } else {
+    mLed = false;
+  }
+  if (!mClient) {
+    return;
+  }
+  const auto pools = Pools();
+  const auto effects = mDesk.Tick(
+    fleet::DutyView{ .mLeads = leads,
+                     .mTerm = aNode.CurrentTerm().Value(),
+                     .mCommitted = &aNode.State().mUsage,
+                     .mTable = mTable ? &*mTable : nullptr,
+                     .mPools = &pools },
+    aNow);
+  for (const fleet::DutyEffect& effect : effects) {
+    std::visit(Overloaded{ [&](const fleet::CommitUsage& aOne) {
+                            mPropose(control::UsageRequest{ aOne.mWindow });
+                          },
+                           [&](const fleet::CallCloud& aOne) { Call(aOne); } },
+               effect);
+  }
+}
+
+void
+DutyRunner::Call(const fleet::CallCloud& aCall)
+{
+  mCalls[aCall.mNumber] = TextOf(aCall.mCall);
+  mLogger.Log(observe::EventId::kDutyCalled,
+              { { "call", aCall.mNumber },
+                { "what", TextOf(aCall.mCall) },
+                { "fence", aCall.mFence } });
+  mClient->Start(aCall.mNumber,
+                 *mOptions.mCloud,
+                 mDialect.mWriteDuty(aCall.mCall,
+                                     { .mHolder = mOptions.mHolder,
+                                       .mFence = aCall.mFence }));
+}
+
+void
+DutyRunner::Take(const CloudInput& aInput, TimePoint aNow)
+{
+  mLogger.Log(observe::EventId::kDutyAnswered,
+              { { "call", aInput.mNumber },
+                { "what", mCalls[aInput.mNumber] },
+                { "status", aInput.mStatus } });
+  mCalls.erase(aInput.mNumber);
+  mDesk.TakeResult(aInput.mNumber, aInput.mStatus, aNow);
+}
+
+} // namespace peridotspool::runtime
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -127,6 +127,13 @@
   // Upstreams announce themselves to this kind of entry.
 }
 
+void
+EntryDecider::OnPayload(const Address& /*aFrom*/,
+                        const gateway::SharedMessage& /*aOne*/)
+{
+  // This kind of entry shares limits in its own way.
+}
+
 void
 EntryDecider::OnPayload(const Address& /*aFrom*/,
                         const wire::ToEntryEnvelope& aOne)
--- a/src/runtime/GatewayHost.cpp
+++ b/src/runtime/GatewayHost.cpp
@@ -38,6 +38,9 @@
 /** Requests go on by the last settings for as long as nothing newer comes. */
 constexpr Duration kConfirmationGrace = std::chrono::hours(24);
 
+constexpr Duration kReportPeriod = std::chrono::milliseconds(300);
+constexpr Duration kLeaderLost = std::chrono::seconds(2);
+
 } // namespace
 
 class GatewayHost::Impl
@@ -134,6 +137,17 @@
       .mLogger = *mLogger,
       .mCounters = mCounters,
       .mNow = ReadClock,
+      .mQuota = {},
+      .mUsage =
+        gateway::UsageTally(mSettings.mDuties.mUsageWindow, RandomNumber()),
+      .mTellLeader =
+        [this](gateway::SharedMessage aMessage) {
+          if (mLeader) {
+            SendPeer(*mLeader, std::move(aMessage));
+          }
+        },
+      .mWall = ReadWallMicros,
+      .mWaiting = {},
       .mTable = nullptr });
     mGateway = std::make_unique<gateway::Gateway>(
       *mCore,
@@ -196,6 +210,7 @@
   {
     if (const auto* entry =
           std::get_if<wire::ToEntryEnvelope>(&aEnvelope.mPayload)) {
+      NoteLeader(aEnvelope.mFrom, entry->mMessage);
       Step(membership::FromControlEvent{ entry->mMessage });
     } else if (const auto* registry = std::get_if<membership::RegistryMessage>(
                  &aEnvelope.mPayload)) {
@@ -203,6 +218,46 @@
             std::get_if<membership::RegistryPush>(registry)) {
         TakePush(aEnvelope.mFrom, *push);
       }
+    } else if (const auto* shared =
+                 std::get_if<gateway::SharedMessage>(&aEnvelope.mPayload)) {
+      TakeShared(*shared);
+    }
+  }
+
+  void NoteLeader(const Address& aFrom,
+                  const membership::ToEntryMessage& aMessage)
+  {
+    const auto* answer = std::get_if<membership::HeartbeatAnswer>(&aMessage);
+    if (answer == nullptr || !answer->mLeads) {
+      return;
+    }
+    mLeaderHeardAt = ReadClock();
+    if (mLeader != aFrom) {
+      mLogger->Log(EventId::kControlRegained, { { "leader", ToText(aFrom) } });
+      mLeader = aFrom;
+    }
+  }
+
+  void TakeShared(const gateway::SharedMessage& aMessage)
+  {
+    const TimePoint now = ReadClock();
+    if (const auto* grant = std::get_if<gateway::QuotaGrant>(&aMessage)) {
+      Decide(mCore->mQuota.TakeGrant(*grant, now));
+    } else if (const auto* time =
+                 std::get_if<gateway::CommonTime>(&aMessage)) {
+      mCore->mUsage.TakeTime(time->mMicros, now);
+    }
+  }
+
+  void Decide(const std::vector<gateway::QuotaDecided>& aDecided)
+  {
+    for (const gateway::QuotaDecided& one : aDecided) {
+      const auto waiting = mCore->mWaiting.find(one.mTag);
+      if (waiting != mCore->mWaiting.end()) {
+        const auto call = std::move(waiting->second);
+        mCore->mWaiting.erase(waiting);
+        call(one);
+      }
     }
   }
 
@@ -303,6 +358,7 @@
   {
     const std::size_t members = aEffect.mMap.mMembers.size();
     mCore->mBudget.UseEntries(members + kUnknownEntries);
+    mCore->mQuota.UseEntries(members + kUnknownEntries);
     mCounters.Set(observe::CounterId::kMembersKnown, members);
     mLogger->Log(EventId::kEpochChanged,
                  { { "epoch", aEffect.mMap.mEpoch }, { "members", members } });
@@ -321,6 +377,15 @@
         mCore->mBoard.Take(name, nullptr, now);
       }
     }
+    Decide(mCore->mQuota.Tick(now));
+    if (now - mReportedAt >= kReportPeriod) {
+      mReportedAt = now;
+      mCore->mTellLeader(mCore->mUsage.Report(ReadWallMicros()));
+    }
+    if (mLeader && now - mLeaderHeardAt > kLeaderLost) {
+      mLogger->Log(EventId::kControlLost, { { "leader", ToText(*mLeader) } });
+      mLeader.reset();
+    }
     mGateway->Sweep(now);
     if (mCore->mStopping && GoOnStopping(now)) {
       mIo.stop();
@@ -381,6 +446,10 @@
   std::atomic<bool> mReady{ false };
   std::atomic<std::size_t> mFrames{ 0 };
   TimePoint mPulledAt;
+  TimePoint mReportedAt;
+  /** The control leader, as it said itself, and when it last did. */
+  std::optional<Address> mLeader;
+  TimePoint mLeaderHeardAt;
   TimePoint mStopAt;
   std::thread mRelay;
 };
--- a/src/runtime/SystemClock.cpp
+++ b/src/runtime/SystemClock.cpp
@@ -1,5 +1,6 @@
 #include "peridotspool/runtime/SystemClock.h"
 
+#include <chrono>
 #include <ctime>
 
 namespace peridotspool::runtime {
@@ -16,4 +17,12 @@
     std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+std::int64_t
+ReadWallMicros()
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace peridotspool::runtime
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -68,6 +68,7 @@
     { "usage_window", QuantityRule(Kind::kDuration, "1s", "1h", "5s") },
     { "usage_late", QuantityRule(Kind::kDuration, "1s", "1h", "10s") },
     { "lease", QuantityRule(Kind::kDuration, "100ms", "10min", "3s") },
+    { "pool_least", QuantityRule(Kind::kInteger, "0", "100000", "8") },
   };
   return duties;
 }
@@ -175,7 +176,8 @@
   return { .mCloud = aFile.AddressAt("duties.cloud"),
            .mUsageWindow = aFile.Value<Duration>("duties.usage_window"),
            .mUsageLate = aFile.Value<Duration>("duties.usage_late"),
-           .mLease = aFile.Value<Duration>("duties.lease") };
+           .mLease = aFile.Value<Duration>("duties.lease"),
+           .mPoolLeast = aFile.Count("duties.pool_least") };
 }
 
 } // namespace
