--- a/include/peridotspool/fleet/PoolPlanner.h
+++ b/include/peridotspool/fleet/PoolPlanner.h
@@ -24,6 +24,10 @@
   Duration mRefusedFor = std::chrono::milliseconds(1500);
   /** Fewer upstreams are ordered only after they were too many this long. */
   Duration mShrinkAfter = std::chrono::seconds(8);
+  /** With fewer reclaimable ones than this part, lasting ones are taken. */
+  double mLastingPart = 0.5;
+  /** Lasting ones are kept at least this long. */
+  Duration mLastingFor = std::chrono::seconds(3);
 };
 
 /** Ready upstreams of one kind in one failure domain. */
@@ -85,6 +89,13 @@
              const PoolView& aView,
              TimePoint aNow,
              std::map<PoolKey, std::uint32_t>& aDesired);
+  std::uint32_t Lacking(std::uint32_t aReclaimable, TimePoint aNow);
+  static void PlaceLasting(
+    const PoolView& aView,
+    const std::vector<std::pair<double, FailureDomain>>& aDomains,
+    std::uint32_t aWanted,
+    std::uint32_t aMost,
+    std::map<PoolKey, std::uint32_t>& aDesired);
   bool IsDue(const Slot& aSlot,
              std::uint32_t aReady,
              std::uint32_t aDesired,
@@ -95,6 +106,9 @@
   std::map<PoolKey, Slot> mSlots;
   std::uint32_t mWanted = 0;
   std::optional<TimePoint> mTooManySince;
+  /** Lasting upstreams that stand in for reclaimable ones. */
+  std::uint32_t mLacking = 0;
+  TimePoint mLackingAt;
 };
 
 } // namespace peridotspool::fleet
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -82,14 +82,54 @@
   for (const auto& [key, ready] : aView.mReady) {
     reclaimable += key.mReclaimable ? ready : 0;
   }
-  // Lasting ones make up for what reclaimable ones lack at the moment.
-  std::uint32_t lacking = mWanted - std::min(mWanted, reclaimable);
-  for (const auto& [price, domain] : domains) {
+  PlaceLasting(aView, domains, Lacking(reclaimable, aNow), scaling.mMax, aDesired);
+}
+
+// Reclaims come in waves, one domain after the other, and for a while there are
+// none to be had anywhere. Lasting upstreams then carry the load; they are
+// given up only when reclaimable ones have stood in for them for a while.
+std::uint32_t
+PoolPlanner::Lacking(std::uint32_t aReclaimable, TimePoint aNow)
+{
+  const auto needed = static_cast<std::uint32_t>(
+    std::ceil(mOptions.mLastingPart * static_cast<double>(mWanted)));
+  const std::uint32_t lacking = needed - std::min(needed, aReclaimable);
+  if (lacking >= mLacking) {
+    mLacking = lacking;
+    mLackingAt = aNow;
+  } else if (aNow - mLackingAt >= mOptions.mLastingFor) {
+    mLacking = lacking;
+  }
+  return mLacking;
+}
+
+void
+PoolPlanner::PlaceLasting(
+  const PoolView& aView,
+  const std::vector<std::pair<double, FailureDomain>>& aDomains,
+  std::uint32_t aWanted,
+  std::uint32_t aMost,
+  std::map<PoolKey, std::uint32_t>& aDesired)
+{
+  // Those that are there already stay first: a start takes seconds.
+  for (const auto& [price, domain] : aDomains) {
     const PoolKey lasting{ domain, false };
-    const std::uint32_t has = ReadyOf(aView, lasting);
-    const std::uint32_t kept = std::min(has, lacking);
-    aDesired[lasting] = kept;
-    lacking -= kept;
+    aDesired[lasting] = std::min(ReadyOf(aView, lasting), aWanted);
+    aWanted -= aDesired[lasting];
+  }
+  while (aWanted > 0) {
+    const std::uint32_t before = aWanted;
+    for (const auto& [price, domain] : aDomains) {
+      const std::uint32_t both = aDesired[PoolKey{ domain, false }] +
+                                 ReadyOf(aView, PoolKey{ domain, true });
+      if (aWanted > 0 && both < aMost) {
+        ++aDesired[PoolKey{ domain, false }];
+        --aWanted;
+      }
+    }
+    if (aWanted == before) {
+      return;
+    }
   }
 }
 
