Let an entry find a leader that it was never told of

Entries know the seeds; one seed had been replaced, the other two were followers, and the leader was a replica that no entry had heard of. Followers' answers named it, and entries ignored that.

Ruled out: the group itself (it elects within 0.7 s), the directory (it answers, with no entry ready), the listeners (probes got through).

Change: followers' answers list the control replicas; an entry without a leader asks them as well.

Conclusion: a hint needs no proof, it only says whom to ask.

--- a/include/peridotspool/membership/ControlSession.h
+++ b/include/peridotspool/membership/ControlSession.h
@@ -93,6 +93,7 @@
   void TakeChange(const EpochChange& aChange);
 
   void SendHeartbeat();
+  void TakeHints(const HeartbeatAnswer& aAnswer);
   std::vector<Address> Reachable() const;
   void SendToAll(const FromEntryMessage& aMessage);
   const SentHeartbeat* FindSent(std::uint64_t aSequence) const;
--- a/include/peridotspool/membership/EntryMessage.h
+++ b/include/peridotspool/membership/EntryMessage.h
@@ -97,7 +97,7 @@
   EpochNumber mEpoch;
   /** Runs from the moment when the heartbeat was sent; zero for none. */
   Duration mLease{ 0 };
-  /** Where the control replicas are now; empty from one that doesn't lead. */
+  /** Where the control replicas are, as far as the answering one knows. */
   std::vector<Address> mControls;
 
   auto operator<=>(const HeartbeatAnswer&) const = default;
--- a/src/control/ControlEntries.cpp
+++ b/src/control/ControlEntries.cpp
@@ -70,6 +70,7 @@
   HeartbeatAnswer answer;
   answer.mSequence = aHeartbeat.mSequence;
   answer.mLeaderHint = LeaderAddress();
+  answer.mControls = ReplicaAddresses();
   // Without the lease another replica may lead and have committed newer
   // settings: confirming the ones known here would let the entry serve by old
   // ones.
@@ -83,10 +84,6 @@
     return answer;
   }
   answer.mLeads = true;
-  for (const ReplicaInfo& replica : mConsensus->Replicas().mReplicas) {
-    answer.mControls.push_back(
-      AddressOf(replica.mId).value_or(replica.mAddress));
-  }
   answer.mConfirmed = State().mSettings.mRevision;
   answer.mEpoch = members.mCurrent.mEpoch;
   TakeStanding(aNonce, aHeartbeat, answer);
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -142,6 +142,25 @@
   SendToAll(heartbeat);
 }
 
+// The leader may be a replica that this process was never told of, while those
+// that it was told of are followers, or gone. What they say of others is only
+// a place to ask: nothing rests on it.
+void
+ControlSession::TakeHints(const HeartbeatAnswer& aAnswer)
+{
+  constexpr std::size_t kMostHints = 16;
+  if (mLeaderHeardAt && mNow - *mLeaderHeardAt < kLeaderQuiet) {
+    return;
+  }
+  for (const Address& control : aAnswer.mControls) {
+    const bool known =
+      std::find(mControls.begin(), mControls.end(), control) != mControls.end();
+    if (!known && mControls.size() < kMostHints) {
+      mControls.push_back(control);
+    }
+  }
+}
+
 // All replicas that the leader named may be gone since, with an entry that was
 // cut off meanwhile; the first list is what it can begin again from.
 std::vector<Address>
@@ -183,6 +202,9 @@
 ControlSession::TakeMessage(const HeartbeatAnswer& aAnswer)
 {
   const SentHeartbeat* sent = FindSent(aAnswer.mSequence);
+  if (!aAnswer.mLeads) {
+    TakeHints(aAnswer);
+  }
   if (!aAnswer.mLeads || sent == nullptr || mRemoved) {
     return;
   }
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -148,9 +148,13 @@
 void
 ControlDecider::Take(HttpInput& aInput, DirectoryCall& aCall)
 {
-  aInput.mServer->Respond(
-    aInput.mExchange,
-    mParts.mDialect.mWriteDirectory(mNode.ReadyEntries(mNow), aCall));
+  const auto entries = mNode.ReadyEntries(mNow);
+  mParts.mLogger.Log(observe::EventId::kDirectoryAnswered,
+                     { { "domain", aCall.mDomain },
+                       { "entries", entries.size() },
+                       { "leads", mNode.Leads(mNow) } });
+  aInput.mServer->Respond(aInput.mExchange,
+                          mParts.mDialect.mWriteDirectory(entries, aCall));
 }
 
 void
