--- a/include/peridotspool/fleet/DutyDesk.h
+++ b/include/peridotspool/fleet/DutyDesk.h
@@ -71,6 +71,8 @@
   /** aStatus is 0 when there was no answer. */
   void TakeResult(std::uint64_t aNumber, unsigned aStatus, TimePoint aNow);
   std::vector<DutyEffect> Tick(const DutyView& aView, TimePoint aNow);
+  /** Requests that run at a service's upstreams, by the entries' reports. */
+  double Running(const ServiceName& aService, TimePoint aNow) const;
   /** What most processes take for the time of day. */
   std::optional<std::int64_t> CommonMicros(TimePoint aNow) const
   {
@@ -103,6 +105,13 @@
   DutyOptions mOptions;
   UsageDesk mUsage;
   gateway::CommonClock mClock;
+  struct Load
+  {
+    std::map<ServiceName, std::uint64_t> mRunning;
+    TimePoint mAt;
+  };
+
+  std::map<std::uint64_t, Load> mLoads;
   std::map<ServiceName, PoolPlanner> mPlanners;
   std::map<std::uint64_t, UnderWay> mUnderWay;
   std::uint64_t mLastNumber = 0;
--- a/include/peridotspool/fleet/PoolPlanner.h
+++ b/include/peridotspool/fleet/PoolPlanner.h
@@ -16,8 +16,8 @@
 {
   /** Upstreams of a service that are kept even without load. */
   std::uint32_t mLeast = 8;
-  /** The part of their slots that is to be taken. */
-  double mFullness = 0.25;
+  /** Requests that run at one upstream when the pool is as large as wanted. */
+  double mRunningEach = 3.5;
   /** An order is repeated when nothing came of it for boot time and this. */
   Duration mPatience = std::chrono::seconds(3);
   /** A refused order is tried again after this long. */
--- a/include/peridotspool/gateway/SharedMessage.h
+++ b/include/peridotspool/gateway/SharedMessage.h
@@ -69,10 +69,14 @@
   /** The entry's time of day when it sent this, in microseconds. */
   std::int64_t mWallMicros = 0;
   std::vector<UsageWindow> mWindows;
+  /** Requests that the entry has at each service's upstreams now. */
+  std::map<ServiceName, std::uint64_t> mRunning;
 
   auto operator<=>(const UsageReport&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(UsageReport, (), (mLife, mWallMicros, mWindows))
+BOOST_DESCRIBE_STRUCT(UsageReport,
+                      (),
+                      (mLife, mWallMicros, mWindows, mRunning))
 
 /** What most processes take for the time of day, when the leader sent this. */
 struct CommonTime
--- a/include/peridotspool/gateway/UpstreamBoard.h
+++ b/include/peridotspool/gateway/UpstreamBoard.h
@@ -4,6 +4,7 @@
 #include "peridotspool/membership/UpstreamDirectory.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -96,6 +97,8 @@
   bool Ended(const UpstreamName& aName, SendResult aResult, TimePoint aNow);
 
   std::size_t ReadyCount(const ServiceName& aService, TimePoint aNow) const;
+  /** Own sends under way, by service. */
+  std::map<ServiceName, std::uint64_t> Running() const;
   /** Own sends under way to an upstream. */
   std::uint32_t InFlight(const UpstreamName& aName) const;
   /** Returns true iff new work may go to it, ejected or not. */
--- a/src/fleet/DutyDesk.cpp
+++ b/src/fleet/DutyDesk.cpp
@@ -8,6 +8,8 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kConflict = 409;
+/** An entry that did not report for this long has nothing running. */
+constexpr Duration kLoadAge = std::chrono::milliseconds(1500);
 constexpr Duration kProposeAgain = std::chrono::seconds(1);
 /** Windows this much older than due are not told any more. */
 constexpr std::int64_t kGiveUpMicros = 5000000;
@@ -25,6 +27,23 @@
 {
   mUsage.Take(aReport);
   mClock.Take(aReport.mLife, aReport.mWallMicros, aNow);
+  mLoads[aReport.mLife] = { .mRunning = aReport.mRunning, .mAt = aNow };
+  std::erase_if(mLoads, [&](const auto& aPair) {
+    return aNow - aPair.second.mAt > kLoadAge;
+  });
+}
+
+double
+DutyDesk::Running(const ServiceName& aService, TimePoint aNow) const
+{
+  std::uint64_t running = 0;
+  for (const auto& [life, load] : mLoads) {
+    const auto found = load.mRunning.find(aService);
+    if (found != load.mRunning.end() && aNow - load.mAt <= kLoadAge) {
+      running += found->second;
+    }
+  }
+  return static_cast<double>(running);
 }
 
 void
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -28,11 +28,11 @@
                          const PoolView& aView,
                          TimePoint aNow)
 {
-  const double slots = aService.mEngine ? aService.mEngine->mSlots : 1.0;
-  const double byLoad =
-    std::ceil(aView.mRunning / std::max(1.0, slots * mOptions.mFullness));
-  const auto wanted =
-    std::max(mOptions.mLeast, static_cast<std::uint32_t>(byLoad));
+  const auto most = static_cast<double>(aService.mScaling->mMax *
+                                        aService.mScaling->mPrices.size());
+  const double byLoad = std::ceil(aView.mRunning / mOptions.mRunningEach);
+  const auto wanted = std::max(
+    mOptions.mLeast, static_cast<std::uint32_t>(std::min(most, byLoad)));
   if (wanted >= mWanted) {
     mTooManySince.reset();
     return wanted;
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -246,6 +246,16 @@
     }));
 }
 
+std::map<ServiceName, std::uint64_t>
+UpstreamBoard::Running() const
+{
+  std::map<ServiceName, std::uint64_t> running;
+  for (const auto& [name, belief] : mBeliefs) {
+    running[belief.mReport.mService] += belief.mInFlight;
+  }
+  return running;
+}
+
 std::uint32_t
 UpstreamBoard::InFlight(const UpstreamName& aName) const
 {
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -114,7 +114,7 @@
 }
 
 std::map<ServiceName, fleet::PoolView>
-DutyRunner::Pools() const
+DutyRunner::Pools(TimePoint aNow) const
 {
   std::map<ServiceName, fleet::PoolView> pools;
   for (const auto& [name, known] : mDirectory.All()) {
@@ -123,6 +123,9 @@
       ++pools[report.mService].mReady[{ report.mDomain, report.mReclaimable }];
     }
   }
+  for (auto& [service, pool] : pools) {
+    pool.mRunning = mDesk.Running(service, aNow);
+  }
   return pools;
 }
 
@@ -144,7 +147,7 @@
   if (!mClient) {
     return;
   }
-  const auto pools = Pools();
+  const auto pools = Pools(aNow);
   const auto effects =
     mDesk.Tick(fleet::DutyView{ .mLeads = leads,
                                 .mTerm = aNode.CurrentTerm().Value(),
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -56,7 +56,7 @@
 
 private:
   void UseSettings(const control::ControlNode& aNode, TimePoint aNow);
-  std::map<ServiceName, fleet::PoolView> Pools() const;
+  std::map<ServiceName, fleet::PoolView> Pools(TimePoint aNow) const;
   void Call(const fleet::CallCloud& aCall);
 
   DutyHostOptions mOptions;
--- a/src/runtime/GatewayHost.cpp
+++ b/src/runtime/GatewayHost.cpp
@@ -376,7 +376,9 @@
     Decide(mCore->mQuota.Tick(now));
     if (now - mReportedAt >= kReportPeriod) {
       mReportedAt = now;
-      mCore->mTellLeader(mCore->mUsage.Report(ReadWallMicros()));
+      gateway::UsageReport report = mCore->mUsage.Report(ReadWallMicros());
+      report.mRunning = mCore->mBoard.Running();
+      mCore->mTellLeader(std::move(report));
     }
     if (mLeader && now - mLeaderHeardAt > kLeaderLost) {
       mLogger->Log(EventId::kControlLost, { { "leader", ToText(*mLeader) } });
--- a/test/fleet/PoolPlannerTest.cpp
+++ b/test/fleet/PoolPlannerTest.cpp
@@ -138,7 +138,7 @@
 
 TEST_CASE("LoadRaisesThePoolAtOnceAndLowersItAfterAWhile")
 {
-  PoolPlanner planner({ .mLeast = 4, .mFullness = 0.5 });
+  PoolPlanner planner({ .mLeast = 4, .mRunningEach = 5.0 });
   Cloud cloud;
   cloud.mView.mReady = { { Key("a", true), 2 }, { Key("b", true), 2 } };
   cloud.mView.mRunning = 41.0;
