Keep a customer's limit while entries are cut off and the lead changes

Ruled out: the bank's own arithmetic (it grants no more than it holds).

Change: the leader leaves what silent entries may take out of what it gives; a new leader's account begins empty; entries save up 0.7 s of their own parts.

Conclusion: parts that wait unused add up over all entries.

--- a/include/peridotspool/gateway/QuotaBank.h
+++ b/include/peridotspool/gateway/QuotaBank.h
@@ -21,7 +21,7 @@
 /**
  * The customers' limits, kept in one place for all entries: each request's
  * units are taken here before it is sent. Lives on the control leader and
- * begins anew, nearly empty, with each one.
+ * begins anew, empty, with each one.
  *
  * A pure step. Not thread-safe.
  */
@@ -32,6 +32,8 @@
 
   /** Takes the customers' limits of the newest settings. */
   void Use(const std::vector<Customer>& aCustomers, TimePoint aNow);
+  /** Says how many of the entries can't be heard, and go on by themselves. */
+  void UseSilent(std::size_t aSilent, std::size_t aEntries);
   QuotaGrant Ask(const QuotaAsk& aAsk, TimePoint aNow);
 
 private:
@@ -47,6 +49,8 @@
   QuotaVerdict Judge(const QuotaLine& aLine, TimePoint aNow);
 
   QuotaBounds mBounds;
+  /** The part of each limit's flow that is given here. */
+  double mFlowPart = 1.0;
   std::unordered_map<CustomerName, Account> mAccounts;
 };
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -653,24 +653,22 @@
     mCore.mCounters.Add(CounterId::kAnswered);
     mCore.mCounters.Histogram(observe::HistogramId::kAnswerTime).Observe(took);
   }
-  mCore.mLogger.Log(EventId::kRequestEnded,
-                    { { "request", mId },
-                      { "route", mRoute == nullptr ? "none" : mRoute->mName },
-                      { "customer",
-                        mCustomer == nullptr ? "none"
-                                             : mCustomer->mName.Value() },
-                      { "units", mCustomer == nullptr ? 0.0 : Units() },
-                      { "status", aStatus },
-                      { "reason", aReason },
-                      { "upstream", mUpstream },
-                      { "runs", mRuns },
-                      { "refusals", mRefusals },
-                      { "begun", mBegun },
-                      { "first_ms",
-                        mBegun ? Duration(mFirstEventAt - mArrivedAt)
-                               : Duration(0) },
-                      { "worst_gap_ms", mWorstGap },
-                      { "took_ms", took } });
+  mCore.mLogger.Log(
+    EventId::kRequestEnded,
+    { { "request", mId },
+      { "route", mRoute == nullptr ? "none" : mRoute->mName },
+      { "customer", mCustomer == nullptr ? "none" : mCustomer->mName.Value() },
+      { "units", mCustomer == nullptr ? 0.0 : Units() },
+      { "status", aStatus },
+      { "reason", aReason },
+      { "upstream", mUpstream },
+      { "runs", mRuns },
+      { "refusals", mRefusals },
+      { "begun", mBegun },
+      { "first_ms",
+        mBegun ? Duration(mFirstEventAt - mArrivedAt) : Duration(0) },
+      { "worst_gap_ms", mWorstGap },
+      { "took_ms", took } });
   if (auto call = std::exchange(mOnOver, {})) {
     call();
   }
--- a/src/gateway/HeaderRules.cpp
+++ b/src/gateway/HeaderRules.cpp
@@ -40,10 +40,10 @@
 IsOurs(std::string_view aName, const HeaderNames& aNames)
 {
   const std::array<std::string_view, 9> ours{
-    "content-length", "authorization",
-    "expect",         aNames.mDeadline,
-    aNames.mCustomer, aNames.mExpectUpstream,
-    aNames.mPriority, std::string_view("accept-encoding"),
+    "content-length",  "authorization",
+    "expect",          aNames.mDeadline,
+    aNames.mCustomer,  aNames.mExpectUpstream,
+    aNames.mPriority,  std::string_view("accept-encoding"),
     aNames.mFetchFrom,
   };
   const auto same = [&](std::string_view aOne) {
--- a/src/gateway/QuotaBank.cpp
+++ b/src/gateway/QuotaBank.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** A new leader does not know what was taken lately. */
-constexpr double kFirstPart = 0.3;
 /** Parts of the limit that entries may use on their own; see QuotaGate. */
 constexpr double kEntriesOwn = 1.0 / 6.0;
 /** A part of the slack is left for requests that take long to arrive. */
@@ -57,14 +55,25 @@
                      .mMost = MostOf(customer),
                      .mAt = aNow };
     const auto known = mAccounts.find(customer.mName);
+    // A new leader does not know what was taken lately: it may have been all.
     account.mBalance = known == mAccounts.end()
-                         ? kFirstPart * account.mMost
+                         ? 0.0
                          : std::min(account.mMost, known->second.mBalance);
     accounts.emplace(customer.mName, account);
   }
   mAccounts = std::move(accounts);
 }
 
+// The account leaves room for a few entries that go on by themselves. What more
+// of them take is left out of what the others get.
+void
+QuotaBank::UseSilent(std::size_t aSilent, std::size_t aEntries)
+{
+  const double own = static_cast<double>(aSilent) /
+                     static_cast<double>(std::max<std::size_t>(1, aEntries));
+  mFlowPart = 1.0 - std::clamp(own - kEntriesOwn, 0.0, 1.0);
+}
+
 QuotaGrant
 QuotaBank::Ask(const QuotaAsk& aAsk, TimePoint aNow)
 {
@@ -84,8 +93,8 @@
   }
   Account& account = found->second;
   const double since = Seconds(std::max(Duration(0), aNow - account.mAt));
-  account.mBalance =
-    std::min(account.mMost, account.mBalance + account.mRate * since);
+  account.mBalance = std::min(
+    account.mMost, account.mBalance + account.mRate * mFlowPart * since);
   account.mAt = aNow;
   const auto units = static_cast<double>(aLine.mUnits);
   // A request larger than the account would otherwise never be granted.
--- a/src/gateway/QuotaGate.cpp
+++ b/src/gateway/QuotaGate.cpp
@@ -16,8 +16,9 @@
 /** Stock that nobody used is dropped: others may need it. */
 constexpr Duration kStockFor = std::chrono::seconds(2);
 constexpr double kUseSeconds = 2.0;
-/** An entry's own part may be saved up for this long. */
-constexpr double kOwnSeconds = 2.0;
+/** An entry's own part may be saved up for this long. When the leader goes, all
+ * entries spend what they saved at once. */
+constexpr double kOwnSeconds = 0.7;
 
 double
 Seconds(Duration aDuration)
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -175,8 +175,7 @@
       bestWeight = weight;
     }
   }
-  return best == nullptr ? std::nullopt
-                         : std::optional(best->mReport.mAddress);
+  return best == nullptr ? std::nullopt : std::optional(best->mReport.mAddress);
 }
 
 std::optional<UpstreamChoice>
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -204,7 +204,7 @@
   if (!mDuties) {
     return;
   }
-  if (auto answer = mDuties->Take(aMessage, mNode, mNow)) {
+  if (auto answer = mDuties->Take(aFrom, aMessage, mNode, mNow)) {
     SendPeer(aFrom, std::move(*answer));
   }
 }
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -4,6 +4,7 @@
 #include "peridotspool/runtime/SystemClock.h"
 #include "runtime/HostParts.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+/** Entries report three times a second. */
+constexpr Duration kSilentAfter = std::chrono::milliseconds(800);
+constexpr Duration kEndedAfter = std::chrono::seconds(30);
 constexpr Duration kDutyPeriod = std::chrono::milliseconds(100);
 constexpr std::chrono::milliseconds kCloudTimeout{ 2000 };
 /** This replica's own clock among those of the entries' lives. */
@@ -63,7 +67,8 @@
 }
 
 std::optional<gateway::SharedMessage>
-DutyRunner::Take(const gateway::SharedMessage& aMessage,
+DutyRunner::Take(const Address& aFrom,
+                 const gateway::SharedMessage& aMessage,
                  const control::ControlNode& aNode,
                  TimePoint aNow)
 {
@@ -71,6 +76,7 @@
     return std::nullopt;
   }
   UseSettings(aNode, aNow);
+  mHeard[aFrom] = aNow;
   if (const auto* ask = std::get_if<gateway::QuotaAsk>(&aMessage)) {
     return mBank.Ask(*ask, aNow);
   }
@@ -101,6 +107,7 @@
     mLed = true;
     mRevision = Revision();
     mBank = gateway::QuotaBank(mOptions.mQuota);
+    mHeard.clear();
   }
   if (settings.mRevision == mRevision || !mDialect.mReadDocument) {
     return;
@@ -113,6 +120,23 @@
   }
 }
 
+// An entry that is not heard may be dead, or cut off and serving: then it takes
+// its own part of each limit. It counts as such until it has surely ended.
+void
+DutyRunner::NoteSilent(const control::ControlNode& aNode, TimePoint aNow)
+{
+  std::erase_if(mHeard, [&](const auto& aPair) {
+    return aNow - aPair.second > kEndedAfter;
+  });
+  const auto silent = static_cast<std::size_t>(
+    std::count_if(mHeard.begin(), mHeard.end(), [&](const auto& aPair) {
+      return aNow - aPair.second > kSilentAfter;
+    }));
+  const std::size_t members =
+    aNode.State().mMembership.mCurrent.mMembers.size();
+  mBank.UseSilent(silent, std::max(members, mHeard.size()) + 3);
+}
+
 std::map<ServiceName, fleet::PoolView>
 DutyRunner::Pools(TimePoint aNow) const
 {
@@ -141,6 +165,7 @@
     UseSettings(aNode, aNow);
     mDesk.TakeWall(kOwnClock, ReadWallMicros(), aNow);
     mDirectory.Forget(aNow);
+    NoteSilent(aNode, aNow);
   } else {
     mLed = false;
   }
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -41,6 +41,7 @@
 
   /** Returns the leader's answer to an entry, if there is one. */
   std::optional<gateway::SharedMessage> Take(
+    const Address& aFrom,
     const gateway::SharedMessage& aMessage,
     const control::ControlNode& aNode,
     TimePoint aNow);
@@ -55,6 +56,7 @@
   void Tick(const control::ControlNode& aNode, TimePoint aNow);
 
 private:
+  void NoteSilent(const control::ControlNode& aNode, TimePoint aNow);
   void UseSettings(const control::ControlNode& aNode, TimePoint aNow);
   std::map<ServiceName, fleet::PoolView> Pools(TimePoint aNow) const;
   void Call(const fleet::CallCloud& aCall);
@@ -70,6 +72,8 @@
   Revision mRevision;
   bool mLed = false;
   TimePoint mTickedAt;
+  /** When each entry was heard last. */
+  std::map<Address, TimePoint> mHeard;
   std::map<std::uint64_t, std::string> mCalls;
   std::unique_ptr<http::HttpClient> mClient;
 };
