--- a/include/peridotspool/fleet/PoolPlanner.h
+++ b/include/peridotspool/fleet/PoolPlanner.h
@@ -105,6 +105,7 @@
   PoolOptions mOptions;
   std::map<PoolKey, Slot> mSlots;
   std::uint32_t mWanted = 0;
+  bool mLoadSeen = false;
   std::optional<TimePoint> mTooManySince;
   /** Lasting upstreams that stand in for reclaimable ones. */
   std::uint32_t mLacking = 0;
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -14,6 +14,16 @@
   return found == aView.mReady.end() ? 0 : found->second;
 }
 
+std::uint32_t
+FoundOf(const PoolView& aView, std::uint32_t aMost)
+{
+  std::uint32_t found = 0;
+  for (const auto& [key, count] : aView.mReady) {
+    found += count;
+  }
+  return std::min(found, aMost);
+}
+
 } // namespace
 
 PoolPlanner::PoolPlanner(PoolOptions aOptions)
@@ -28,11 +38,18 @@
                          const PoolView& aView,
                          TimePoint aNow)
 {
-  const auto most = static_cast<double>(aService.mScaling->mMax *
-                                        aService.mScaling->mPrices.size());
+  const auto mostInAll = static_cast<std::uint32_t>(
+    aService.mScaling->mMax * aService.mScaling->mPrices.size());
   const double byLoad = std::ceil(aView.mRunning / mOptions.mRunningEach);
-  const auto wanted = std::max(
-    mOptions.mLeast, static_cast<std::uint32_t>(std::min(most, byLoad)));
+  auto wanted =
+    std::max(mOptions.mLeast,
+             static_cast<std::uint32_t>(std::min<double>(mostInAll, byLoad)));
+  // Before any load has been seen, what somebody else thought right stays.
+  mLoadSeen = mLoadSeen || aView.mRunning >= 1.0;
+  if (!mLoadSeen) {
+    wanted =
+      std::max(wanted, mWanted == 0 ? FoundOf(aView, mostInAll) : mWanted);
+  }
   if (wanted >= mWanted) {
     mTooManySince.reset();
     return wanted;
--- a/test/fleet/PoolPlannerTest.cpp
+++ b/test/fleet/PoolPlannerTest.cpp
@@ -125,6 +125,30 @@
   CHECK(cloud.mTaken[Key("a", false)] + cloud.mTaken[Key("b", false)] == 0);
 }
 
+// Symptom: the first seconds of a large deployment's day failed.
+// Sequence: 140 lasting upstreams were there; before any request had come the
+// pool was cut to its least.
+// Cause: no load was taken for little load.
+TEST_CASE("ThePoolStaysAsLargeAsItWasFoundUntilLoadIsSeen")
+{
+  PoolPlanner planner({ .mLeast = 2 });
+  Cloud cloud;
+  cloud.mView.mReady = { { Key("a", false), 5 }, { Key("b", false), 6 } };
+  cloud.Run(planner, 0);
+  CHECK(planner.Wanted() == 11);
+  cloud.CarryOut();
+  cloud.Run(planner, 5000);
+  cloud.CarryOut();
+  CHECK(cloud.mTaken[Key("a", false)] + cloud.mTaken[Key("b", false)] == 0);
+  cloud.Run(planner, 20000);
+  CHECK(planner.Wanted() == 11);
+  cloud.mView.mRunning = 3.0;
+  for (int ms = 20100; ms < 40000; ms += 1000) {
+    cloud.Run(planner, ms);
+  }
+  CHECK(planner.Wanted() == 2);
+}
+
 TEST_CASE("NothingIsOrderedWhenNothingIsToChange")
 {
   PoolPlanner planner({ .mLeast = 8 });
