--- a/include/peridotspool/control/Command.h
+++ b/include/peridotspool/control/Command.h
@@ -76,6 +76,7 @@
 struct DocumentCommand
 {
   std::uint64_t mVersion = 0;
+  /** Packed (base/PackedText.h): documents with many routes are long. */
   std::string mText;
 
   auto operator<=>(const DocumentCommand&) const = default;
--- a/include/peridotspool/control/ControlOptions.h
+++ b/include/peridotspool/control/ControlOptions.h
@@ -27,6 +27,8 @@
   ReplicaName mName;
   FailureDomain mDomain;
   Address mAddress;
+  /** This replica has no disk; it only receives the log. */
+  bool mVolatile = false;
   /** Random; differs for each start of the process. */
   JoinNonce mNonce;
   /** Other control replicas, asked for an identity by an empty folder. */
--- a/include/peridotspool/control/ReplicaMessage.h
+++ b/include/peridotspool/control/ReplicaMessage.h
@@ -105,10 +105,14 @@
   FailureDomain mDomain;
   Address mAddress;
   JoinNonce mNonce;
+  /** It has no disk: what it has is gone with its process. */
+  bool mVolatile = false;
 
   auto operator<=>(const JoinRequest&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(JoinRequest, (), (mName, mDomain, mAddress, mNonce))
+BOOST_DESCRIBE_STRUCT(JoinRequest,
+                      (),
+                      (mName, mDomain, mAddress, mNonce, mVolatile))
 
 struct JoinReply
 {
--- a/include/peridotspool/control/ReplicaSet.h
+++ b/include/peridotspool/control/ReplicaSet.h
@@ -23,12 +23,15 @@
   JoinNonce mNonce;
   /** A learner (false) receives the log, but counts in no majority. */
   bool mVoter = false;
+  /** It has no disk, and so never becomes a voter. */
+  bool mVolatile = false;
 
   auto operator<=>(const ReplicaInfo&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(ReplicaInfo,
-                      (),
-                      (mId, mName, mDomain, mAddress, mNonce, mVoter))
+BOOST_DESCRIBE_STRUCT(
+  ReplicaInfo,
+  (),
+  (mId, mName, mDomain, mAddress, mNonce, mVoter, mVolatile))
 
 /** The control replicas; changed by one replica at a time, through the log. */
 struct ReplicaSet
--- a/include/peridotspool/gateway/SharedMessage.h
+++ b/include/peridotspool/gateway/SharedMessage.h
@@ -74,9 +74,7 @@
 
   auto operator<=>(const UsageReport&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(UsageReport,
-                      (),
-                      (mLife, mWallMicros, mWindows, mRunning))
+BOOST_DESCRIBE_STRUCT(UsageReport, (), (mLife, mWallMicros, mWindows, mRunning))
 
 /** What most processes take for the time of day, when the leader sent this. */
 struct CommonTime
--- a/include/peridotspool/storage/ControlStore.h
+++ b/include/peridotspool/storage/ControlStore.h
@@ -15,7 +15,10 @@
 class ControlStore
 {
 public:
-  /** Opens the folder and returns what was synced in it. */
+  /**
+   * Opens the folder and returns what was synced in it. Without a path nothing
+   * is written: the state ends with the process.
+   */
   static std::optional<ControlStore> Open(std::string aPath,
                                           control::RestoredState& aState,
                                           LastReason& aReason,
@@ -36,12 +39,13 @@
   bool Write(const control::PersistEffect& aWrite, LastReason& aReason);
 
   /** Bytes cut off as a torn tail when the folder was opened. */
-  std::uint64_t CutBytes() const { return mFolder.CutBytes(); }
+  std::uint64_t CutBytes() const { return mFolder ? mFolder->CutBytes() : 0; }
 
 private:
-  explicit ControlStore(DataFolder aFolder);
+  explicit ControlStore(std::optional<DataFolder> aFolder);
 
-  DataFolder mFolder;
+  /** Unset where nothing outlives the process. */
+  std::optional<DataFolder> mFolder;
   /** The state on disk, without identity; needed for checkpoints. */
   control::RestoredState mOnDisk;
 };
--- a/src/control/ControlJoin.cpp
+++ b/src/control/ControlJoin.cpp
@@ -36,7 +36,8 @@
            JoinRequest{ .mName = mOptions.mName,
                         .mDomain = mOptions.mDomain,
                         .mAddress = mOptions.mAddress,
-                        .mNonce = mOptions.mNonce });
+                        .mNonce = mOptions.mNonce,
+                        .mVolatile = mOptions.mVolatile });
   }
 }
 
--- a/src/control/ControlOperators.cpp
+++ b/src/control/ControlOperators.cpp
@@ -1,6 +1,7 @@
 // Operators' requests.
 
 #include "control/ControlNodeState.h"
+#include "peridotspool/base/PackedText.h"
 
 #include <algorithm>
 
@@ -108,9 +109,9 @@
                            .mRevision = settings.mRevision });
     return;
   }
-  ProposeFor(
-    aCall,
-    DocumentCommand{ .mVersion = aRequest.mVersion, .mText = aRequest.mText });
+  ProposeFor(aCall,
+             DocumentCommand{ .mVersion = aRequest.mVersion,
+                              .mText = PackText(aRequest.mText) });
 }
 
 void
@@ -172,7 +173,8 @@
   const Revision revision =
     aRequest.mRevision.value_or(State().mSettings.mRevision);
   LastReason reason;
-  if (auto text = mMachine.TextAt(revision, reason)) {
+  const auto kept = mMachine.TextAt(revision, reason);
+  if (auto text = kept ? UnpackText(*kept) : std::nullopt) {
     Answer(aCall,
            SettingsAnswer{ .mRevision = revision, .mText = std::move(*text) });
   } else {
--- a/src/control/ReplicaSetPlanner.cpp
+++ b/src/control/ReplicaSetPlanner.cpp
@@ -49,7 +49,8 @@
                                         .mDomain = aRequest.mDomain,
                                         .mAddress = aRequest.mAddress,
                                         .mNonce = aRequest.mNonce,
-                                        .mVoter = false });
+                                        .mVoter = false,
+                                        .mVolatile = aRequest.mVolatile });
   aSet.mNextId = aSet.mNextId.Next();
   return aSet;
 }
@@ -233,7 +234,8 @@
 {
   const ReplicaSet& set = aConsensus.Replicas();
   for (const ReplicaInfo& learner : set.mReplicas) {
-    if (learner.mVoter || !HasCaughtUp(aConsensus, learner.mId)) {
+    if (learner.mVoter || learner.mVolatile ||
+        !HasCaughtUp(aConsensus, learner.mId)) {
       continue;
     }
     const ReplicaInfo* earlier =
--- a/src/runtime/ControlHostOptions.cpp
+++ b/src/runtime/ControlHostOptions.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kReplaceSilentAfter = std::chrono::milliseconds(3000);
 /** Replicas beyond the voters that stand by. */
 constexpr std::size_t kStandbys = 16;
+/** Entries hold whole documents: few of them are kept in memory. */
+constexpr std::size_t kSnapshotEvery = 64;
+constexpr std::size_t kKeepBehindSnapshot = 32;
 
 std::optional<std::string>
 CheckTree(const std::string& aText)
@@ -96,7 +99,10 @@
   }
   options.mConsensus.mRandomSeed = RandomNumber();
   options.mVoters = 2 * aSettings.mToleratedLosses + 1;
+  options.mVolatile = aSettings.mDataFolder.empty();
   options.mMaxLearners = kStandbys;
+  options.mSnapshotEvery = kSnapshotEvery;
+  options.mConsensus.mKeepBehindSnapshot = kKeepBehindSnapshot;
   options.mReplaceSilentAfter = kReplaceSilentAfter;
   return options;
 }
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -1,6 +1,7 @@
 #include "runtime/DutyRunner.h"
 
 #include "peridotspool/base/Overloaded.h"
+#include "peridotspool/base/PackedText.h"
 #include "peridotspool/runtime/SystemClock.h"
 #include "runtime/HostParts.h"
 
@@ -114,7 +115,8 @@
   }
   mRevision = settings.mRevision;
   LastReason reason;
-  mTable = mDialect.mReadDocument(settings.mText, reason);
+  const auto text = UnpackText(settings.mText);
+  mTable = text ? mDialect.mReadDocument(*text, reason) : std::nullopt;
   if (mTable) {
     mBank.Use(mTable->Source().mCustomers, aNow);
   }
--- a/src/runtime/GatewayHost.cpp
+++ b/src/runtime/GatewayHost.cpp
@@ -1,6 +1,7 @@
 #include "peridotspool/runtime/GatewayHost.h"
 
 #include "gateway/Gateway.h"
+#include "peridotspool/base/PackedText.h"
 #include "peridotspool/http/HttpServer.h"
 #include "peridotspool/membership/ControlSession.h"
 #include "peridotspool/membership/UpstreamDirectory.h"
@@ -328,7 +329,8 @@
   void Carry(const membership::NewSettingsEffect& aEffect)
   {
     LastReason reason;
-    auto table = mDialect.mReadDocument(aEffect.mText, reason);
+    const auto text = UnpackText(aEffect.mText);
+    auto table = text ? mDialect.mReadDocument(*text, reason) : std::nullopt;
     if (!table) {
       mLogger->Log(EventId::kSettingsRefused, { { "reason", reason.Text() } });
       return;
--- a/src/storage/ControlStore.cpp
+++ b/src/storage/ControlStore.cpp
@@ -56,7 +56,7 @@
 
 } // namespace
 
-ControlStore::ControlStore(DataFolder aFolder)
+ControlStore::ControlStore(std::optional<DataFolder> aFolder)
   : mFolder(std::move(aFolder))
 {
 }
@@ -67,6 +67,10 @@
                    LastReason& aReason,
                    SyncFunction aSync)
 {
+  if (aPath.empty()) {
+    aState = RestoredState{};
+    return ControlStore(std::nullopt);
+  }
   FolderContents contents;
   auto folder =
     DataFolder::Open(std::move(aPath), std::move(aSync), contents, aReason);
@@ -109,16 +113,19 @@
 bool
 ControlStore::Write(const PersistEffect& aWrite, LastReason& aReason)
 {
+  if (!mFolder) {
+    return true;
+  }
   ApplyPersist(mOnDisk, aWrite);
   if (aWrite.mIdentity) {
     // The journal comes first: an identity without a journal is refused.
-    return mFolder.Checkpoint(wire::Encode(mOnDisk), aReason) &&
-           mFolder.WriteIdentity(wire::Encode(*aWrite.mIdentity), aReason);
+    return mFolder->Checkpoint(wire::Encode(mOnDisk), aReason) &&
+           mFolder->WriteIdentity(wire::Encode(*aWrite.mIdentity), aReason);
   }
   if (aWrite.mSnapshot) {
-    return mFolder.Checkpoint(wire::Encode(mOnDisk), aReason);
+    return mFolder->Checkpoint(wire::Encode(mOnDisk), aReason);
   }
-  return mFolder.Append({ wire::Encode(aWrite) }, aReason);
+  return mFolder->Append({ wire::Encode(aWrite) }, aReason);
 }
 
 } // namespace peridotspool::storage
--- a/test/control/SeededGroupTest.cpp
+++ b/test/control/SeededGroupTest.cpp
@@ -176,6 +176,26 @@
   CHECK(cluster.Problems().empty());
 }
 
+// Symptom: the loss of one instance without a disk, beside two with one, took
+// the majority.
+// Cause: it had been made a voter as any other learner.
+TEST_CASE("AReplicaWithoutADiskNeverBecomesAVoter")
+{
+  ControlCluster cluster(5);
+  cluster.mTune = [](ControlOptions& aOptions) {
+    aOptions.mVoters = 5;
+    aOptions.mVolatile = aOptions.mAddress.mHost == "control-4";
+  };
+  cluster.StartSeeded(6, 3);
+  REQUIRE(cluster.RunUntil([&] { return VoterNames(cluster).size() == 5; },
+                           kSettled));
+  CHECK_FALSE(VoterNames(cluster).contains("control-4"));
+  REQUIRE(Send(cluster, 3) == 3);
+  CHECK(cluster.RunUntil([&] {
+    return cluster.Process("control-4").mNode->State().mSettings.mDocument == 3;
+  }));
+}
+
 TEST_CASE("AnOrdinaryRestartCostsNobodyItsPlace")
 {
   ControlCluster cluster(3);
--- a/test/storage/ControlStoreTest.cpp
+++ b/test/storage/ControlStoreTest.cpp
@@ -79,6 +79,19 @@
   CHECK(Reopen(folder.Path()) == expected);
 }
 
+TEST_CASE("WithoutAFolderNothingIsWrittenAndNothingComesBack")
+{
+  LastReason reason;
+  RestoredState state;
+  auto store = ControlStore::Open("", state, reason);
+  REQUIRE(store);
+  CHECK_FALSE(state.mIdentity);
+  CHECK(store->Write(AppendEntries(1, 3), reason));
+  CHECK(store->CutBytes() == 0);
+  store = ControlStore::Open("", state, reason);
+  CHECK(state == RestoredState{});
+}
+
 TEST_CASE("InitIsRefusedWhereASystemLivesAlready")
 {
   const TemporaryFolder folder;
