--- a/daemon/controld.cpp
+++ b/daemon/controld.cpp
@@ -1,10 +1,10 @@
 #include "peridotspool/runtime/ControlHost.h"
+#include "peridotspool/runtime/GuardedMain.h"
 #include "peridotspool/runtime/ProcessFiles.h"
 #include "peridotspool/runtime/StopSignal.h"
 
 #include <CLI/CLI.hpp>
 
-#include <exception>
 #include <iostream>
 #include <utility>
 
@@ -76,10 +76,5 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return RunProgram(aCount, aArguments);
-  } catch (const std::exception& error) {
-    std::cerr << "stopped by an unexpected error: " << error.what() << "\n";
-    return 1;
-  }
+  return peridotspool::runtime::GuardedMain(RunProgram, aCount, aArguments);
 }
--- a/daemon/peridotctl.cpp
+++ b/daemon/peridotctl.cpp
@@ -1,9 +1,9 @@
 #include "peridotspool/runtime/CtlCommands.h"
+#include "peridotspool/runtime/GuardedMain.h"
 #include "peridotspool/runtime/KeyFiles.h"
 
 #include <CLI/CLI.hpp>
 
-#include <exception>
 #include <functional>
 #include <iostream>
 
@@ -195,10 +195,5 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return RunProgram(aCount, aArguments);
-  } catch (const std::exception& error) {
-    std::cerr << "stopped by an unexpected error: " << error.what() << "\n";
-    return 1;
-  }
+  return peridotspool::runtime::GuardedMain(RunProgram, aCount, aArguments);
 }
--- /dev/null
+++ b/src/gateway/ExchangeQuota.cpp
@@ -0,0 +1,98 @@
+// What a request counts against its customer's limit.
+
+#include "gateway/Exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+using observe::CounterId;
+
+constexpr unsigned kTooMany = 429;
+constexpr double kLeastComeBack = 0.2;
+
+} // namespace
+
+// A request counts by the sum of its prompt and the most that it may generate.
+double
+Exchange::Units() const
+{
+  if (mCustomer->mUnit == QuotaUnit::kRequests) {
+    return 1.0;
+  }
+  const std::string_view counts =
+    FieldOf(mRequest.mFields, mCore.mNames.mTokenCounts);
+  const std::size_t comma = counts.find(',');
+  const auto prompt = ReadNumber(counts.substr(0, comma));
+  const auto answer = comma == std::string_view::npos
+                        ? std::nullopt
+                        : ReadNumber(counts.substr(comma + 1));
+  return prompt && answer ? static_cast<double>(*prompt + *answer)
+                          : mCustomer->mPlainTokens;
+}
+
+void
+Exchange::AskQuota()
+{
+  if (mCustomer == nullptr) {
+    Dispatch();
+    return;
+  }
+  const QuotaAnswer answer =
+    mCore.mQuota.Take(*mCustomer, Units(), mCore.mNow());
+  switch (answer.mOutcome) {
+    case QuotaOutcome::kGranted:
+      Dispatch();
+      return;
+    case QuotaOutcome::kRefused:
+      RefuseForQuota(answer.mComeBack);
+      return;
+    case QuotaOutcome::kAsked:
+      mQuotaTag = answer.mTag;
+      mCore.mWaiting[mQuotaTag] =
+        [self = shared_from_this()](const QuotaDecided& aDecided) {
+          self->OnQuota(aDecided);
+        };
+      mCore.mTellLeader(answer.mAsk);
+      return;
+  }
+}
+
+void
+Exchange::OnQuota(const QuotaDecided& aDecided)
+{
+  mQuotaTag = 0;
+  if (mOver) {
+    if (aDecided.mGranted) {
+      mCore.mQuota.GiveBack(mCustomer->mName, Units());
+    }
+  } else if (aDecided.mGranted) {
+    Dispatch();
+  } else {
+    RefuseForQuota(aDecided.mComeBack);
+  }
+}
+
+void
+Exchange::RefuseForQuota(Duration aComeBack)
+{
+  mCore.mCounters.Add(CounterId::kRefusedRateLimit);
+  AnswerOwn(
+    kTooMany,
+    "over the customer's limit",
+    std::max(kLeastComeBack, std::chrono::duration<double>(aComeBack).count()));
+}
+
+void
+Exchange::CountUsage()
+{
+  if (mCustomer != nullptr && !mCounted) {
+    mCounted = true;
+    mCore.mUsage.Count(mCustomer->mName, mCore.mWall(), mCore.mNow());
+  }
+}
+
+} // namespace peridotspool::gateway
--- a/test/control/SeededGroupTest.cpp
+++ b/test/control/SeededGroupTest.cpp
@@ -54,6 +54,15 @@
            : aCluster.Process(leader).mNode->Replicas().mReplicas.size();
 }
 
+/** Three replicas found the group, a fourth one joins it. */
+void
+StartFour(ControlCluster& aCluster)
+{
+  aCluster.StartSeeded(4, 3);
+  REQUIRE(
+    aCluster.RunUntil([&] { return ReplicaCount(aCluster) == 4; }, kSettled));
+}
+
 /** A replica that votes and doesn't lead. */
 std::string
 Follower(ControlCluster& aCluster)
@@ -73,9 +82,7 @@
   const std::uint64_t seed = GENERATE(range(1, 11));
   INFO("seed " << seed);
   ControlCluster cluster(seed);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   CHECK(VoterNames(cluster) ==
         std::set<std::string>{ "control-1", "control-2", "control-3" });
   CHECK(Send(cluster, 5) == 5);
@@ -91,9 +98,7 @@
   const std::uint64_t seed = GENERATE(range(1, 21));
   INFO("seed " << seed);
   ControlCluster cluster(seed);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   REQUIRE(Send(cluster, 5) == 5);
   const std::string wiped = Follower(cluster);
   cluster.LoseDisk(wiped);
@@ -125,9 +130,7 @@
   const std::uint64_t seed = GENERATE(range(1, 11));
   INFO("seed " << seed);
   ControlCluster cluster(seed);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   for (int number = 5; number <= 8; ++number) {
     REQUIRE(Send(cluster, static_cast<std::uint64_t>(number)) ==
             static_cast<std::uint64_t>(number));
@@ -156,9 +159,7 @@
   const std::uint64_t seed = GENERATE(range(1, 11));
   INFO("seed " << seed);
   ControlCluster cluster(seed);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   const std::string cut = Follower(cluster);
   const ReplicaId before = cluster.Process(cut).mNode->Self();
   cluster.CutOff({ cut });
@@ -199,9 +200,7 @@
 TEST_CASE("AnOrdinaryRestartCostsNobodyItsPlace")
 {
   ControlCluster cluster(3);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   const auto voters = VoterNames(cluster);
   const std::string restarted = Follower(cluster);
   cluster.Crash(restarted);
@@ -218,9 +217,7 @@
 TEST_CASE("TheHighestVersionWinsInWhateverOrderTheyCome")
 {
   ControlCluster cluster(7);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   CHECK(Send(cluster, 10) == 10);
   CHECK(Send(cluster, 30) == 30);
   CHECK(Send(cluster, 20) == 30);
@@ -237,9 +234,7 @@
   const std::uint64_t seed = GENERATE(range(1, 11));
   INFO("seed " << seed);
   ControlCluster cluster(seed);
-  cluster.StartSeeded(4, 3);
-  REQUIRE(
-    cluster.RunUntil([&] { return ReplicaCount(cluster) == 4; }, kSettled));
+  StartFour(cluster);
   REQUIRE(Send(cluster, 5) == 5);
   // Only the replica that no entry was told of may lead from here on.
   cluster.LoseDisk("control-1");
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayFixture.h"
 
+#include "gateway/TestNames.h"
 #include "peridotspool/runtime/SystemClock.h"
 
 #include <boost/asio/connect.hpp>
@@ -45,23 +46,6 @@
     aSocket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
 }
 
-HeaderNames
-Names()
-{
-  return { .mRequestId = "X-Id",
-           .mDeadline = "X-Deadline",
-           .mCustomer = "X-Customer",
-           .mExpectUpstream = "X-Expect",
-           .mNotRun = "X-Not-Run",
-           .mStamp = "X-Stamp",
-           .mLoad = "X-Load",
-           .mTokenCounts = "X-Tokens",
-           .mPrefix = "X-Prefix",
-           .mPriority = "X-Priority",
-           .mFetchFrom = "X-Fetch",
-           .mLastEvent = "Last-Event-Id" };
-}
-
 Route
 MakeRoute(const char* aName, RequestKind aKind, bool aResumable)
 {
@@ -304,7 +288,7 @@
   mLogger = observe::Logger::Open(log, "test", reason);
   mCore.reset(new GatewayCore{
     .mIo = mIo,
-    .mNames = Names(),
+    .mNames = TestNames(),
     .mBoard = UpstreamBoard({ .mEjectFor = std::chrono::milliseconds(50) }),
     .mBudget = RepeatBudget({ .mExtra = 1000.0 }),
     .mPool = {},
--- a/test/gateway/HeaderRulesTest.cpp
+++ b/test/gateway/HeaderRulesTest.cpp
@@ -1,29 +1,14 @@
 // ctest-labels: unit promise-whole-own-answer
 #include "peridotspool/gateway/HeaderRules.h"
 
+#include "gateway/TestNames.h"
+
 #include <catch2/catch.hpp>
 
 namespace peridotspool::gateway {
 
 namespace {
 
-HeaderNames
-Names()
-{
-  return { .mRequestId = "X-Id",
-           .mDeadline = "X-Deadline",
-           .mCustomer = "X-Customer",
-           .mExpectUpstream = "X-Expect",
-           .mNotRun = "X-Not-Run",
-           .mStamp = "X-Stamp",
-           .mLoad = "X-Load",
-           .mTokenCounts = "X-Tokens",
-           .mPrefix = "X-Prefix",
-           .mPriority = "X-Priority",
-           .mLastEvent = "Last-Event-Id",
-           .mReserved = { "X-Hold" } };
-}
-
 CallerRequest
 MakeRequest()
 {
@@ -50,7 +35,7 @@
 TEST_CASE("WriteForwardLetsNothingPassForWhatTheGatewaySets")
 {
   const std::string text = WriteForward(MakeRequest(),
-                                        Names(),
+                                        TestNames(),
                                         { .mCustomer = "real",
                                           .mUpstream = "u1",
                                           .mDeadlineMs = 250,
@@ -74,10 +59,10 @@
 {
   CallerRequest request = MakeRequest();
   request.mFields.emplace_back("last-event-id", "3");
-  const std::string own = WriteForward(request, Names(), {});
+  const std::string own = WriteForward(request, TestNames(), {});
   CHECK(own.find("last-event-id: 3\r\n") != std::string::npos);
   const std::string resumed =
-    WriteForward(request, Names(), { .mLastEvent = "9" });
+    WriteForward(request, TestNames(), { .mLastEvent = "9" });
   CHECK(resumed.find("last-event-id: 3") == std::string::npos);
   CHECK(resumed.find("Last-Event-Id: 9\r\n") != std::string::npos);
 }
@@ -87,7 +72,7 @@
   CallerRequest request = MakeRequest();
   request.mMethod = "GET";
   request.mBody.clear();
-  CHECK(WriteForward(request, Names(), {}).find("Content-Length") ==
+  CHECK(WriteForward(request, TestNames(), {}).find("Content-Length") ==
         std::string::npos);
 }
 
--- /dev/null
+++ b/test/gateway/TestNames.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "peridotspool/gateway/HeaderNames.h"
+
+namespace peridotspool::gateway {
+
+/** Field names of no deployment: nothing may depend on the platform's. */
+inline HeaderNames
+TestNames()
+{
+  return { .mRequestId = "X-Id",
+           .mDeadline = "X-Deadline",
+           .mCustomer = "X-Customer",
+           .mExpectUpstream = "X-Expect",
+           .mNotRun = "X-Not-Run",
+           .mStamp = "X-Stamp",
+           .mLoad = "X-Load",
+           .mTokenCounts = "X-Tokens",
+           .mPrefix = "X-Prefix",
+           .mPriority = "X-Priority",
+           .mFetchFrom = "X-Fetch",
+           .mLastEvent = "Last-Event-Id",
+           .mReserved = { "X-Hold" } };
+}
+
+} // namespace peridotspool::gateway
