--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace peridotspool::gateway {
@@ -149,6 +150,17 @@
   mCore.mPool.Sweep(aNow);
 }
 
+// An exchange is over when its answer's last bytes are queued. A process that
+// ended then would cut the answer of a caller that reads slowly.
+bool
+Gateway::IsQuiet() const
+{
+  return mExchanges.empty() &&
+         std::all_of(mLinks.begin(), mLinks.end(), [](const auto& aPair) {
+           return aPair.second->QueuedBytes() == 0;
+         });
+}
+
 void
 Gateway::StopAccepting()
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -34,6 +34,8 @@
   /** Ends connections without a request under way. */
   void CloseIdle();
 
+  /** No request is served, and callers were sent all that they are owed. */
+  bool IsQuiet() const;
   std::size_t Exchanges() const { return mExchanges.size(); }
   std::size_t Connections() const { return mLinks.size(); }
 
--- a/src/runtime/GatewayHost.cpp
+++ b/src/runtime/GatewayHost.cpp
@@ -29,8 +29,10 @@
 constexpr Duration kTakeOn = std::chrono::milliseconds(2500);
 /** Callers that lately asked for entries may still come until then. */
 constexpr Duration kLeastStop = std::chrono::milliseconds(1500);
+/** Bytes that were written last are on their way for this long. */
+constexpr Duration kQuietFor = std::chrono::milliseconds(150);
 /** Kept of the grace for ending the process. */
-constexpr Duration kStopReserve = std::chrono::milliseconds(400);
+constexpr Duration kStopReserve = std::chrono::milliseconds(40);
 /** Frames that wait for the relay thread; more are dropped. */
 constexpr std::size_t kMostFrames = 4096;
 /** Entries that share a budget beyond those that are known: ones that are
@@ -426,7 +428,10 @@
       mCore->mRefusing = true;
       mGateway->CloseIdle();
     }
-    const bool done = mGateway->Exchanges() == 0 && since > kLeastStop;
+    if (!mGateway->IsQuiet()) {
+      mBusyAt = aNow;
+    }
+    const bool done = since > kLeastStop && aNow - mBusyAt >= kQuietFor;
     if (!done && since < mSettings.mStopGrace - kStopReserve) {
       return false;
     }
@@ -455,6 +460,7 @@
   std::optional<Address> mLeader;
   TimePoint mLeaderHeardAt;
   TimePoint mStopAt;
+  TimePoint mBusyAt;
   std::thread mRelay;
 };
 
--- a/test/gateway/ExchangeTest.cpp
+++ b/test/gateway/ExchangeTest.cpp
@@ -276,6 +276,27 @@
   CHECK(Eventually([&] { return upstream.LeftAlone() == 1; }));
 }
 
+// Symptom: an answer was cut short by a planned stop.
+// Sequence: the process was told to stop; the last request's answer was whole
+// and queued; the process ended before its caller had read it.
+// Cause: no exchange was taken for nothing left to do.
+TEST_CASE("AGatewayIsNotQuietWhileACallerIsOwedBytes")
+{
+  GatewayFixture gateway;
+  const std::string large(6U << 20, 'x');
+  ScriptedUpstream upstream(
+    [&](const std::string&) { return Script{ WholeAnswer(large) }; });
+  gateway.Add("u", upstream.Where());
+  CHECK(gateway.IsQuiet());
+  Caller caller(gateway.Where());
+  caller.Send(RequestText("once", "q1"));
+  REQUIRE(Eventually([&] { return upstream.Requests().size() == 1; }));
+  REQUIRE(Eventually([&] { return gateway.Exchanges() == 0; }));
+  CHECK_FALSE(gateway.IsQuiet());
+  CHECK(caller.ReadAnswer().ends_with(large));
+  CHECK(Eventually([&] { return gateway.IsQuiet(); }));
+}
+
 TEST_CASE("ARequestThatRunsOutOfTimeIsToldSoAtOnce")
 {
   GatewayFixture gateway;
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -334,6 +334,22 @@
   done.get_future().wait();
 }
 
+bool
+GatewayFixture::IsQuiet()
+{
+  bool quiet = false;
+  OnRelay([&] { quiet = mGateway->IsQuiet(); });
+  return quiet;
+}
+
+std::size_t
+GatewayFixture::Exchanges()
+{
+  std::size_t exchanges = 0;
+  OnRelay([&] { exchanges = mGateway->Exchanges(); });
+  return exchanges;
+}
+
 void
 GatewayFixture::Add(const std::string& aName, const Address& aWhere)
 {
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -101,6 +101,8 @@
   void OnRelay(const std::function<void()>& aCall);
   Address Where() const { return mWhere; }
   GatewayCore& Core() { return *mCore; }
+  bool IsQuiet();
+  std::size_t Exchanges();
 
 private:
   observe::Counters mCounters;
