--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -48,7 +48,7 @@
 
 ControlDecider::ControlDecider(control::ControlNode aNode, ControlParts aParts)
   : mNode(std::move(aNode))
-  , mParts(aParts)
+  , mParts(std::move(aParts))
   , mRegistry(membership::UpstreamRegistryOptions{
       .mLife = membership::RegistryLife(RandomNumber()) })
 {
--- a/src/runtime/ControlHostOptions.cpp
+++ b/src/runtime/ControlHostOptions.cpp
@@ -142,19 +142,17 @@
   if (!operators) {
     return std::nullopt;
   }
-  return ControlHostOptions{ .mName = aSettings.mName.Value(),
-                             .mPeerListen = aSettings.mPeerListen,
-                             .mOperatorsListen = aSettings.mHttpListen,
-                             .mDirectoryListen = {},
-                             .mDataFolder = aSettings.mDataFolder,
-                             .mLog = aSettings.mLog,
-                             .mBounds = aSettings.mBounds,
-                             .mPeerKey = std::move(*key),
-                             .mDialect =
-                               OwnDialect(aSettings, std::move(*operators)),
-                             .mNode = ListedNode(aSettings),
-                             .mFirstState = {},
-                             .mDuties = {} };
+  ControlHostOptions options;
+  options.mName = aSettings.mName.Value();
+  options.mPeerListen = aSettings.mPeerListen;
+  options.mOperatorsListen = aSettings.mHttpListen;
+  options.mDataFolder = aSettings.mDataFolder;
+  options.mLog = aSettings.mLog;
+  options.mBounds = aSettings.mBounds;
+  options.mPeerKey = std::move(*key);
+  options.mDialect = OwnDialect(aSettings, std::move(*operators));
+  options.mNode = ListedNode(aSettings);
+  return options;
 }
 
 ControlHostOptions
