Read a request's token counts in one place

The exchange read the same field twice, once for its customer's limit and once for its priority at an engine, in two ways.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Exchange.h"
 
 #include "peridotspool/base/Invariant.h"
+#include "peridotspool/gateway/TokenCounts.h"
 
 #include <xxhash.h>
 
@@ -227,10 +228,9 @@
   if (!mRoute->mSticky) {
     return std::nullopt;
   }
-  const std::string_view counts =
-    FieldOf(mRequest.mFields, mCore.mNames.mTokenCounts);
-  const auto prompt = ReadNumber(counts.substr(0, counts.find(',')));
-  return prompt && *prompt < kSmallPrompt ? 1U : 5U;
+  const auto counts =
+    ReadTokenCounts(FieldOf(mRequest.mFields, mCore.mNames.mTokenCounts));
+  return counts && counts->mPrompt < kSmallPrompt ? 1U : 5U;
 }
 
 void
--- a/src/gateway/ExchangeQuota.cpp
+++ b/src/gateway/ExchangeQuota.cpp
@@ -1,6 +1,7 @@
 // What a request counts against its customer's limit.
 
 #include "gateway/Exchange.h"
+#include "peridotspool/gateway/TokenCounts.h"
 
 #include <algorithm>
 #include <utility>
@@ -23,15 +24,10 @@
   if (mCustomer->mUnit == QuotaUnit::kRequests) {
     return 1.0;
   }
-  const std::string_view counts =
-    FieldOf(mRequest.mFields, mCore.mNames.mTokenCounts);
-  const std::size_t comma = counts.find(',');
-  const auto prompt = ReadNumber(counts.substr(0, comma));
-  const auto answer = comma == std::string_view::npos
-                        ? std::nullopt
-                        : ReadNumber(counts.substr(comma + 1));
-  return prompt && answer ? static_cast<double>(*prompt + *answer)
-                          : mCustomer->mPlainTokens;
+  const auto counts =
+    ReadTokenCounts(FieldOf(mRequest.mFields, mCore.mNames.mTokenCounts));
+  return counts ? static_cast<double>(counts->mPrompt + counts->mAnswer)
+                : mCustomer->mPlainTokens;
 }
 
 void
