--- /dev/null
+++ b/include/peridotspool/gateway/StopPlan.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+
+#include <optional>
+
+namespace peridotspool::gateway {
+
+struct StopPlanOptions
+{
+  /** From the order to stop to the end. */
+  Duration mGrace = std::chrono::seconds(8);
+  /** Requests are taken for this long as if nothing had been said. */
+  Duration mTakeOn = std::chrono::milliseconds(2500);
+  /** Callers that lately asked for entries may still come until then. */
+  Duration mLeast = std::chrono::milliseconds(1500);
+  /** Bytes that were written last are on their way for this long. */
+  Duration mQuietFor = std::chrono::milliseconds(150);
+  /** Kept of the grace for ending the process. */
+  Duration mReserve = std::chrono::milliseconds(40);
+};
+
+enum class StopStage
+{
+  kTakesRequests,
+  /** Tells callers to go elsewhere, while there is still time for it. */
+  kRefuses,
+  kOver,
+};
+
+/**
+ * How a process stops gracefully. Callers learn within seconds that it leaves,
+ * and until then open connections to it.
+ *
+ * A pure step. Not thread-safe.
+ */
+class StopPlan
+{
+public:
+  StopPlan(StopPlanOptions aOptions, TimePoint aNow);
+
+  /** aQuiet: nothing is served, and callers were sent all that is owed. */
+  StopStage Step(bool aQuiet, TimePoint aNow);
+
+private:
+  StopPlanOptions mOptions;
+  TimePoint mToldAt;
+  TimePoint mBusyAt;
+};
+
+} // namespace peridotspool::gateway
--- a/src/runtime/GatewayHost.cpp
+++ b/src/runtime/GatewayHost.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/Gateway.h"
 #include "peridotspool/base/PackedText.h"
+#include "peridotspool/gateway/StopPlan.h"
 #include "peridotspool/http/HttpServer.h"
 #include "peridotspool/membership/ControlSession.h"
 #include "peridotspool/membership/UpstreamDirectory.h"
@@ -25,14 +26,6 @@
 
 constexpr std::chrono::milliseconds kTick{ 50 };
 constexpr Duration kPullPeriod = std::chrono::milliseconds(300);
-/** While it stops, a process takes requests for this long as if it did not. */
-constexpr Duration kTakeOn = std::chrono::milliseconds(2500);
-/** Callers that lately asked for entries may still come until then. */
-constexpr Duration kLeastStop = std::chrono::milliseconds(1500);
-/** Bytes that were written last are on their way for this long. */
-constexpr Duration kQuietFor = std::chrono::milliseconds(150);
-/** Kept of the grace for ending the process. */
-constexpr Duration kStopReserve = std::chrono::milliseconds(40);
 /** Frames that wait for the relay thread; more are dropped. */
 constexpr std::size_t kMostFrames = 4096;
 /** Entries that share a budget beyond those that are known: ones that are
@@ -414,25 +407,19 @@
                  { { "exchanges", mGateway->Exchanges() } });
     mCore->mStopping = true;
     mReady = false;
-    mStopAt = ReadClock();
+    mStopPlan.emplace(
+      gateway::StopPlanOptions{ .mGrace = mSettings.mStopGrace }, ReadClock());
     Step(membership::LeaveEvent{});
   }
 
-  // Callers learn within seconds that this entry leaves, and until then open
-  // connections to it. They are served; later ones are told to go elsewhere
-  // while there is still time for it.
   bool GoOnStopping(TimePoint aNow)
   {
-    const Duration since = aNow - mStopAt;
-    if (since > kTakeOn && !mCore->mRefusing) {
+    const auto stage = mStopPlan->Step(mGateway->IsQuiet(), aNow);
+    if (stage != gateway::StopStage::kTakesRequests && !mCore->mRefusing) {
       mCore->mRefusing = true;
       mGateway->CloseIdle();
     }
-    if (!mGateway->IsQuiet()) {
-      mBusyAt = aNow;
-    }
-    const bool done = since > kLeastStop && aNow - mBusyAt >= kQuietFor;
-    if (!done && since < mSettings.mStopGrace - kStopReserve) {
+    if (stage != gateway::StopStage::kOver) {
       return false;
     }
     Step(membership::LeftNothingEvent{});
@@ -459,8 +446,8 @@
   /** The control leader, as it said itself, and when it last did. */
   std::optional<Address> mLeader;
   TimePoint mLeaderHeardAt;
-  TimePoint mStopAt;
-  TimePoint mBusyAt;
+  /** Set once the process was told to stop. */
+  std::optional<gateway::StopPlan> mStopPlan;
   std::thread mRelay;
 };
 
--- /dev/null
+++ b/test/gateway/StopPlanTest.cpp
@@ -0,0 +1,39 @@
+// ctest-labels: promise-graceful-stop
+#include "peridotspool/gateway/StopPlan.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+TimePoint
+At(int aMs)
+{
+  return TimePoint(std::chrono::seconds(1000) + std::chrono::milliseconds(aMs));
+}
+
+} // namespace
+
+// Symptom: a planned stop cut an answer 33 ms after its upstream had made it.
+// Sequence: the process ended 0.4 s before its grace was over.
+// Cause: more of the grace was kept back than ending takes.
+TEST_CASE("ABusyProcessGoesOnUntilItsGraceIsOver")
+{
+  StopPlan plan({}, At(0));
+  CHECK(plan.Step(false, At(2500)) == StopStage::kTakesRequests);
+  CHECK(plan.Step(false, At(2550)) == StopStage::kRefuses);
+  CHECK(plan.Step(false, At(7900)) == StopStage::kRefuses);
+  CHECK(plan.Step(false, At(7960)) == StopStage::kOver);
+}
+
+TEST_CASE("AQuietProcessEndsOnceItsLastBytesAreOnTheirWay")
+{
+  StopPlan plan({}, At(0));
+  CHECK(plan.Step(true, At(1000)) == StopStage::kTakesRequests);
+  CHECK(plan.Step(false, At(1600)) == StopStage::kTakesRequests);
+  CHECK(plan.Step(true, At(1700)) == StopStage::kTakesRequests);
+  CHECK(plan.Step(true, At(1750)) == StopStage::kOver);
+}
+
+} // namespace peridotspool::gateway
