Wait for room on a full disk instead of ending the replica

Ruled out: going on after a failed sync; nobody knows then what is on the disk. Change: a record is cut back to the last whole one, a checkpoint's temporary file is removed, and the same effect is written again every 100 ms. What is known of the disk changes only after the disk has. StorageFull, StorageHasRoom. Test: storage/ControlStoreTest with a limit on the size of files, which gives partial writes as a disk does; it did not compile before (no MayTryAgain), and the old Append refused everything after one failure.

--- a/include/peridotspool/storage/ControlStore.h
+++ b/include/peridotspool/storage/ControlStore.h
@@ -33,16 +33,24 @@
                          LastReason& aReason);
 
   /**
-   * Writes one effect and syncs it. After a failure the process must stop: it
-   * can't know what is on the disk.
+   * Writes one effect and syncs it. After a failure for which it may not be
+   * tried again the process must stop: it can't know what is on the disk.
    */
   bool Write(const control::PersistEffect& aWrite, LastReason& aReason);
+  /**
+   * Returns true iff the last Write found no room and left all as it was: the
+   * same effect may be written again.
+   */
+  bool MayTryAgain() const { return mFolder && mFolder->NoSpace(); }
 
   /** Bytes cut off as a torn tail when the folder was opened. */
   std::uint64_t CutBytes() const { return mFolder ? mFolder->CutBytes() : 0; }
 
 private:
   explicit ControlStore(std::optional<DataFolder> aFolder);
+  bool WriteCheckpoint(const control::PersistEffect& aWrite,
+                       const control::RestoredState& aAfter,
+                       LastReason& aReason);
 
   /** Unset where nothing outlives the process. */
   std::optional<DataFolder> mFolder;
--- a/include/peridotspool/storage/DataFolder.h
+++ b/include/peridotspool/storage/DataFolder.h
@@ -44,9 +44,11 @@
   ~DataFolder();
 
   bool WriteIdentity(std::string_view aBytes, LastReason& aReason);
-  /** Appends records and syncs them once. */
-  bool Append(const std::vector<std::string>& aRecords, LastReason& aReason);
+  /** Appends a record and syncs it. */
+  bool Append(std::string_view aRecord, LastReason& aReason);
   bool Checkpoint(std::string_view aBytes, LastReason& aReason);
+  /** The last write failed for lack of room only; it may be tried again. */
+  bool NoSpace() const { return mNoSpace; }
 
   /** Bytes of the journal since its checkpoint, with it. */
   std::uint64_t JournalBytes() const;
@@ -55,6 +57,9 @@
 private:
   DataFolder(std::string aPath, int aLock, SyncFunction aSync);
   std::string JournalPath(std::uint64_t aNumber) const;
+  bool WriteFile(const std::string& aName,
+                 std::string_view aBytes,
+                 LastReason& aReason);
   bool OpenNewestJournal(FolderContents& aContents, LastReason& aReason);
 
   std::string mPath;
@@ -64,6 +69,7 @@
   std::optional<RecordFile> mJournal;
   std::uint64_t mCutBytes = 0;
   bool mFailed = false;
+  bool mNoSpace = false;
 };
 
 } // namespace peridotspool::storage
--- a/include/peridotspool/storage/RecordFile.h
+++ b/include/peridotspool/storage/RecordFile.h
@@ -20,7 +20,8 @@
  * A record counts once Sync has returned true. A torn tail, which a crash
  * leaves behind, is cut when the file is opened. A damaged record with a whole
  * one behind it was once synced: opening is refused. After a failed write or
- * sync the object refuses everything.
+ * sync the object refuses everything, but for a write that found no room: that
+ * one leaves the file as it was.
  */
 class RecordFile
 {
@@ -39,6 +40,8 @@
 
   bool Append(std::string_view aPayload, LastReason& aReason);
   bool Sync(LastReason& aReason);
+  /** The last Append failed for lack of room only; it may be tried again. */
+  bool NoSpace() const { return mNoSpace; }
 
   std::uint64_t Bytes() const { return mBytes; }
   /** Bytes that opening has cut off as a torn tail. */
@@ -46,6 +49,7 @@
 
 private:
   RecordFile(std::string aPath, int aDescriptor, SyncFunction aSync);
+  bool CutBack();
   bool Recover(std::vector<std::string>& aRecords, LastReason& aReason);
 
   std::string mPath;
@@ -55,6 +59,7 @@
   std::uint64_t mBytes = 0;
   std::uint64_t mCutBytes = 0;
   bool mFailed = false;
+  bool mNoSpace = false;
 };
 
 } // namespace peridotspool::storage
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -20,6 +20,7 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr std::size_t kDiskSlots = 1024;
+constexpr std::chrono::milliseconds kFullDiskPause{ 100 };
 constexpr std::size_t kMaxOperatorBody = 8U << 20;
 constexpr std::uint32_t kStatusUnavailable = 503;
 
@@ -244,22 +245,53 @@
         }
         continue;
       }
-      LastReason reason;
-      if (!mStore->Write(*write, reason)) {
-        // After a failed sync nobody knows what the disk holds: going on could
-        // acknowledge what a restart forgets.
-        mLogger->Log(observe::EventId::kStorageFault,
-                     { { "reason", reason.Text() } });
-        mDiskFailed = true;
-        mRing.Close();
-        mDisk.Close();
-        RequestStop();
+      if (!WriteWhenThereIsRoom(*write)) {
         return;
       }
       mRing.Push(SyncedInput{ write->mToken });
     }
   }
 
+  // Others go on without this replica while its disk is full. Ending the
+  // process instead would make it start again and again until there is room,
+  // and take its other work with it.
+  bool WriteWhenThereIsRoom(const control::PersistEffect& aWrite)
+  {
+    LastReason reason;
+    bool full = false;
+    while (!mStore->Write(aWrite, reason)) {
+      if (!mStore->MayTryAgain()) {
+        EndForDisk(reason);
+        return false;
+      }
+      if (mRing.Closed()) {
+        return false;
+      }
+      if (!full) {
+        mLogger->Log(observe::EventId::kStorageFull,
+                     { { "reason", reason.Text() } });
+        full = true;
+      }
+      std::this_thread::sleep_for(kFullDiskPause);
+    }
+    if (full) {
+      mLogger->Log(observe::EventId::kStorageHasRoom);
+    }
+    return true;
+  }
+
+  // After a failed sync nobody knows what the disk holds: going on could
+  // acknowledge what a restart forgets.
+  void EndForDisk(const LastReason& aReason)
+  {
+    mLogger->Log(observe::EventId::kStorageFault,
+                 { { "reason", aReason.Text() } });
+    mDiskFailed = true;
+    mRing.Close();
+    mDisk.Close();
+    RequestStop();
+  }
+
   // First: it is aligned to cache lines.
   observe::Counters mCounters;
   ControlHostOptions mOptions;
--- a/src/storage/ControlStore.cpp
+++ b/src/storage/ControlStore.cpp
@@ -110,22 +110,39 @@
   return store->Write(write, aReason);
 }
 
+// What is known of the disk changes only after the disk has: a write that found
+// no room is given again as it was.
 bool
 ControlStore::Write(const PersistEffect& aWrite, LastReason& aReason)
 {
   if (!mFolder) {
     return true;
   }
-  ApplyPersist(mOnDisk, aWrite);
-  if (aWrite.mIdentity) {
-    // The journal comes first: an identity without a journal is refused.
-    return mFolder->Checkpoint(wire::Encode(mOnDisk), aReason) &&
-           mFolder->WriteIdentity(wire::Encode(*aWrite.mIdentity), aReason);
+  if (aWrite.mIdentity || aWrite.mSnapshot) {
+    RestoredState after = mOnDisk;
+    ApplyPersist(after, aWrite);
+    if (!WriteCheckpoint(aWrite, after, aReason)) {
+      return false;
+    }
+    mOnDisk = std::move(after);
+    return true;
   }
-  if (aWrite.mSnapshot) {
-    return mFolder->Checkpoint(wire::Encode(mOnDisk), aReason);
+  if (!mFolder->Append(wire::Encode(aWrite), aReason)) {
+    return false;
   }
-  return mFolder->Append({ wire::Encode(aWrite) }, aReason);
+  ApplyPersist(mOnDisk, aWrite);
+  return true;
+}
+
+bool
+ControlStore::WriteCheckpoint(const PersistEffect& aWrite,
+                              const RestoredState& aAfter,
+                              LastReason& aReason)
+{
+  // The journal comes first: an identity without a journal is refused.
+  return mFolder->Checkpoint(wire::Encode(aAfter), aReason) &&
+         (!aWrite.mIdentity ||
+          mFolder->WriteIdentity(wire::Encode(*aWrite.mIdentity), aReason));
 }
 
 } // namespace peridotspool::storage
--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -121,6 +121,7 @@
   std::swap(mJournal, aOther.mJournal);
   std::swap(mCutBytes, aOther.mCutBytes);
   std::swap(mFailed, aOther.mFailed);
+  std::swap(mNoSpace, aOther.mNoSpace);
   return *this;
 }
 
@@ -194,31 +195,45 @@
   return true;
 }
 
+bool
+DataFolder::WriteFile(const std::string& aName,
+                      std::string_view aBytes,
+                      LastReason& aReason)
+{
+  const WriteOutcome outcome =
+    WriteAtomically(mPath, aName, MakeRecord(1, aBytes), aReason);
+  mNoSpace = outcome == WriteOutcome::kNoSpace;
+  mFailed = mFailed || outcome == WriteOutcome::kFailed;
+  return outcome == WriteOutcome::kWritten;
+}
+
 bool
 DataFolder::WriteIdentity(std::string_view aBytes, LastReason& aReason)
 {
-  return WriteAtomically(
-    mPath, std::string(kIdentityName), MakeRecord(1, aBytes), aReason);
+  return WriteFile(std::string(kIdentityName), aBytes, aReason);
 }
 
 bool
-DataFolder::Append(const std::vector<std::string>& aRecords,
-                   LastReason& aReason)
+DataFolder::Append(std::string_view aRecord, LastReason& aReason)
 {
+  mNoSpace = false;
   if (mFailed || !mJournal) {
     aReason.Set(mPath + ": has no usable journal");
     return false;
   }
-  for (const std::string& record : aRecords) {
-    mFailed = mFailed || !mJournal->Append(record, aReason);
+  if (!mJournal->Append(aRecord, aReason)) {
+    mNoSpace = mJournal->NoSpace();
+    mFailed = !mNoSpace;
+    return false;
   }
-  mFailed = mFailed || !mJournal->Sync(aReason);
+  mFailed = !mJournal->Sync(aReason);
   return !mFailed;
 }
 
 bool
 DataFolder::Checkpoint(std::string_view aBytes, LastReason& aReason)
 {
+  mNoSpace = false;
   if (mFailed) {
     aReason.Set(mPath + ": failed before");
     return false;
@@ -226,8 +241,7 @@
   const std::uint64_t number = mJournalNumber + 1;
   const std::string name = std::string(kJournalPrefix) + std::to_string(number);
   std::vector<std::string> records;
-  mFailed = !WriteAtomically(mPath, name, MakeRecord(1, aBytes), aReason);
-  if (mFailed) {
+  if (!WriteFile(name, aBytes, aReason)) {
     return false;
   }
   mJournal = RecordFile::Open(JournalPath(number), mSync, records, aReason);
--- a/src/storage/FileCalls.cpp
+++ b/src/storage/FileCalls.cpp
@@ -16,6 +16,14 @@
   return aPath + ": " + aCall + ": " + error.message();
 }
 
+// EFBIG is what a limit on file sizes gives.
+WriteOutcome
+OutcomeOfFailedWrite()
+{
+  const bool full = errno == ENOSPC || errno == EDQUOT || errno == EFBIG;
+  return full ? WriteOutcome::kNoSpace : WriteOutcome::kFailed;
+}
+
 std::optional<std::string>
 ReadWhole(int aDescriptor, const std::string& aPath, LastReason& aReason)
 {
@@ -37,7 +45,7 @@
   }
 }
 
-bool
+WriteOutcome
 WriteWhole(int aDescriptor,
            std::string_view aBytes,
            const std::string& aPath,
@@ -49,12 +57,13 @@
       continue;
     }
     if (put < 0) {
+      const WriteOutcome outcome = OutcomeOfFailedWrite();
       aReason.Set(CallFailure("write", aPath));
-      return false;
+      return outcome;
     }
     aBytes.remove_prefix(static_cast<std::size_t>(put));
   }
-  return true;
+  return WriteOutcome::kWritten;
 }
 
 bool
@@ -72,7 +81,9 @@
   return synced;
 }
 
-bool
+// The file gets its name only when it is whole and synced. Until then nothing
+// has changed, whatever failed.
+WriteOutcome
 WriteAtomically(const std::string& aFolder,
                 const std::string& aName,
                 std::string_view aBytes,
@@ -84,20 +95,26 @@
   const int descriptor = ::open(
     temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kOwnerOnly);
   if (descriptor < 0) {
+    const WriteOutcome outcome = OutcomeOfFailedWrite();
     aReason.Set(CallFailure("open", temporary));
-    return false;
+    return outcome;
   }
-  bool good = WriteWhole(descriptor, aBytes, temporary, aReason);
-  if (good && ::fdatasync(descriptor) != 0) {
+  WriteOutcome outcome = WriteWhole(descriptor, aBytes, temporary, aReason);
+  if (outcome == WriteOutcome::kWritten && ::fdatasync(descriptor) != 0) {
+    outcome = OutcomeOfFailedWrite();
     aReason.Set(CallFailure("fdatasync", temporary));
-    good = false;
   }
   ::close(descriptor);
-  if (good && std::rename(temporary.c_str(), path.c_str()) != 0) {
+  if (outcome != WriteOutcome::kWritten) {
+    ::unlink(temporary.c_str());
+    return outcome;
+  }
+  if (std::rename(temporary.c_str(), path.c_str()) != 0) {
     aReason.Set(CallFailure("rename", path));
-    good = false;
+    return WriteOutcome::kFailed;
   }
-  return good && SyncFolder(aFolder, aReason);
+  return SyncFolder(aFolder, aReason) ? WriteOutcome::kWritten
+                                      : WriteOutcome::kFailed;
 }
 
 } // namespace peridotspool::storage
--- a/src/storage/FileCalls.h
+++ b/src/storage/FileCalls.h
@@ -8,6 +8,19 @@
 
 namespace peridotspool::storage {
 
+/** How a write ended that leaves nothing behind where it fails for space. */
+enum class WriteOutcome
+{
+  kWritten,
+  /** There is no room; all is as it was, and it may be tried again. */
+  kNoSpace,
+  kFailed,
+};
+
+/** Says what errno means for a write that has just failed. */
+WriteOutcome
+OutcomeOfFailedWrite();
+
 /** Returns a sentence on a system call that has just failed (errno). */
 std::string
 CallFailure(const char* aCall, const std::string& aPath);
@@ -15,7 +28,7 @@
 std::optional<std::string>
 ReadWhole(int aDescriptor, const std::string& aPath, LastReason& aReason);
 
-bool
+WriteOutcome
 WriteWhole(int aDescriptor,
            std::string_view aBytes,
            const std::string& aPath,
@@ -26,7 +39,7 @@
 SyncFolder(const std::string& aPath, LastReason& aReason);
 
 /** Writes a file so that after a crash it is whole or absent. */
-bool
+WriteOutcome
 WriteAtomically(const std::string& aFolder,
                 const std::string& aName,
                 std::string_view aBytes,
--- a/src/storage/RecordFile.cpp
+++ b/src/storage/RecordFile.cpp
@@ -31,6 +31,7 @@
   std::swap(mBytes, aOther.mBytes);
   std::swap(mCutBytes, aOther.mCutBytes);
   std::swap(mFailed, aOther.mFailed);
+  std::swap(mNoSpace, aOther.mNoSpace);
   return *this;
 }
 
@@ -103,15 +104,28 @@
     return false;
   }
   const std::string record = MakeRecord(mNextNumber, aPayload);
-  if (!WriteWhole(mDescriptor, record, mPath, aReason)) {
-    mFailed = true;
+  const WriteOutcome outcome = WriteWhole(mDescriptor, record, mPath, aReason);
+  if (outcome != WriteOutcome::kWritten) {
+    mNoSpace = outcome == WriteOutcome::kNoSpace && CutBack();
+    mFailed = !mNoSpace;
     return false;
   }
+  mNoSpace = false;
   ++mNextNumber;
   mBytes += record.size();
   return true;
 }
 
+// A disk takes as much of a record as there is room for. The next record would
+// follow that part, and opening would take it for damage.
+bool
+RecordFile::CutBack()
+{
+  const auto end = static_cast<off_t>(mBytes);
+  return ::ftruncate(mDescriptor, end) == 0 &&
+         ::lseek(mDescriptor, end, SEEK_SET) == end;
+}
+
 // After a failed sync the kernel may drop the unwritten pages and report the
 // next sync as good. Trying again would acknowledge what is not on the disk.
 bool
--- a/test/storage/ControlStoreTest.cpp
+++ b/test/storage/ControlStoreTest.cpp
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <filesystem>
+#include <sys/resource.h>
 
 namespace peridotspool::storage {
 
@@ -39,6 +41,25 @@
   return write;
 }
 
+/** Stands for a disk that takes no more bytes than this in any file. */
+class FullDisk
+{
+public:
+  explicit FullDisk(std::uint64_t aMost)
+  {
+    std::signal(SIGXFSZ, SIG_IGN);
+    ::getrlimit(RLIMIT_FSIZE, &mBefore);
+    const rlimit lower{ .rlim_cur = aMost, .rlim_max = mBefore.rlim_max };
+    ::setrlimit(RLIMIT_FSIZE, &lower);
+  }
+  ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &mBefore); }
+  FullDisk(const FullDisk&) = delete;
+  FullDisk& operator=(const FullDisk&) = delete;
+
+private:
+  rlimit mBefore{};
+};
+
 RestoredState
 Reopen(const std::string& aPath)
 {
@@ -142,4 +163,44 @@
   CHECK_FALSE(std::filesystem::exists(old));
 }
 
+// Symptom: a replica whose disk is full ends again and again, each time with
+// its elections and its callers' connections.
+// Sequence: a record and a checkpoint find room for a part of them only; later
+// there is room again.
+// Cause: lack of room taken for a disk of which nothing is known any more.
+TEST_CASE("AWriteThatFoundNoRoomMayBeTriedAgain")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  RestoredState expected = First();
+  REQUIRE(ControlStore::Initialise(folder.Path(), expected, reason));
+  RestoredState state;
+  auto store = ControlStore::Open(folder.Path(), state, reason);
+  const auto bytes = std::filesystem::file_size(folder.Path() + "/journal-1");
+  const PersistEffect append = AppendEntries(2, 5);
+  PersistEffect compact;
+  compact.mSnapshot = expected.mSnapshot;
+  compact.mSnapshot->mIndex = LogIndex(3);
+  {
+    const FullDisk full(bytes + 7);
+    for (int i = 0; i < 3; ++i) {
+      CHECK_FALSE(store->Write(append, reason));
+      CHECK(store->MayTryAgain());
+    }
+  }
+  REQUIRE(store->Write(append, reason));
+  {
+    const FullDisk full(20);
+    CHECK_FALSE(store->Write(compact, reason));
+    CHECK(store->MayTryAgain());
+  }
+  REQUIRE(store->Write(compact, reason));
+  REQUIRE(store->Write(AppendEntries(6, 7), reason));
+  store.reset();
+  for (const PersistEffect& write : { append, compact, AppendEntries(6, 7) }) {
+    ApplyPersist(expected, write);
+  }
+  CHECK(Reopen(folder.Path()) == expected);
+}
+
 } // namespace peridotspool::storage
