Elect a leader at once when all voters have restarted

Ruled out: a shorter election timeout (lossy links and slow disks would then push healthy leaders out); serving by what a replica has on its disk before a quorum confirms it (settings could go back). Change: pre-votes right after the start; a voter says whether it led or heard a leader since its process started. Where all voters say no, in the same term, no lease can be left, and the asker is elected. The argument stands beside the code. Tests: control/RestartElectionTest.

--- a/include/peridotspool/control/Consensus.h
+++ b/include/peridotspool/control/Consensus.h
@@ -121,12 +121,18 @@
 
   // Elections.
   void ResetElectionTimer();
+  /** Asks for pre-votes soon while the replica has only just started. */
+  void SetEagerTimer();
   bool HearsLeader() const;
+  /** The replica has led nobody and heard no leader since it started. */
+  bool KnowsNoLeader() const { return !mHadLeader; }
   bool IsUpToDate(const VoteRequest& aRequest) const;
   void StartPreVote();
   void StartElection();
   void AskForVotes(bool aPreVote);
   void CountVote(ReplicaId aFrom);
+  bool AllRestarted() const;
+  void CountRestarted(ReplicaId aFrom);
   void BecomeFollower(Term aTerm, ReplicaId aLeader);
   void BecomeLeader();
 
@@ -180,7 +186,12 @@
   /** No vote before this: a leader may count on this replica's silence. */
   TimePoint mHeardLeaderAt;
   TimePoint mElectionAt;
+  TimePoint mStartedAt;
+  /** It led, or heard a leader, since it started. */
+  bool mHadLeader = false;
   std::set<ReplicaId> mVotes;
+  /** Voters that restarted and know no leader, by this round of pre-votes. */
+  std::set<ReplicaId> mRestarted;
 
   std::map<ReplicaId, FollowerProgress> mProgress;
   RoundNumber mRound;
--- a/include/peridotspool/control/ConsensusOptions.h
+++ b/include/peridotspool/control/ConsensusOptions.h
@@ -16,6 +16,14 @@
    * long; an election starts between once and twice this long after.
    */
   Duration mElectionTimeout = std::chrono::milliseconds(500);
+  /**
+   * A replica that has just started asks the others about twice in this time
+   * whether all of them have restarted: then nobody leads, and one of them is
+   * elected at once.
+   */
+  Duration mEagerPeriod = std::chrono::milliseconds(80);
+  /** So long after its start. */
+  Duration mEagerFor = std::chrono::seconds(5);
   /** Clocks of two replicas may run apart by this share, at most. */
   double mClockRateBound = 0.01;
   std::size_t mMaxEntriesPerAppend = 256;
--- a/include/peridotspool/control/ReplicaMessage.h
+++ b/include/peridotspool/control/ReplicaMessage.h
@@ -19,10 +19,15 @@
   bool mPreVote = false;
   LogIndex mLastIndex;
   Term mLastTerm;
+  /** All voters have restarted and have heard no leader since; see VoteReply.
+   */
+  bool mAllRestarted = false;
 
   auto operator<=>(const VoteRequest&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(VoteRequest, (), (mTerm, mPreVote, mLastIndex, mLastTerm))
+BOOST_DESCRIBE_STRUCT(VoteRequest,
+                      (),
+                      (mTerm, mPreVote, mLastIndex, mLastTerm, mAllRestarted))
 
 struct VoteReply
 {
@@ -30,10 +35,15 @@
   Term mTerm;
   bool mPreVote = false;
   bool mGranted = false;
+  /**
+   * Of a pre-vote: the voter has led nobody and heard no leader since its
+   * process started, is in the asker's term, and would vote for it.
+   */
+  bool mRestarted = false;
 
   auto operator<=>(const VoteReply&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(VoteReply, (), (mTerm, mPreVote, mGranted))
+BOOST_DESCRIBE_STRUCT(VoteReply, (), (mTerm, mPreVote, mGranted, mRestarted))
 
 /** The leader's entries; without entries a heartbeat. */
 struct AppendRequest
--- a/src/control/Consensus.cpp
+++ b/src/control/Consensus.cpp
@@ -38,7 +38,8 @@
   // count on its silence. Voting at once would elect a second leader within
   // the first one's lease; so it starts as if it had heard one just now.
   mHeardLeaderAt = aNow;
-  ResetElectionTimer();
+  mStartedAt = aNow;
+  SetEagerTimer();
 }
 
 ConsensusEffects
--- a/src/control/ConsensusElection.cpp
+++ b/src/control/ConsensusElection.cpp
@@ -2,6 +2,8 @@
 
 #include "peridotspool/control/Consensus.h"
 
+#include <algorithm>
+
 namespace peridotspool::control {
 
 void
@@ -14,6 +16,19 @@
   mElectionAt = mNow + mOptions.mElectionTimeout + Duration(extra);
 }
 
+void
+Consensus::SetEagerTimer()
+{
+  if (!KnowsNoLeader() || mNow - mStartedAt >= mOptions.mEagerFor) {
+    ResetElectionTimer();
+    return;
+  }
+  const auto half = mOptions.mEagerPeriod / 2;
+  const auto extra = static_cast<Duration::rep>(
+    mRandom() % static_cast<std::uint64_t>(half.count()));
+  mElectionAt = mNow + half + Duration(extra);
+}
+
 bool
 Consensus::HearsLeader() const
 {
@@ -38,15 +53,19 @@
 void
 Consensus::StartPreVote()
 {
-  ResetElectionTimer();
+  SetEagerTimer();
   if (!Replicas().IsVoter(mSelf)) {
     return;
   }
   mRole = Role::kPreCandidate;
   mLeader = ReplicaId();
   mVotes.clear();
+  mRestarted.clear();
   AskForVotes(true);
   CountVote(mSelf);
+  if (KnowsNoLeader() && mRole == Role::kPreCandidate) {
+    CountRestarted(mSelf);
+  }
 }
 
 void
@@ -69,6 +88,7 @@
     .mPreVote = aPreVote,
     .mLastIndex = mLog.LastIndex(),
     .mLastTerm = mLog.LastTerm(),
+    .mAllRestarted = !aPreVote && AllRestarted(),
   };
   for (const ReplicaInfo& replica : Replicas().mReplicas) {
     if (replica.mId == mSelf || !replica.mVoter) {
@@ -93,25 +113,65 @@
     return;
   }
   if (mRole == Role::kPreCandidate) {
-    StartElection();
+    // Its own vote would be one too: it has to keep its own silence as well.
+    if (!HearsLeader()) {
+      StartElection();
+    }
   } else if (mRole == Role::kCandidate) {
     BecomeLeader();
   }
 }
 
+bool
+Consensus::AllRestarted() const
+{
+  return std::all_of(Replicas().mReplicas.begin(),
+                     Replicas().mReplicas.end(),
+                     [&](const ReplicaInfo& aReplica) {
+                       return !aReplica.mVoter ||
+                              mRestarted.contains(aReplica.mId);
+                     });
+}
+
+// After all replicas were killed at once, every one of them would keep its
+// silence for a leader that is dead too, and nobody would be served meanwhile.
+// A lease is held by a voter's process that has led; where each voter says that
+// it has neither led nor heard a leader since it started, no lease is left.
+//
+// All of them have to be in the asker's term. Otherwise one that answers, leads
+// by an older term, and is given a lease by a voter that then restarts, could
+// still hold it when that voter helps the asker. In the same term it could lead
+// by a later term only, which the one that gave it the lease would know of.
+void
+Consensus::CountRestarted(ReplicaId aFrom)
+{
+  if (!Replicas().IsVoter(aFrom)) {
+    return;
+  }
+  mRestarted.insert(aFrom);
+  if (AllRestarted() && KnowsNoLeader()) {
+    StartElection();
+  }
+}
+
 void
 Consensus::TakeMessage(ReplicaId aFrom, const VoteRequest& aRequest)
 {
   // While a leader may count on this replica, no other is helped: the leader's
   // lease is worth something only because of this.
-  const bool hears = HearsLeader();
+  const bool hears =
+    HearsLeader() && !(aRequest.mAllRestarted && KnowsNoLeader());
   if (aRequest.mPreVote) {
     const bool granted =
       aRequest.mTerm > mVote.mTerm && !hears && IsUpToDate(aRequest);
-    Send(aFrom,
-         VoteReply{ .mTerm = granted ? aRequest.mTerm : mVote.mTerm,
-                    .mPreVote = true,
-                    .mGranted = granted });
+    const bool restarted = aRequest.mTerm == mVote.mTerm.Next() &&
+                           KnowsNoLeader() && IsUpToDate(aRequest);
+    Send(
+      aFrom,
+      VoteReply{ .mTerm = granted || restarted ? aRequest.mTerm : mVote.mTerm,
+                 .mPreVote = true,
+                 .mGranted = granted,
+                 .mRestarted = restarted });
     return;
   }
   if (aRequest.mTerm > mVote.mTerm) {
@@ -136,14 +196,21 @@
 void
 Consensus::TakeMessage(ReplicaId aFrom, const VoteReply& aReply)
 {
-  const bool grantedPreVote = aReply.mPreVote && aReply.mGranted;
-  if (!grantedPreVote && aReply.mTerm > mVote.mTerm) {
+  const bool forPreVote =
+    aReply.mPreVote && (aReply.mGranted || aReply.mRestarted);
+  if (!forPreVote && aReply.mTerm > mVote.mTerm) {
     BecomeFollower(aReply.mTerm, ReplicaId());
     return;
   }
   const Role wanted = aReply.mPreVote ? Role::kPreCandidate : Role::kCandidate;
   const Term term = aReply.mPreVote ? mVote.mTerm.Next() : mVote.mTerm;
-  if (aReply.mGranted && mRole == wanted && aReply.mTerm == term) {
+  if (mRole != wanted || aReply.mTerm != term) {
+    return;
+  }
+  if (aReply.mRestarted) {
+    CountRestarted(aFrom);
+  }
+  if (aReply.mGranted && mRole == wanted) {
     CountVote(aFrom);
   }
 }
@@ -166,6 +233,7 @@
 Consensus::BecomeLeader()
 {
   mRole = Role::kLeader;
+  mHadLeader = true;
   mLeader = mSelf;
   mLeaderSince = mNow;
   mVotes.clear();
--- a/src/control/ConsensusFollower.cpp
+++ b/src/control/ConsensusFollower.cpp
@@ -17,6 +17,7 @@
     BecomeFollower(aTerm, aFrom);
   }
   mHeardLeaderAt = mNow;
+  mHadLeader = true;
   ResetElectionTimer();
   return true;
 }
--- /dev/null
+++ b/test/control/RestartElectionTest.cpp
@@ -0,0 +1,112 @@
+// ctest-labels: promise-fencing promise-state-survives
+#include "control/ControlCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace peridotspool::control {
+
+namespace {
+
+constexpr Duration kAtOnce = std::chrono::milliseconds(250);
+
+void
+StartThree(ControlCluster& aCluster)
+{
+  aCluster.StartControls(3);
+  aCluster.Edit("edit-1", 0, "a: 1\n");
+  REQUIRE(aCluster.RunUntil([&] { return aCluster.Voters() == 3; }));
+  aCluster.Run(std::chrono::seconds(1));
+}
+
+std::vector<std::string>
+Controls(ControlCluster& aCluster)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, process] : aCluster.Processes()) {
+    if (process.mNode) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+} // namespace
+
+// Symptom: after a loss of power of everything, nobody is served for a second
+// although all processes are back.
+// Sequence: all replicas are killed at once and come back one by one.
+// Cause: each keeps its silence for a leader that is dead like itself.
+TEST_CASE("ReplicasThatWereAllRestartedElectALeaderAtOnce")
+{
+  const std::uint64_t seed = GENERATE(range(1, 21));
+  INFO("seed " << seed);
+  ControlCluster cluster(seed);
+  StartThree(cluster);
+  const std::vector<std::string> names = Controls(cluster);
+  for (const std::string& name : names) {
+    cluster.Crash(name);
+  }
+  for (const std::string& name : names) {
+    cluster.Run(std::chrono::milliseconds(60));
+    cluster.Restart(name);
+  }
+  CHECK(cluster.RunUntil([&] { return !cluster.Leader().empty(); }, kAtOnce));
+  CHECK(cluster.Problems() == std::vector<std::string>{});
+}
+
+// Symptom: two replicas hold the lease at once.
+// Sequence: the followers restart while the leader lives and is cut off, so
+// that it can't say so.
+// Cause: a majority's word that it has restarted, taken for everybody's.
+TEST_CASE("RestartedMajorityWaitsForALeaderThatMayLive")
+{
+  const std::uint64_t seed = GENERATE(range(1, 21));
+  INFO("seed " << seed);
+  ControlCluster cluster(seed);
+  StartThree(cluster);
+  const std::string leader = cluster.Leader();
+  cluster.CutOff({ leader });
+  for (const std::string& name : Controls(cluster)) {
+    if (name != leader) {
+      cluster.Restart(name);
+    }
+  }
+  const TimePoint restarted = cluster.RealNow();
+  REQUIRE(cluster.RunUntil([&] {
+    const std::string now = cluster.Leader();
+    return !now.empty() && now != leader;
+  }));
+  CHECK(cluster.RealNow() - restarted >=
+        ConsensusOptions{}.mElectionTimeout * 9 / 10);
+  CHECK(cluster.Problems() == std::vector<std::string>{});
+}
+
+// Symptom: as above.
+// Sequence: replicas restart in quick succession, alone and together, with
+// messages that are late, lost or doubled.
+// Cause: a word about one life of a process, taken for another one's.
+TEST_CASE("RestartsInQuickSuccessionLeaveOneLeaseAtATime")
+{
+  const std::uint64_t seed = GENERATE(range(1, 41));
+  INFO("seed " << seed);
+  ControlCluster cluster(seed);
+  StartThree(cluster);
+  cluster.mFaults.mLoss = 0.05;
+  cluster.mFaults.mDuplication = 0.1;
+  cluster.mFaults.mMaxDelay = std::chrono::milliseconds(120);
+  std::mt19937_64 random(seed);
+  const std::vector<std::string> names = Controls(cluster);
+  for (int round = 0; round < 60; ++round) {
+    for (const std::string& name : names) {
+      if (random() % 3 != 0) {
+        cluster.Restart(name);
+      }
+    }
+    cluster.Run(std::chrono::milliseconds(random() % 700));
+  }
+  CHECK(cluster.Problems() == std::vector<std::string>{});
+}
+
+} // namespace peridotspool::control
