Gather pushes of announcements, and take none where entries do not ask

Ruled out: a replica that had lost its place (it was a learner again since 54.0 s). That this could happen was found on the way: a replica outside the group, or cut off from it, took announcements that no entry asks it for. Now it sends the upstream on to another one. Change: a push holds only what is newer than the one before; a subscriber that missed one confirms no more, and gets all again after 250 ms; more than three pushes in quick succession are spaced by 10 ms; of a leaving upstream that is already known only that is told. Tests: membership/UpstreamRegistryTest (failed first: 5050 rows for 100, 100 pushes), control/SeededGroupTest, wire/PeerTransportTest.

--- a/include/peridotspool/control/Consensus.h
+++ b/include/peridotspool/control/Consensus.h
@@ -71,6 +71,8 @@
    * term, and no other replica can lead at aNow: its state is the newest.
    */
   bool LeaseHolds(TimePoint aNow) const;
+  /** Returns true iff it leads, or has heard the leader in this time. */
+  bool HeardLeaderWithin(Duration aTime, TimePoint aNow) const;
   /** What the leader knows of the others; empty on a follower. */
   const std::map<ReplicaId, FollowerProgress>& Progress() const
   {
--- a/include/peridotspool/control/ControlNode.h
+++ b/include/peridotspool/control/ControlNode.h
@@ -35,6 +35,11 @@
 
   /** Returns true iff this replica leads, and its lease holds at aNow. */
   bool Leads(TimePoint aNow) const;
+  /**
+   * Returns true iff this replica has its place in the group and has lately led
+   * or heard the leader: entries know of it, and ask it.
+   */
+  bool IsConnected(TimePoint aNow) const;
   /** The newest applied state; on a follower it may be behind. */
   const MachineState& State() const;
   const ReplicaSet& Replicas() const;
--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -18,8 +18,15 @@
   Duration mSilentAfter = std::chrono::milliseconds(4500);
   /** Rows of silent and gone upstreams are forgotten after this long. */
   Duration mForgetAfter = std::chrono::seconds(90);
-  /** A push that was not confirmed for this long is sent again. */
+  /** Pushes that were not confirmed for this long are sent again. */
   Duration mResendAfter = std::chrono::milliseconds(250);
+  /** Pushes to one subscriber that go out at once... */
+  std::uint32_t mMostQuick = 3;
+  /** ...before they are spaced, until there was none for this long. */
+  Duration mQuietAfter = std::chrono::milliseconds(100);
+  Duration mSpacing = std::chrono::milliseconds(10);
+  /** Silence is looked for this often. */
+  Duration mSweepPeriod = std::chrono::milliseconds(100);
   /** A subscriber that did not pull for this long has gone. */
   Duration mSubscriberTimeout = std::chrono::milliseconds(2500);
   std::size_t mMaxRows = 16384;
@@ -54,7 +61,7 @@
   std::vector<RegistrySend> TakePull(const Address& aFrom,
                                      const RegistryPull& aPull,
                                      TimePoint aNow);
-  /** About every 100 ms: silence, and pushes that were not confirmed. */
+  /** About every 10 ms: silence, and pushes that waited or got lost. */
   std::vector<RegistrySend> Tick(TimePoint aNow);
 
   std::size_t Size() const { return mRows.size(); }
@@ -66,17 +73,27 @@
     RegistryRow mRow;
     TimePoint mHeardAt;
     std::uint64_t mVersion = 0;
+    /** Subscribers were told all of it before its last change. */
+    bool mTold = false;
   };
   struct Subscriber
   {
     std::uint64_t mConfirmed = 0;
     std::uint64_t mPushed = 0;
     TimePoint mPushedAt;
+    /** Pushes with little time between them, up to the last one. */
+    std::uint32_t mQuick = 0;
+    /** Since when nothing more was confirmed of what was pushed. */
+    TimePoint mWaitsSince;
     TimePoint mHeardAt;
   };
 
   void Change(Row& aRow);
+  static RegistryRow Told(const Row& aRow);
+  bool IsLost(const Subscriber& aSubscriber, TimePoint aNow) const;
+  bool IsDue(const Subscriber& aSubscriber, TimePoint aNow) const;
   std::vector<RegistrySend> PushAll(TimePoint aNow);
+  bool FindSilent(TimePoint aNow);
   RegistrySend Push(const Address& aTo,
                     Subscriber& aSubscriber,
                     TimePoint aNow);
@@ -87,6 +104,7 @@
   std::map<std::uint64_t, UpstreamName> mByVersion;
   std::map<Address, Subscriber> mSubscribers;
   std::uint64_t mVersion = 1;
+  TimePoint mSweptAt;
 };
 
 } // namespace peridotspool::membership
--- a/include/peridotspool/runtime/ControlDialect.h
+++ b/include/peridotspool/runtime/ControlDialect.h
@@ -63,6 +63,8 @@
                                    const std::string& aTarget)>
     mWriteAnswer;
   std::function<http::HttpResponse()> mWriteAnnounced;
+  /** Says that another replica is to be asked. */
+  std::function<http::HttpResponse()> mWriteNotNow;
   /** Entries in the order in which a caller is to try them; may be empty. */
   std::function<http::HttpResponse(const std::vector<membership::EntryProfile>&,
                                    const DirectoryCall&)>
--- a/include/peridotspool/runtime/ControlHostOptions.h
+++ b/include/peridotspool/runtime/ControlHostOptions.h
@@ -32,6 +32,8 @@
   /** For the log. */
   std::string mName;
   Address mPeerListen;
+  /** Where it listens for peers if that differs; see NodeListen. */
+  std::optional<Address> mPeerBind;
   Address mOperatorsListen;
   /** A further address at which callers ask for entries. */
   std::optional<Address> mDirectoryListen;
--- a/include/peridotspool/settings/NodeSettings.h
+++ b/include/peridotspool/settings/NodeSettings.h
@@ -19,8 +19,13 @@
 /** Where one process of a seeded deployment listens; what it lacks is unset. */
 struct NodeListen
 {
-  /** For our own processes. */
+  /** Where our own processes reach this one; it names the process to them. */
   Address mPeer;
+  /**
+   * Where it listens for them if that differs, because something forwards to
+   * it; connections to other processes start from this host then.
+   */
+  std::optional<Address> mPeerBind;
   std::optional<Address> mCallers;
   std::optional<Address> mReady;
   std::optional<Address> mOperators;
--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,10 @@
 
 struct PeerTransportOptions
 {
+  /** Where others reach this process; it is known to them by it. */
   Address mListen;
+  /** Where it listens and connects from, if that differs. */
+  std::optional<Address> mBind;
   std::string mSharedKey;
   std::size_t mMaxFrameBytes = 8U << 20;
   /** Bytes that may wait for one peer; more frames to it are dropped. */
--- a/src/control/ConsensusElection.cpp
+++ b/src/control/ConsensusElection.cpp
@@ -39,6 +39,13 @@
   return mNow - mHeardLeaderAt < mOptions.mElectionTimeout;
 }
 
+bool
+Consensus::HeardLeaderWithin(Duration aTime, TimePoint aNow) const
+{
+  return mRole == Role::kLeader ||
+         (mHadLeader && aNow - mHeardLeaderAt < aTime);
+}
+
 bool
 Consensus::IsUpToDate(const VoteRequest& aRequest) const
 {
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -30,6 +30,12 @@
   return mState->Leads(aNow);
 }
 
+bool
+ControlNode::IsConnected(TimePoint aNow) const
+{
+  return mState->IsConnected(aNow);
+}
+
 const MachineState&
 ControlNode::State() const
 {
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** An election takes less; entries drop a replica that is silent for longer. */
+constexpr Duration kConnectedFor = std::chrono::milliseconds(2000);
+
 MachineState
 StateOf(const RestoredState& aState)
 {
@@ -45,6 +48,12 @@
   return mConsensus && mConsensus->LeaseHolds(aNow);
 }
 
+bool
+ControlNodeState::IsConnected(TimePoint aNow) const
+{
+  return mConsensus && mConsensus->HeardLeaderWithin(kConnectedFor, aNow);
+}
+
 const ReplicaSet&
 ControlNodeState::Replicas() const
 {
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -27,6 +27,7 @@
 
   ControlEffects Step(const ControlEvent& aEvent, TimePoint aNow);
   bool Leads(TimePoint aNow) const;
+  bool IsConnected(TimePoint aNow) const;
   const MachineState& State() const { return mMachine.State(); }
   const ReplicaSet& Replicas() const;
   ReplicaId Self() const;
--- a/src/membership/UpstreamRegistry.cpp
+++ b/src/membership/UpstreamRegistry.cpp
@@ -1,5 +1,7 @@
 #include "peridotspool/membership/UpstreamRegistry.h"
 
+#include <algorithm>
+
 namespace peridotspool::membership {
 
 namespace {
@@ -26,11 +28,26 @@
 {
   if (aRow.mVersion != 0) {
     mByVersion.erase(aRow.mVersion);
+    aRow.mTold = true;
   }
   aRow.mVersion = ++mVersion;
   mByVersion.emplace(aRow.mVersion, aRow.mRow.mReport.mName);
 }
 
+// Of an upstream that leaves only that is told: all else was told before.
+RegistryRow
+UpstreamRegistry::Told(const Row& aRow)
+{
+  const UpstreamReport& report = aRow.mRow.mReport;
+  if (report.mStage == UpstreamStage::kReady || !aRow.mTold) {
+    return aRow.mRow;
+  }
+  return { .mReport = { .mName = report.mName,
+                        .mStage = report.mStage,
+                        .mSequence = report.mSequence },
+           .mSilent = aRow.mRow.mSilent };
+}
+
 // A heartbeat may be delayed for seconds and arrive after one that said that
 // the upstream leaves. Taken as news it would bring work back to an upstream
 // that is about to exit; its lower sequence shows that it is old.
@@ -100,26 +117,23 @@
   }
   Subscriber& subscriber = mSubscribers[aFrom];
   subscriber.mHeardAt = aNow;
-  if (aPull.mLife != mOptions.mLife) {
-    subscriber.mConfirmed = 0;
-    subscriber.mPushed = 0;
-  } else {
-    subscriber.mConfirmed = aPull.mVersion;
-    // The subscriber may have restarted and know less than it confirmed.
-    if (aPull.mVersion == 0) {
-      subscriber.mPushed = 0;
-    }
+  const std::uint64_t has = aPull.mLife == mOptions.mLife ? aPull.mVersion : 0;
+  if (has > subscriber.mConfirmed) {
+    subscriber.mWaitsSince = aNow;
+  } else if (has < subscriber.mConfirmed || has == 0) {
+    // It has restarted, and knows less than it confirmed.
+    subscriber.mPushed = has;
   }
-  const bool due = subscriber.mPushed < mVersion ||
-                   aNow - subscriber.mPushedAt >= mOptions.mResendAfter;
-  if (subscriber.mConfirmed >= mVersion || !due) {
+  subscriber.mConfirmed = has;
+  subscriber.mPushed = std::max(subscriber.mPushed, has);
+  if (!IsDue(subscriber, aNow)) {
     return {};
   }
   return { Push(aFrom, subscriber, aNow) };
 }
 
-std::vector<RegistrySend>
-UpstreamRegistry::Tick(TimePoint aNow)
+bool
+UpstreamRegistry::FindSilent(TimePoint aNow)
 {
   bool changed = false;
   for (auto row = mRows.begin(); row != mRows.end();) {
@@ -138,51 +152,81 @@
     }
     ++row;
   }
-  std::erase_if(mSubscribers, [&](const auto& aPair) {
-    return aNow - aPair.second.mHeardAt > mOptions.mSubscriberTimeout;
-  });
-  std::vector<RegistrySend> sends;
-  if (changed) {
-    sends = PushAll(aNow);
-  }
-  for (auto& [address, subscriber] : mSubscribers) {
-    if (subscriber.mConfirmed < mVersion &&
-        aNow - subscriber.mPushedAt >= mOptions.mResendAfter) {
-      sends.push_back(Push(address, subscriber, aNow));
-    }
+  return changed;
+}
+
+std::vector<RegistrySend>
+UpstreamRegistry::Tick(TimePoint aNow)
+{
+  if (aNow - mSweptAt >= mOptions.mSweepPeriod) {
+    mSweptAt = aNow;
+    FindSilent(aNow);
+    std::erase_if(mSubscribers, [&](const auto& aPair) {
+      return aNow - aPair.second.mHeardAt > mOptions.mSubscriberTimeout;
+    });
   }
-  return sends;
+  return PushAll(aNow);
+}
+
+bool
+UpstreamRegistry::IsLost(const Subscriber& aSubscriber, TimePoint aNow) const
+{
+  return aSubscriber.mPushed > aSubscriber.mConfirmed &&
+         aNow - aSubscriber.mWaitsSince >= mOptions.mResendAfter;
+}
+
+// When a hundred upstreams leave within a tenth of a second, a push for each of
+// them to each of a hundred entries takes a slow link for seconds, and the last
+// ones are told too late. A little spacing gathers them.
+bool
+UpstreamRegistry::IsDue(const Subscriber& aSubscriber, TimePoint aNow) const
+{
+  const bool mayPush = aSubscriber.mQuick < mOptions.mMostQuick ||
+                       aNow - aSubscriber.mPushedAt >= mOptions.mSpacing;
+  return (mayPush && aSubscriber.mPushed < mVersion) ||
+         IsLost(aSubscriber, aNow);
 }
 
 std::vector<RegistrySend>
 UpstreamRegistry::PushAll(TimePoint aNow)
 {
   std::vector<RegistrySend> sends;
-  sends.reserve(mSubscribers.size());
   for (auto& [address, subscriber] : mSubscribers) {
-    sends.push_back(Push(address, subscriber, aNow));
+    if (IsDue(subscriber, aNow)) {
+      sends.push_back(Push(address, subscriber, aNow));
+    }
   }
   return sends;
 }
 
-// From what is confirmed, not from what was pushed: a push may be lost, and
-// rows are few.
+// What was pushed a moment ago is taken to arrive, and only what is newer is
+// sent. A subscriber that missed something takes nothing that follows it, and
+// so confirms no more: then all from what it has confirmed is sent again.
 RegistrySend
 UpstreamRegistry::Push(const Address& aTo,
                        Subscriber& aSubscriber,
                        TimePoint aNow)
 {
+  const bool waits = aSubscriber.mPushed > aSubscriber.mConfirmed;
+  const bool lost = IsLost(aSubscriber, aNow);
+  const std::uint64_t from =
+    waits && !lost ? aSubscriber.mPushed : aSubscriber.mConfirmed;
+  if (!waits || lost) {
+    aSubscriber.mWaitsSince = aNow;
+  }
+  aSubscriber.mQuick = aNow - aSubscriber.mPushedAt >= mOptions.mQuietAfter
+                         ? 0
+                         : aSubscriber.mQuick + 1;
   aSubscriber.mPushed = mVersion;
   aSubscriber.mPushedAt = aNow;
   RegistrySend send{ .mTo = aTo,
                      .mPush = { .mLife = mOptions.mLife,
-                                .mFrom = aSubscriber.mConfirmed,
+                                .mFrom = from,
                                 .mTo = mVersion,
                                 .mRows = {} } };
-  for (auto place = mByVersion.upper_bound(aSubscriber.mConfirmed);
-       place != mByVersion.end();
+  for (auto place = mByVersion.upper_bound(from); place != mByVersion.end();
        ++place) {
-    send.mPush.mRows.push_back(mRows.at(place->second).mRow);
+    send.mPush.mRows.push_back(Told(mRows.at(place->second)));
   }
   return send;
 }
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -11,7 +11,6 @@
 
 /** Addresses of entry processes kept; old lives are dropped beyond it. */
 constexpr std::size_t kMaxEntryAddresses = 8192;
-constexpr Duration kRegistryPeriod = std::chrono::milliseconds(100);
 constexpr Duration kPullPeriod = std::chrono::milliseconds(300);
 
 observe::EventId
@@ -77,10 +76,7 @@
 {
   mNow = aNow;
   Step(control::TickEvent{});
-  if (aNow - mRegistryAt >= kRegistryPeriod) {
-    mRegistryAt = aNow;
-    SendAll(mRegistry.Tick(aNow));
-  }
+  SendAll(mRegistry.Tick(aNow));
   if (mDuties) {
     PullRegistries();
     mDuties->Tick(mNode, aNow);
@@ -113,11 +109,15 @@
 void
 ControlDecider::Take(HttpInput& aInput, AnnounceCall& aCall)
 {
+  if (RefuseAnnouncement(aInput)) {
+    return;
+  }
   const membership::UpstreamReport report = aCall.mReport;
+  const std::uint64_t before = mRegistry.Version();
   auto sends = mRegistry.TakeReport(report, mNow);
   // Entries are told before the upstream is answered: it counts the time
   // until it gets no more work from the answer.
-  if (!sends.empty()) {
+  if (mRegistry.Version() != before) {
     const bool leaving = report.mStage != membership::UpstreamStage::kReady;
     mParts.mLogger.Log(leaving ? observe::EventId::kUpstreamLeaving
                                : observe::EventId::kUpstreamAnnounced,
@@ -132,9 +132,25 @@
   aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteAnnounced());
 }
 
+// Entries ask the replicas that the leader names. One that has no place in the
+// group yet, lost it, or is cut off could tell nobody what an upstream says;
+// the upstream goes on to another replica if it gets no answer here.
+bool
+ControlDecider::RefuseAnnouncement(HttpInput& aInput)
+{
+  if (mNode.IsConnected(mNow)) {
+    return false;
+  }
+  aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteNotNow());
+  return true;
+}
+
 void
 ControlDecider::Take(HttpInput& aInput, GoodbyeCall& aCall)
 {
+  if (RefuseAnnouncement(aInput)) {
+    return;
+  }
   auto sends = mRegistry.TakeGoodbye(aCall.mName, mNow);
   mParts.mLogger.Log(observe::EventId::kUpstreamLeaving,
                      { { "upstream", aCall.mName },
--- a/src/runtime/ControlDecider.h
+++ b/src/runtime/ControlDecider.h
@@ -48,6 +48,7 @@
   void Take(HttpInput& aInput, control::OperatorRequest& aRequest);
   void Take(HttpInput& aInput, AnnounceCall& aCall);
   void Take(HttpInput& aInput, GoodbyeCall& aCall);
+  bool RefuseAnnouncement(HttpInput& aInput);
   void Take(HttpInput& aInput, DirectoryCall& aCall);
   void Take(HttpInput& aInput, AnsweredCall& aCall);
   void TakeRegistry(const Address& aFrom,
@@ -71,7 +72,6 @@
   /** Operators' calls that wait for an answer. */
   std::unordered_map<CallId, HttpInput> mCalls;
   CallId mLastCall;
-  TimePoint mRegistryAt;
   TimePoint mPulledAt;
   std::optional<DutyRunner> mDuties;
   /** Where each entry process listens. */
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -132,6 +132,7 @@
     const auto& bounds = mOptions.mBounds;
     mTransport = std::make_unique<wire::PeerTransport>(
       wire::PeerTransportOptions{ .mListen = mOptions.mPeerListen,
+                                  .mBind = mOptions.mPeerBind,
                                   .mSharedKey = mOptions.mPeerKey,
                                   .mMaxFrameBytes = bounds.mFrameBytes },
       [this](const std::string& aFrame) { OnFrame(aFrame); });
--- a/src/runtime/ControlHostOptions.cpp
+++ b/src/runtime/ControlHostOptions.cpp
@@ -162,6 +162,7 @@
   return ControlHostOptions{
     .mName = aSettings.mName.Value(),
     .mPeerListen = aSettings.mListen.mPeer,
+    .mPeerBind = aSettings.mListen.mPeerBind,
     .mOperatorsListen = aSettings.mListen.mOperators.value_or(Address{}),
     .mDirectoryListen = aSettings.mListen.mDirectory,
     .mDataFolder = aSettings.mDataFolder,
--- a/src/runtime/GatewayHost.cpp
+++ b/src/runtime/GatewayHost.cpp
@@ -118,6 +118,7 @@
   {
     mTransport = std::make_unique<wire::PeerTransport>(
       wire::PeerTransportOptions{ .mListen = mSettings.mListen.mPeer,
+                                  .mBind = mSettings.mListen.mPeerBind,
                                   .mSharedKey = kNoPeerKey,
                                   .mMaxFrameBytes =
                                     mSettings.mBounds.mFrameBytes },
--- a/src/runtime/StopSignal.cpp
+++ b/src/runtime/StopSignal.cpp
@@ -28,6 +28,8 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  // A file that may not grow is a full disk, of which the store knows.
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 ProcessSignal
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -22,6 +22,7 @@
   listen.mRequired = true;
   listen.mValues = {
     { "peer", { .mKind = Kind::kAddress, .mRequired = true } },
+    { "peer_bind", { .mKind = Kind::kAddress } },
     { "callers", { .mKind = Kind::kAddress } },
     { "ready", { .mKind = Kind::kAddress } },
     { "operators", { .mKind = Kind::kAddress } },
@@ -154,6 +155,7 @@
 ReadListen(const FileReader& aFile)
 {
   return { .mPeer = aFile.Value<Address>("listen.peer"),
+           .mPeerBind = aFile.AddressAt("listen.peer_bind"),
            .mCallers = aFile.AddressAt("listen.callers"),
            .mReady = aFile.AddressAt("listen.ready"),
            .mOperators = aFile.AddressAt("listen.operators"),
--- a/src/wire/PeerConnection.cpp
+++ b/src/wire/PeerConnection.cpp
@@ -52,7 +52,7 @@
 }
 
 void
-PeerConnection::StartConnecting(const Address& aPeer)
+PeerConnection::StartConnecting(const Address& aPeer, const std::string& aFrom)
 {
   mPeer = aPeer;
   error_code error;
@@ -61,6 +61,15 @@
     Close("not an IP number: " + aPeer.mHost);
     return;
   }
+  if (!aFrom.empty()) {
+    const auto from = asio::ip::make_address(aFrom, error);
+    mSocket.open(asio::ip::tcp::v4(), error);
+    mSocket.bind(asio::ip::tcp::endpoint(from, 0), error);
+    if (error) {
+      Close("bind: " + error.message());
+      return;
+    }
+  }
   ArmTimer();
   mSocket.async_connect(asio::ip::tcp::endpoint(host, aPeer.mPort),
                         [self = shared_from_this()](const error_code& aError) {
--- a/src/wire/PeerConnection.h
+++ b/src/wire/PeerConnection.h
@@ -56,8 +56,8 @@
 
   /** Starts on a socket that was accepted. */
   void StartAccepted();
-  /** Connects to the peer, then starts. */
-  void StartConnecting(const Address& aPeer);
+  /** Connects to the peer, from an address if one is given, then starts. */
+  void StartConnecting(const Address& aPeer, const std::string& aFrom);
   void Send(std::string aFrame);
   void Close(const std::string& aReason, bool aSilent = false);
 
--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -64,17 +64,19 @@
   bool Start(LastReason& aReason)
   {
     error_code error;
-    const auto host = asio::ip::make_address(mOptions.mListen.mHost, error);
+    const Address bind = mOptions.mBind.value_or(mOptions.mListen);
+    const auto host = asio::ip::make_address(bind.mHost, error);
     if (error) {
-      aReason.Set("not an IP number: " + mOptions.mListen.mHost);
+      aReason.Set("not an IP number: " + bind.mHost);
       return false;
     }
-    if (!Listen(asio::ip::tcp::endpoint(host, mOptions.mListen.mPort), error)) {
-      aReason.Set("cannot listen on " + ToText(mOptions.mListen) + ": " +
-                  error.message());
+    if (!Listen(asio::ip::tcp::endpoint(host, bind.mPort), error)) {
+      aReason.Set("cannot listen on " + ToText(bind) + ": " + error.message());
       return false;
     }
-    mOptions.mListen.mPort = mAcceptor.local_endpoint().port();
+    if (!mOptions.mBind) {
+      mOptions.mListen.mPort = mAcceptor.local_endpoint().port();
+    }
     Accept();
     mThread = std::thread([this] { mContext.run(); });
     return true;
@@ -288,7 +290,8 @@
                                      PeerRole::kClient,
                                      ConnectTimeoutFor(aPeer));
     mByPeer[aPeer] = connection;
-    connection->StartConnecting(aPeer);
+    connection->StartConnecting(aPeer,
+                                mOptions.mBind ? mOptions.mBind->mHost : "");
     return connection;
   }
 
--- a/test/control/SeededGroupTest.cpp
+++ b/test/control/SeededGroupTest.cpp
@@ -258,4 +258,32 @@
                          std::chrono::seconds(5)));
 }
 
+// Symptom: entries sent work to an upstream that had said seconds before that
+// it leaves. Sequence: it said so to a replica that was cut off, or not yet in
+// the group. Cause: the replica took the word though no entry asks it for
+// upstreams.
+TEST_CASE("OnlyAReplicaInTouchWithTheGroupIsConnected")
+{
+  ControlCluster cluster;
+  StartFour(cluster);
+  const auto connected = [&](const std::string& aName) {
+    const ClusterProcess& process = cluster.Process(aName);
+    return process.mNode->IsConnected(cluster.LocalNow(process));
+  };
+  cluster.Run(std::chrono::seconds(1));
+  for (const auto& [name, process] : cluster.Processes()) {
+    CHECK(connected(name));
+  }
+  const std::string follower = Follower(cluster);
+  cluster.CutOff({ follower });
+  cluster.Run(std::chrono::seconds(3));
+  CHECK_FALSE(connected(follower));
+  cluster.Restart(follower);
+  cluster.Run(std::chrono::milliseconds(300));
+  CHECK_FALSE(connected(follower));
+  cluster.Heal();
+  cluster.Run(kSettled);
+  CHECK(connected(follower));
+}
+
 } // namespace peridotspool::control
--- a/test/membership/UpstreamRegistryTest.cpp
+++ b/test/membership/UpstreamRegistryTest.cpp
@@ -198,4 +198,59 @@
   });
 }
 
+// Symptom: on a large deployment work was sent to leaving upstreams 2.7 s after
+// they had said so.
+// Sequence: a hundred upstreams leave within a tenth of a second, at a registry
+// with a slow link and eighty subscribers.
+// Cause: each push repeated all that was not confirmed yet, a thousand times
+// the bytes that there was to tell.
+TEST_CASE("ABurstOfLeavingUpstreamsIsToldOnceAndTogether")
+{
+  constexpr int kUpstreams = 100;
+  Pair one(1);
+  UpstreamDirectory directory;
+  one.Pull(directory, At(0));
+  std::size_t pushes = 0;
+  std::size_t rows = 0;
+  const auto send = [&](const std::vector<RegistrySend>& aSends, int aMs) {
+    pushes += aSends.size();
+    for (const RegistrySend& one : aSends) {
+      rows += one.mPush.mRows.size();
+    }
+    one.Deliver(directory, aSends, At(aMs));
+  };
+  for (int ms = 1; ms <= kUpstreams + 20; ++ms) {
+    if (ms <= kUpstreams) {
+      UpstreamReport report = Report(1, UpstreamStage::kDraining);
+      report.mName = UpstreamName(std::to_string(ms));
+      send(one.mRegistry.TakeReport(report, At(ms)), ms);
+    }
+    send(one.mRegistry.Tick(At(ms)), ms);
+  }
+  CHECK(directory.All().size() == kUpstreams);
+  CHECK(rows == kUpstreams);
+  CHECK(pushes <= kUpstreams / 10 + 5);
+}
+
+// Symptom: an entry never heard of an upstream again.
+// Sequence: one push was lost with its connection, and others followed it every
+// tenth of a second.
+// Cause: a push that follows another one soon holds only what is newer, and the
+// time for sending all again began anew with each.
+TEST_CASE("APushThatWasLostAmongOthersIsSentAgain")
+{
+  Pair one(1);
+  UpstreamDirectory directory;
+  one.Pull(directory, At(0));
+  one.mRegistry.TakeReport(Report(1), At(100));
+  for (int ms = 200; ms <= 600; ms += 100) {
+    UpstreamReport report = Report(1);
+    report.mName = UpstreamName(std::to_string(ms));
+    one.Deliver(directory, one.mRegistry.TakeReport(report, At(ms)), At(ms));
+    one.Pull(directory, At(ms + 1));
+  }
+  CHECK(directory.Find(kName) != nullptr);
+  CHECK(directory.All().size() == 6);
+}
+
 } // namespace peridotspool::membership
--- a/test/settings/NodeSettingsTest.cpp
+++ b/test/settings/NodeSettingsTest.cpp
@@ -44,6 +44,7 @@
   CHECK(settings->mFounding);
   CHECK(settings->mListen.mCallers->mPort == 8221);
   CHECK_FALSE(settings->mListen.mOperators);
+  CHECK_FALSE(settings->mListen.mPeerBind);
   CHECK(settings->mShared.mRetryRatio == 0.25);
   CHECK(settings->mShared.mQuotaSlack == 190000.0);
   CHECK(settings->mDuties.mLease == std::chrono::seconds(3));
--- a/test/wire/PeerTransportTest.cpp
+++ b/test/wire/PeerTransportTest.cpp
@@ -225,4 +225,50 @@
   CHECK(arrived);
 }
 
+// Symptom: an entry that is back asks control for its settings and gets them a
+// second late.
+// Sequence: it starts while the other machine has no power; that one is back a
+// third of a second later.
+// Cause: a connection waits for its opening packet, which the system repeats
+// after a second.
+TEST_CASE("AConnectionThatCannotBeMadeIsTriedAgainSoon")
+{
+  // Listens and takes no connection: what comes waits in the queue.
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor deaf(
+    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  const Address there{ "127.0.0.1", deaf.local_endpoint().port() };
+  auto options = Options("key");
+  options.mFirstConnectTimeout = std::chrono::milliseconds(20);
+  options.mConnectTimeout = std::chrono::milliseconds(80);
+  PeerTransport transport(options, [](auto) {});
+  LastReason reason;
+  REQUIRE(transport.Start(reason));
+  for (int i = 0; i < 200 && transport.Counts().mConnectionsOpened < 4; ++i) {
+    transport.Send(there, "hello");
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(transport.Counts().mConnectionsOpened >= 4);
+}
+
+TEST_CASE("AProcessBehindAForwarderIsKnownByTheForwardersAddress")
+{
+  Inbox left;
+  Inbox right;
+  auto options = Options("key");
+  options.mListen = { "127.0.0.9", 7600 };
+  options.mBind = { "127.0.0.8", 0 };
+  PeerTransport behind(options, [&](auto aFrame) { left.Put(aFrame); });
+  PeerTransport other(Options("key"), [&](auto aFrame) { right.Put(aFrame); });
+  LastReason reason;
+  REQUIRE(behind.Start(reason));
+  REQUIRE(other.Start(reason));
+  CHECK(behind.LocalAddress() == Address{ "127.0.0.9", 7600 });
+  behind.Send(other.LocalAddress(), "to the other");
+  REQUIRE(right.WaitFor(1));
+  // Nobody listens at the forwarder's address: it has to use the connection.
+  other.Send(behind.LocalAddress(), "and back");
+  CHECK(left.WaitFor(1));
+}
+
 } // namespace peridotspool::wire
