Repeat a stream that may be resumed when its upstream fails it

Change: AfterFailure asks the same question as AfterLost. Test: gateway/AttemptPolicyTest, failed first.

--- a/src/gateway/AttemptPolicy.cpp
+++ b/src/gateway/AttemptPolicy.cpp
@@ -52,7 +52,7 @@
 NextStep
 AfterFailure(const AttemptFacts& aFacts)
 {
-  if (aFacts.mKind == RequestKind::kIdempotent && MayRunAgain(aFacts)) {
+  if (MayRunAgain(aFacts)) {
     return NextStep::kTryAnother;
   }
   return NextStep::kPassOn;
--- a/test/gateway/AttemptPolicyTest.cpp
+++ b/test/gateway/AttemptPolicyTest.cpp
@@ -82,7 +82,7 @@
   });
 }
 
-TEST_CASE("AnUpstreamsOwnFailureIsRepeatedForIdempotentRequestsOnly")
+TEST_CASE("AnUpstreamsOwnFailureIsRepeatedOnlyWhereItMayRunAgain")
 {
   AttemptFacts facts{ .mKind = RequestKind::kIdempotent,
                       .mRuns = 1,
@@ -96,4 +96,19 @@
   CHECK(AfterFailure(facts) == NextStep::kPassOn);
 }
 
+// Symptom: callers of streams got an upstream's 500 for seconds while other
+// upstreams worked.
+// Sequence: one upstream failed streams before their first event.
+// Cause: a stream that may be resumed was not taken for one that may run again.
+TEST_CASE("AStreamThatMayBeResumedIsTriedElsewhereWhenItsUpstreamFails")
+{
+  AttemptFacts facts{ .mKind = RequestKind::kStreaming,
+                      .mResumable = true,
+                      .mRuns = 1,
+                      .mMaxAttempts = 2 };
+  CHECK(AfterFailure(facts) == NextStep::kTryAnother);
+  facts.mResumable = false;
+  CHECK(AfterFailure(facts) == NextStep::kPassOn);
+}
+
 } // namespace peridotspool::gateway
