Block stop signals before a process reads its settings

SIGHUP came 16 ms after an entry had been started and ended it with 129: signals were blocked only after the settings had been read. Change: blocked first thing in main, so that an early signal waits until the process has started. Between exec and main it can still end it.

--- a/daemon/controld.cpp
+++ b/daemon/controld.cpp
@@ -17,7 +17,6 @@
 int
 Run(const settings::ProcessSettings& aSettings)
 {
-  runtime::BlockStopSignals();
   LastReason reason;
   auto options = runtime::MakeControlOptions(aSettings, reason);
   if (!options) {
@@ -76,5 +75,6 @@
 int
 main(int aCount, char** aArguments)
 {
+  peridotspool::runtime::BlockStopSignals();
   return peridotspool::runtime::GuardedMain(RunProgram, aCount, aArguments);
 }
--- a/daemon/entryd.cpp
+++ b/daemon/entryd.cpp
@@ -33,7 +33,6 @@
     std::cout << path << ": good\n";
     return 0;
   }
-  runtime::BlockStopSignals();
   runtime::EntryHost host(*settings);
   LastReason reason;
   if (!host.Start(reason)) {
@@ -51,5 +50,6 @@
 int
 main(int aCount, char** aArguments)
 {
+  peridotspool::runtime::BlockStopSignals();
   return peridotspool::runtime::GuardedMain(RunProgram, aCount, aArguments);
 }
