--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -44,7 +44,7 @@
       ${test_name}
       PROPERTIES LABELS "${labels}" TIMEOUT 240 ENVIRONMENT
                  "RC_PARAMS=seed=20261202")
-    if(folder_name STREQUAL "process")
+    if(folder_name STREQUAL "process" OR unit STREQUAL "SoakTest")
       # Each starts a whole system of ten processes and more; one at a time, so
       # that they do not take the processor from each other's leases.
       set_tests_properties(${test_name} PROPERTIES RESOURCE_LOCK system)
@@ -52,6 +52,12 @@
   endforeach()
 endforeach()
 
+# The soak runs the program of the users' platform as real processes.
+if(TARGET test_soak)
+  target_sources(test_soak PRIVATE test/process/ChildProcess.cpp)
+  add_dependencies(test_soak peridotspool-platform)
+endif()
+
 # The tests of real processes run these programs.
 if(TARGET test_process)
   add_dependencies(
--- a/test/process/ChildProcess.h
+++ b/test/process/ChildProcess.h
@@ -29,6 +29,7 @@
   std::optional<int> WaitForEnd(
     std::chrono::seconds aPatience = std::chrono::seconds(40));
   bool IsRunning();
+  pid_t Pid() const { return mPid; }
   /** What it printed so far. */
   std::string Log() const;
   /** The value of a printed line "<word> <value>"; waits for it. */
--- /dev/null
+++ b/test/soak/SoakMachine.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "process/ChildProcess.h"
+#include "soak/SoakNames.h"
+
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotspool::soak {
+
+/**
+ * One machine with its processes, started and ended from outside. Used by one
+ * thread.
+ */
+class SoakMachine
+{
+public:
+  SoakMachine(const Places& aPlaces,
+              int aNumber,
+              std::filesystem::path aFolder);
+
+  /** Writes the settings files anew; aFirstStart: the system is founded. */
+  void WriteSettings(bool aFirstStart) const;
+  void StartEntry();
+  void StartControl();
+  void StartAll();
+  void KillEntry();
+  void KillControl();
+  void Signal(int aSignal) const;
+  /** Asks both processes to stop; they may take their grace. */
+  void AskToStop();
+  /** Files may not grow while it is set. */
+  void FillDisk(bool aFull) const;
+  void LoseDisk() const;
+  /** Leaves half a record at the end of the journal, as a loss of power does.
+   */
+  void TearTail() const;
+
+  bool HasControl() const { return mNumber <= kControls; }
+  int EntryLife() const { return mEntryLife; }
+  /** Processes that ended though nobody told them to; each is told once. */
+  std::vector<std::string> OwnEnds();
+
+private:
+  std::string File(const std::string& aName) const;
+  std::unique_ptr<test::ChildProcess> Start(const std::string& aRole) const;
+
+  const Places mPlaces;
+  const int mNumber;
+  const std::filesystem::path mFolder;
+  std::unique_ptr<test::ChildProcess> mEntry;
+  std::unique_ptr<test::ChildProcess> mControl;
+  int mEntryLife = 0;
+  /** They were asked to stop, and so may end. */
+  bool mEntryStops = false;
+  bool mControlStops = false;
+};
+
+} // namespace peridotspool::soak
--- /dev/null
+++ b/test/soak/SoakUpstream.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "soak/SoakPlan.h"
+#include "soak/SoakRecord.h"
+#include "soak/SoakWire.h"
+
+#include <atomic>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace peridotspool::soak {
+
+/** Tells the system of an upstream, as often as upstreams do. */
+class Announcer
+{
+public:
+  explicit Announcer(const Places& aPlaces)
+    : mPlaces(aPlaces)
+  {
+  }
+
+  /** Sends one call to the replica that answered last, or to the next ones. */
+  bool Tell(const std::string& aPath, const std::string& aBody);
+
+private:
+  const Places mPlaces;
+  int mNext = 1;
+};
+
+std::string
+BeatText(const std::string& aService,
+         const std::string& aAddress,
+         int aDomain,
+         const char* aState,
+         std::uint64_t aSequence);
+
+/**
+ * A stand-in for an upstream: one address, and one life after the other, each
+ * with an identity of its own.
+ */
+class SoakUpstream
+{
+public:
+  SoakUpstream(const Places& aPlaces,
+               int aNumber,
+               std::string aService,
+               Recorder& aRecorder);
+  ~SoakUpstream();
+  SoakUpstream(const SoakUpstream&) = delete;
+  SoakUpstream& operator=(const SoakUpstream&) = delete;
+
+  void Start();
+  /** Ends as a process that dies does, without a word. */
+  void Crash();
+  /** Says that it leaves, serves on, and goes in a while. */
+  void Drain();
+  /** Starts again at the same address, for another service. */
+  void Become(const std::string& aService);
+  const std::string& Service() const { return mService; }
+  /** kMute, kLoseAnswers, kReject, kFail or kGarble; empty: works well. */
+  void Misbehave(std::optional<FaultKind> aHow);
+
+private:
+  struct Session
+  {
+    std::shared_ptr<Wire> mWire;
+    std::thread mThread;
+    std::shared_ptr<std::atomic<bool>> mDone;
+  };
+
+  void Beat();
+  void Accept();
+  void Serve(Wire& aWire);
+  /** Returns false when the connection is over. */
+  bool Answer(Wire& aWire, const HttpText& aRequest);
+  bool AnswerPlain(Wire& aWire, const std::string& aId);
+  bool AnswerStream(Wire& aWire,
+                    const std::string& aId,
+                    const std::string& aAfter);
+  std::string Head(const std::string& aId) const;
+  bool Misbehaves(FaultKind aHow);
+  bool Sleeps(Ms aFor) const;
+
+  const Places mPlaces;
+  const int mNumber;
+  std::string mService;
+  Recorder& mRecorder;
+  int mLife = 0;
+  std::string mName;
+  std::atomic<bool> mRunning{ false };
+  std::atomic<bool> mDraining{ false };
+  /** A FaultKind, or -1. */
+  std::atomic<int> mHow{ -1 };
+  std::atomic<unsigned> mCounted{ 0 };
+  std::atomic<int> mBusy{ 0 };
+  int mListening = -1;
+  std::mutex mMutex;
+  std::list<Session> mSessions;
+  std::thread mAccepting;
+  std::thread mBeating;
+};
+
+} // namespace peridotspool::soak
