Ask and tell less where entries are many

Change: pushes of announcements to one subscriber are spaced by 0.5 ms for each subscriber; entries ask replicas that they know every 900 ms, not 300; four of five usage reports go to the leader alone; replicas that don't lead name the others in one answer of four; what waits for all peers together is bounded (48 MB). Tests: membership/UpstreamRegistryTest, wire/PeerTransportTest.

--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -25,6 +25,8 @@
   /** ...before they are spaced, until there was none for this long. */
   Duration mQuietAfter = std::chrono::milliseconds(100);
   Duration mSpacing = std::chrono::milliseconds(10);
+  /** The same for each subscriber, where there are many. */
+  Duration mSpacingEach = std::chrono::microseconds(500);
   /** Silence is looked for this often. */
   Duration mSweepPeriod = std::chrono::milliseconds(100);
   /** A subscriber that did not pull for this long has gone. */
@@ -90,6 +92,7 @@
 
   void Change(Row& aRow);
   static RegistryRow Told(const Row& aRow);
+  Duration Spacing() const;
   bool IsLost(const Subscriber& aSubscriber, TimePoint aNow) const;
   bool IsDue(const Subscriber& aSubscriber, TimePoint aNow) const;
   std::vector<RegistrySend> PushAll(TimePoint aNow);
--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -24,6 +24,8 @@
   std::size_t mMaxFrameBytes = 8U << 20;
   /** Bytes that may wait for one peer; more frames to it are dropped. */
   std::size_t mMaxQueuedBytes = 32U << 20;
+  /** The same for all peers together, so that a slow link can't fill memory. */
+  std::size_t mMaxQueuedInAll = 48U << 20;
   std::size_t mMaxConnections = 2048;
   /** A frame that got no other answer is answered by a heartbeat this soon. */
   std::chrono::milliseconds mHeartbeat{ 500 };
--- a/src/control/ControlEntries.cpp
+++ b/src/control/ControlEntries.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kReportSilenceAfter = std::chrono::milliseconds(650);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(200);
 constexpr Duration kExpirePeriod = std::chrono::seconds(5);
+/** One answer in so many of a replica that doesn't lead names the others. */
+constexpr std::uint64_t kHintsEach = 4;
 /** Pushes at once go to processes heard within this time. */
 constexpr Duration kHeardLately = std::chrono::seconds(1);
 
@@ -70,13 +72,17 @@
   HeartbeatAnswer answer;
   answer.mSequence = aHeartbeat.mSequence;
   answer.mLeaderHint = LeaderAddress();
-  answer.mControls = ReplicaAddresses();
   // Without the lease another replica may lead and have committed newer
   // settings: confirming the ones known here would let the entry serve by old
   // ones.
   if (!Leads(mNow)) {
+    // Only an entry that has lost the leader looks at them.
+    if (aHeartbeat.mSequence % kHintsEach == 1) {
+      answer.mControls = ReplicaAddresses();
+    }
     return answer;
   }
+  answer.mControls = ReplicaAddresses();
   const auto& members = State().mMembership;
   const auto member = members.mNonces.find(aNonce);
   if (member != members.mNonces.end() &&
--- a/src/membership/UpstreamRegistry.cpp
+++ b/src/membership/UpstreamRegistry.cpp
@@ -175,6 +175,16 @@
          aNow - aSubscriber.mWaitsSince >= mOptions.mResendAfter;
 }
 
+// Three hundred subscribers at a hundred pushes a second each would be more
+// than a replica can send; a few times a second is soon enough for all of them.
+Duration
+UpstreamRegistry::Spacing() const
+{
+  return std::max(mOptions.mSpacing,
+                  mOptions.mSpacingEach *
+                    static_cast<Duration::rep>(mSubscribers.size()));
+}
+
 // When a hundred upstreams leave within a tenth of a second, a push for each of
 // them to each of a hundred entries takes a slow link for seconds, and the last
 // ones are told too late. A little spacing gathers them.
@@ -182,7 +192,7 @@
 UpstreamRegistry::IsDue(const Subscriber& aSubscriber, TimePoint aNow) const
 {
   const bool mayPush = aSubscriber.mQuick < mOptions.mMostQuick ||
-                       aNow - aSubscriber.mPushedAt >= mOptions.mSpacing;
+                       aNow - aSubscriber.mPushedAt >= Spacing();
   return (mayPush && aSubscriber.mPushed < mVersion) ||
          IsLost(aSubscriber, aNow);
 }
@@ -214,9 +224,9 @@
   if (!waits || lost) {
     aSubscriber.mWaitsSince = aNow;
   }
-  aSubscriber.mQuick = aNow - aSubscriber.mPushedAt >= mOptions.mQuietAfter
-                         ? 0
-                         : aSubscriber.mQuick + 1;
+  const Duration quiet = std::max(mOptions.mQuietAfter, 4 * Spacing());
+  const bool isQuick = aNow - aSubscriber.mPushedAt < quiet;
+  aSubscriber.mQuick = isQuick ? aSubscriber.mQuick + 1 : 0;
   aSubscriber.mPushed = mVersion;
   aSubscriber.mPushedAt = aNow;
   RegistrySend send{ .mTo = aTo,
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -14,10 +14,14 @@
 using observe::EventId;
 
 constexpr std::chrono::milliseconds kTick{ 50 };
-constexpr Duration kPullPeriod = std::chrono::milliseconds(300);
+/** A replica that has told nothing yet is asked soon, others now and then. */
+constexpr Duration kFirstPullPeriod = std::chrono::milliseconds(150);
+constexpr Duration kPullPeriod = std::chrono::milliseconds(900);
 /** Requests wait for the first settings and upstreams in this time. */
 constexpr Duration kStartsFor = std::chrono::milliseconds(2500);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(300);
+/** One report in so many goes to replicas that don't lead. */
+constexpr unsigned kFollowersEach = 5;
 constexpr Duration kLeaderLost = std::chrono::seconds(2);
 
 } // namespace
@@ -184,18 +188,24 @@
 void
 GatewayRelay::PullUpstreams(TimePoint aNow)
 {
-  if (aNow - mPulledAt < kPullPeriod) {
+  if (aNow - mPulledAt < kFirstPullPeriod) {
     return;
   }
   mPulledAt = aNow;
+  const bool all = aNow - mPulledAllAt >= kPullPeriod;
+  if (all) {
+    mPulledAllAt = aNow;
+    mFeed->Forget(aNow);
+  }
   for (const Address& control : mSession->Controls()) {
-    SendPull(control);
+    if (all || !mFeed->Knows(control)) {
+      SendPull(control);
+    }
   }
-  mFeed->Forget(aNow);
 }
 
 // To all replicas: the next leader has to know what entries reported that are
-// gone by then.
+// gone by then. Those that don't lead need it less often.
 void
 GatewayRelay::ReportUsage(TimePoint aNow)
 {
@@ -203,10 +213,13 @@
     return;
   }
   mReportedAt = aNow;
+  const bool toAll = ++mReports % kFollowersEach == 0;
   gateway::UsageReport report = mCore->mUsage.Report(ReadWallMicros());
   report.mRunning = mCore->mBoard.Running();
   for (const Address& control : mSession->Controls()) {
-    SendPeer(control, gateway::SharedMessage(report));
+    if (toAll || !mLeader || *mLeader == control) {
+      SendPeer(control, gateway::SharedMessage(report));
+    }
   }
 }
 
--- a/src/runtime/GatewayRelay.h
+++ b/src/runtime/GatewayRelay.h
@@ -75,7 +75,9 @@
   std::atomic<bool> mReady{ false };
   std::atomic<std::size_t> mFrames{ 0 };
   TimePoint mPulledAt;
+  TimePoint mPulledAllAt;
   TimePoint mReportedAt;
+  unsigned mReports = 0;
   /** The control leader, as it said itself, and when it last did. */
   std::optional<Address> mLeader;
   TimePoint mLeaderHeardAt;
--- a/src/runtime/UpstreamFeed.h
+++ b/src/runtime/UpstreamFeed.h
@@ -25,6 +25,11 @@
   {
     return mDirectory.PullFor(aReplica);
   }
+  /** Returns true iff the replica has told what it knows. */
+  bool Knows(const Address& aReplica) const
+  {
+    return PullFor(aReplica).mVersion != 0;
+  }
   void Forget(TimePoint aNow);
 
 private:
--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -265,14 +265,28 @@
   {
     ConnectionPointer connection = ConnectionTo(aPeer);
     if (!connection || connection->QueuedBytes() > mOptions.mMaxQueuedBytes ||
-        aFrame.size() > mOptions.mMaxFrameBytes) {
+        aFrame.size() > mOptions.mMaxFrameBytes || !HasRoom(aFrame.size())) {
       ++mCounts.mFramesDropped;
       return;
     }
+    mQueuedAtMost += aFrame.size();
     ++mCounts.mFramesSent;
     connection->Send(std::move(aFrame));
   }
 
+  // Counted up with each frame, and anew only when that comes to the bound.
+  bool HasRoom(std::size_t aBytes)
+  {
+    if (mQueuedAtMost + aBytes <= mOptions.mMaxQueuedInAll) {
+      return true;
+    }
+    mQueuedAtMost = 0;
+    for (const ConnectionPointer& connection : mOpen) {
+      mQueuedAtMost += connection->QueuedBytes();
+    }
+    return mQueuedAtMost + aBytes <= mOptions.mMaxQueuedInAll;
+  }
+
   ConnectionPointer ConnectionTo(const Address& aPeer)
   {
     const auto found = mByPeer.find(aPeer);
@@ -312,6 +326,8 @@
   std::set<ConnectionPointer> mOpen;
   std::map<Address, ConnectionPointer> mByPeer;
   std::map<Address, std::chrono::steady_clock::time_point> mNotBefore;
+  /** Bytes that wait for all peers, or more. */
+  std::size_t mQueuedAtMost = 0;
   /** Tries to connect since the last that succeeded. */
   std::map<Address, unsigned> mFailedTries;
   AtomicCounts mCounts;
--- a/test/membership/UpstreamRegistryTest.cpp
+++ b/test/membership/UpstreamRegistryTest.cpp
@@ -253,4 +253,38 @@
   CHECK(directory.All().size() == 6);
 }
 
+// Symptom: with three hundred entries a replica spent all its time on pushes,
+// and its memory on those that waited.
+// Sequence: three thousand upstreams announce themselves within seconds.
+// Cause: the same number of pushes a second to each, however many they are.
+TEST_CASE("PushesASecondAreBoundedHoweverManySubscribersThereAre")
+{
+  const auto pushesInASecond = [](int aSubscribers) {
+    UpstreamRegistry registry({ .mLife = RegistryLife(1) });
+    std::size_t pushes = 0;
+    for (int ms = 1; ms <= 1000; ++ms) {
+      if (ms % 300 == 1) {
+        for (int i = 0; i < aSubscribers; ++i) {
+          const Address entry{ "127.0.0.1",
+                               static_cast<std::uint16_t>(1000 + i) };
+          registry.TakePull(
+            entry,
+            { .mLife = RegistryLife(1), .mVersion = registry.Version() },
+            At(ms));
+        }
+      }
+      UpstreamReport report = Report(1);
+      report.mName = UpstreamName(std::to_string(ms));
+      pushes += registry.TakeReport(report, At(ms)).size();
+      pushes += registry.Tick(At(ms)).size();
+    }
+    return pushes;
+  };
+  const std::size_t few = pushesInASecond(20);
+  const std::size_t many = pushesInASecond(300);
+  INFO(few << " to 20, " << many << " to 300 subscribers");
+  CHECK(few <= 20 * 105);
+  CHECK(many <= 300 * 14);
+}
+
 } // namespace peridotspool::membership
--- a/test/wire/PeerTransportTest.cpp
+++ b/test/wire/PeerTransportTest.cpp
@@ -271,4 +271,34 @@
   CHECK(left.WaitFor(1));
 }
 
+// Symptom: a control replica of a large deployment was killed for its memory.
+// Sequence: it told three hundred entries more than its link could carry.
+// Cause: what waits was bounded for each peer alone.
+TEST_CASE("WhatWaitsForAllPeersTogetherIsBounded")
+{
+  boost::asio::io_context context;
+  const auto listen = [&] {
+    return boost::asio::ip::tcp::acceptor(
+      context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  };
+  auto first = listen();
+  auto second = listen();
+  auto options = Options("key");
+  options.mMaxQueuedInAll = 10000;
+  PeerTransport transport(options, [](auto) {});
+  LastReason reason;
+  REQUIRE(transport.Start(reason));
+  for (int i = 0; i < 10; ++i) {
+    for (const auto* peer : { &first, &second }) {
+      transport.Send({ "127.0.0.1", peer->local_endpoint().port() },
+                     std::string(1000, 'x'));
+    }
+  }
+  for (int i = 0; i < 200 && transport.Counts().mFramesDropped < 10; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(transport.Counts().mFramesSent == 10);
+  CHECK(transport.Counts().mFramesDropped == 10);
+}
+
 } // namespace peridotspool::wire
