--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -52,6 +52,13 @@
   endforeach()
 endforeach()
 
+# Scripts that people rely on have tests of their own.
+find_program(PYTHON3_PROGRAM python3 REQUIRED)
+add_test(NAME scripts/report
+         COMMAND ${PYTHON3_PROGRAM}
+                 ${CMAKE_SOURCE_DIR}/test/scripts/report_test.py)
+set_tests_properties(scripts/report PROPERTIES LABELS "unit")
+
 # The soak runs the program of the users' platform as real processes.
 if(TARGET test_soak)
   target_sources(test_soak PRIVATE test/process/ChildProcess.cpp)
