--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -363,4 +363,22 @@
   });
 }
 
+std::string
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, std::min<std::size_t>(12, aAnswer.size()));
+}
+
+bool
+Eventually(const std::function<bool()>& aCondition)
+{
+  for (int i = 0; i < 200; ++i) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
 } // namespace peridotspool::gateway
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -120,4 +120,12 @@
             const std::string& aId,
             const std::string& aBody = {});
 
+/** The status line of an answer, up to the status. */
+std::string
+StatusOf(const std::string& aAnswer);
+
+/** Waits up to two seconds for a condition of another thread. */
+bool
+Eventually(const std::function<bool()>& aCondition);
+
 } // namespace peridotspool::gateway
