Tell an upstream's lives under one name apart

Cause: a name was taken for one life. Ruled out: taking a lower number for a restart: heartbeats come late and out of order, and a late one would bring a leaving upstream back. Change: heartbeats and goodbyes carry an incarnation; registries and entries take a later one in place of all that was known, and drop what an earlier one says. Tests: two in membership/UpstreamRegistryTest (without the change the restarted one stays gone), one in platform/ControlCallsTest.

--- a/include/peridotspool/membership/UpstreamDirectory.h
+++ b/include/peridotspool/membership/UpstreamDirectory.h
@@ -52,6 +52,7 @@
     std::unordered_map<UpstreamName, bool> mHears;
   };
 
+  bool TakeIncarnation(const UpstreamReport& aNews);
   bool Merge(const RegistryRow& aRow);
   bool MergeSilence(const UpstreamName& aName, TimePoint aNow);
 
--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -57,8 +57,9 @@
 
   /** Takes a heartbeat; returns what its subscribers are to be told at once. */
   std::vector<RegistrySend> TakeReport(UpstreamReport aReport, TimePoint aNow);
-  /** Takes a goodbye from an upstream by its name alone. */
+  /** Takes a goodbye; one that names no incarnation ends the newest one. */
   std::vector<RegistrySend> TakeGoodbye(const UpstreamName& aName,
+                                        Incarnation aIncarnation,
                                         TimePoint aNow);
   std::vector<RegistrySend> TakePull(const Address& aFrom,
                                      const RegistryPull& aPull,
@@ -91,6 +92,9 @@
   };
 
   void Change(Row& aRow);
+  std::vector<RegistrySend> Replace(Row& aRow,
+                                    UpstreamReport aReport,
+                                    TimePoint aNow);
   static RegistryRow Told(const Row& aRow);
   Duration Spacing() const;
   bool IsLost(const Subscriber& aSubscriber, TimePoint aNow) const;
--- a/include/peridotspool/membership/UpstreamReport.h
+++ b/include/peridotspool/membership/UpstreamReport.h
@@ -24,15 +24,19 @@
 /** What an upstream says of itself in a heartbeat. */
 struct UpstreamReport
 {
-  /** Names one incarnation of the upstream's process. */
   UpstreamName mName;
+  /**
+   * Of the upstream's process. It may start again under the same name and then
+   * knows nothing of before; 0 where it does not say.
+   */
+  Incarnation mIncarnation;
   ServiceName mService;
   Address mAddress;
   FailureDomain mDomain;
   /** Requests that it works on at once. */
   std::uint32_t mSlots = 1;
   UpstreamStage mStage = UpstreamStage::kReady;
-  /** Rises with each heartbeat: a late one is known by it. */
+  /** Rises with each heartbeat of an incarnation: a late one is known by it. */
   std::uint64_t mSequence = 0;
   /** How much longer it stays slow after its start. */
   Duration mColdFor{ 0 };
@@ -43,6 +47,7 @@
 BOOST_DESCRIBE_STRUCT(UpstreamReport,
                       (),
                       (mName,
+                       mIncarnation,
                        mService,
                        mAddress,
                        mDomain,
--- a/include/peridotspool/runtime/ControlDialect.h
+++ b/include/peridotspool/runtime/ControlDialect.h
@@ -27,6 +27,8 @@
 struct GoodbyeCall
 {
   UpstreamName mName;
+  /** Unset where it does not say. */
+  Incarnation mIncarnation;
 };
 
 /** A caller asks which entries to connect to. */
--- a/src/membership/UpstreamDirectory.cpp
+++ b/src/membership/UpstreamDirectory.cpp
@@ -31,6 +31,9 @@
   std::vector<UpstreamName> changed;
   for (const RegistryRow& row : aPush.mRows) {
     const UpstreamName& name = row.mReport.mName;
+    if (!TakeIncarnation(row.mReport)) {
+      continue;
+    }
     origin.mHears[name] = !row.mSilent;
     const bool merged = Merge(row);
     if (MergeSilence(name, aNow) || merged) {
@@ -40,6 +43,28 @@
   return changed;
 }
 
+// Registries hear of a new incarnation one after the other. What those that
+// still speak of an earlier one say is over; returns true iff the report
+// counts.
+bool
+UpstreamDirectory::TakeIncarnation(const UpstreamReport& aNews)
+{
+  const auto found = mKnown.find(aNews.mName);
+  if (found == mKnown.end()) {
+    return true;
+  }
+  const Incarnation known = found->second.mReport.mIncarnation;
+  if (aNews.mIncarnation <= known) {
+    return aNews.mIncarnation == known;
+  }
+  mKnown.erase(found);
+  mQuietSince.erase(aNews.mName);
+  for (auto& [address, origin] : mOrigins) {
+    origin.mHears.erase(aNews.mName);
+  }
+  return true;
+}
+
 bool
 UpstreamDirectory::Merge(const RegistryRow& aRow)
 {
--- a/src/membership/UpstreamRegistry.cpp
+++ b/src/membership/UpstreamRegistry.cpp
@@ -43,6 +43,7 @@
     return aRow.mRow;
   }
   return { .mReport = { .mName = report.mName,
+                        .mIncarnation = report.mIncarnation,
                         .mStage = report.mStage,
                         .mSequence = report.mSequence },
            .mSilent = aRow.mRow.mSilent };
@@ -67,6 +68,12 @@
   }
   Row& row = found->second;
   const UpstreamReport& known = row.mRow.mReport;
+  if (aReport.mIncarnation < known.mIncarnation) {
+    return {};
+  }
+  if (aReport.mIncarnation > known.mIncarnation) {
+    return Replace(row, std::move(aReport), aNow);
+  }
   if (known.mStage == UpstreamStage::kGone ||
       aReport.mSequence < known.mSequence) {
     return {};
@@ -85,19 +92,45 @@
   return PushAll(aNow);
 }
 
+// An upstream that crashed may start again under its name, with its heartbeats
+// counted anew. Compared by their numbers alone they would all look late, and
+// it would stay unheard, or gone, until it had sent as many as before. All that
+// was known of it ends with the incarnation that it was known of.
 std::vector<RegistrySend>
-UpstreamRegistry::TakeGoodbye(const UpstreamName& aName, TimePoint aNow)
+UpstreamRegistry::Replace(Row& aRow, UpstreamReport aReport, TimePoint aNow)
+{
+  aRow.mRow = { .mReport = std::move(aReport), .mSilent = false };
+  aRow.mHeardAt = aNow;
+  Change(aRow);
+  aRow.mTold = false;
+  return PushAll(aNow);
+}
+
+std::vector<RegistrySend>
+UpstreamRegistry::TakeGoodbye(const UpstreamName& aName,
+                              Incarnation aIncarnation,
+                              TimePoint aNow)
 {
   const auto found = mRows.find(aName);
   if (found == mRows.end()) {
     // Its heartbeats went to another registry; subscribers know it from there
     // and only need the name to let it go.
-    return TakeReport(
-      UpstreamReport{ .mName = aName, .mStage = UpstreamStage::kGone }, aNow);
+    return TakeReport(UpstreamReport{ .mName = aName,
+                                      .mIncarnation = aIncarnation,
+                                      .mStage = UpstreamStage::kGone },
+                      aNow);
   }
   Row& row = found->second;
+  const Incarnation known = row.mRow.mReport.mIncarnation;
+  if (aIncarnation.IsSet() && aIncarnation < known) {
+    return {};
+  }
+  const bool isNewer = aIncarnation > known;
+  if (isNewer) {
+    row.mRow.mReport.mIncarnation = aIncarnation;
+  }
   row.mHeardAt = aNow;
-  if (row.mRow.mReport.mStage == UpstreamStage::kGone) {
+  if (row.mRow.mReport.mStage == UpstreamStage::kGone && !isNewer) {
     return {};
   }
   row.mRow.mReport.mStage = UpstreamStage::kGone;
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -12,6 +12,7 @@
 /** Addresses of entry processes kept; old lives are dropped beyond it. */
 constexpr std::size_t kMaxEntryAddresses = 8192;
 constexpr Duration kPullPeriod = std::chrono::milliseconds(300);
+constexpr std::uint32_t kBadRequest = 400;
 
 observe::EventId
 EventOf(control::ControlNotice aNotice)
@@ -151,7 +152,7 @@
   if (RefuseAnnouncement(aInput)) {
     return;
   }
-  auto sends = mRegistry.TakeGoodbye(aCall.mName, mNow);
+  auto sends = mRegistry.TakeGoodbye(aCall.mName, aCall.mIncarnation, mNow);
   mParts.mLogger.Log(observe::EventId::kUpstreamLeaving,
                      { { "upstream", aCall.mName },
                        { "stage", "gone" },
@@ -176,6 +177,11 @@
 void
 ControlDecider::Take(HttpInput& aInput, AnsweredCall& aCall)
 {
+  if (aCall.mResponse.mStatus == kBadRequest) {
+    mParts.mCounters.Add(observe::CounterId::kRefusedMalformed);
+    mParts.mLogger.Log(observe::EventId::kCallMalformed,
+                       { { "answer", aCall.mResponse.mBody } });
+  }
   aInput.mServer->Respond(aInput.mExchange, std::move(aCall.mResponse));
 }
 
--- a/src/runtime/ControlDecider.h
+++ b/src/runtime/ControlDecider.h
@@ -3,6 +3,7 @@
 #include "peridotspool/control/ControlNode.h"
 #include "peridotspool/http/HttpServer.h"
 #include "peridotspool/membership/UpstreamRegistry.h"
+#include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/runtime/BoundedRing.h"
 #include "peridotspool/wire/PeerTransport.h"
@@ -23,6 +24,7 @@
   /** Takes results of calls to the cloud from another thread. */
   DutyRunner::TakeCloud mTakeCloud;
   observe::Logger& mLogger;
+  observe::Counters& mCounters;
 };
 
 /**
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -218,7 +218,8 @@
         .mDialect = mOptions.mDialect,
         .mDuties = mOptions.mDuties ? &*mOptions.mDuties : nullptr,
         .mTakeCloud = [this](CloudInput aInput) { mRing.TryPush(aInput); },
-        .mLogger = *mLogger });
+        .mLogger = *mLogger,
+        .mCounters = mCounters });
     TimePoint nextTick = now;
     while (!decider.Stopped() && !mDiskFailed) {
       auto input = mRing.Pop(std::max(Duration(0), nextTick - now));
--- a/test/membership/UpstreamRegistryTest.cpp
+++ b/test/membership/UpstreamRegistryTest.cpp
@@ -104,7 +104,7 @@
   one.Deliver(directory, one.mRegistry.TakeReport(Report(4), At(2)), At(2));
   two.Deliver(directory, two.mRegistry.TakeReport(Report(4), At(3)), At(3));
   CHECK(StageOf(directory) == UpstreamStage::kDraining);
-  two.Deliver(directory, two.mRegistry.TakeGoodbye(kName, At(4)), At(4));
+  two.Deliver(directory, two.mRegistry.TakeGoodbye(kName, {}, At(4)), At(4));
   CHECK(StageOf(directory) == UpstreamStage::kGone);
   CHECK(directory.Find(kName)->mReport.mAddress.mPort == 80);
 }
@@ -160,6 +160,77 @@
   }
 }
 
+// Symptom: an upstream that had crashed and come back was sent nothing for a
+// minute, or was taken for gone for ever.
+// Sequence: it starts again under its name and counts its heartbeats anew.
+// Cause: a lower number was taken for a late heartbeat of the same life.
+TEST_CASE("AnUpstreamThatRestartsUnderItsNameIsKnownAnewAtOnce")
+{
+  Pair one(1);
+  Pair two(2);
+  UpstreamDirectory directory;
+  one.Pull(directory, At(0));
+  two.Pull(directory, At(0));
+  UpstreamReport before = Report(50, UpstreamStage::kDraining);
+  before.mIncarnation = Incarnation(1000);
+  one.Deliver(directory, one.mRegistry.TakeReport(before, At(1)), At(1));
+  two.Deliver(directory, two.mRegistry.TakeReport(before, At(2)), At(2));
+  two.Deliver(directory,
+              two.mRegistry.TakeGoodbye(kName, before.mIncarnation, At(3)),
+              At(3));
+  UpstreamReport after = Report(1);
+  after.mIncarnation = Incarnation(2000);
+  after.mAddress.mPort = 81;
+  two.Deliver(directory, two.mRegistry.TakeReport(after, At(20)), At(20));
+  CHECK(StageOf(directory) == UpstreamStage::kReady);
+  CHECK(directory.Find(kName)->mReport.mAddress.mPort == 81);
+  one.Deliver(directory, one.mRegistry.TakeReport(after, At(40)), At(40));
+  CHECK(StageOf(directory) == UpstreamStage::kReady);
+}
+
+// Symptom: a running upstream was given up, or sent to an address of before.
+// Sequence: a heartbeat or a goodbye of its earlier life was held up by a cut,
+// or a replica that was cut off still tells what it heard of that life.
+// Cause: whoever spoke last spoke for the name.
+TEST_CASE("AnEarlierLifeNeverSpeaksForALaterOne")
+{
+  Pair one(1);
+  Pair two(2);
+  UpstreamDirectory directory;
+  one.Pull(directory, At(0));
+  two.Pull(directory, At(0));
+  UpstreamReport after = Report(1);
+  after.mIncarnation = Incarnation(2000);
+  one.Deliver(directory, one.mRegistry.TakeReport(after, At(1)), At(1));
+  UpstreamReport before = Report(90, UpstreamStage::kDraining);
+  before.mIncarnation = Incarnation(1000);
+  before.mAddress.mPort = 79;
+  const auto late = [&](Pair& aPair, int aMs) {
+    aPair.Deliver(
+      directory, aPair.mRegistry.TakeReport(before, At(aMs)), At(aMs));
+    aPair.Deliver(
+      directory,
+      aPair.mRegistry.TakeGoodbye(kName, before.mIncarnation, At(aMs + 1)),
+      At(aMs + 1));
+  };
+  late(one, 100);
+  late(two, 200);
+  CHECK(StageOf(directory) == UpstreamStage::kReady);
+  CHECK(directory.Find(kName)->mReport.mAddress.mPort == 80);
+  // The replica that knows the earlier life only does not hear this one.
+  for (int ms = 300; ms <= 6000; ms += 300) {
+    two.Pull(directory, At(ms));
+    two.Deliver(directory, two.mRegistry.Tick(At(ms)), At(ms));
+    after.mSequence += 1;
+    one.mRegistry.TakeReport(after, At(ms));
+  }
+  CHECK_FALSE(directory.Find(kName)->mSilent);
+  // A goodbye that names no life ends the one that is known.
+  one.Deliver(
+    directory, one.mRegistry.TakeGoodbye(kName, {}, At(6100)), At(6100));
+  CHECK(StageOf(directory) == UpstreamStage::kGone);
+}
+
 TEST_CASE("WhateverIsLostOrDoubledAllEntriesComeToKnowTheSame")
 {
   rc::prop("lossy", [] {
--- a/test/platform/ControlCallsTest.cpp
+++ b/test/platform/ControlCallsTest.cpp
@@ -57,17 +57,45 @@
                          "/instances/i-1/heartbeat",
                          R"({"service":"s","address":"10.128.0.9:8080",
       "zone":"z","slots":64,"state":"draining","seq":4,"spot":true,
-      "cold_remaining_ms":20,"new":1})");
+      "cold_remaining_ms":20,"born":1770000000123,"new":1})");
   const auto& report = std::get<runtime::AnnounceCall>(call).mReport;
   CHECK(report.mName == UpstreamName("i-1"));
   CHECK(report.mAddress == Address{ "10.128.0.9", 8080 });
   CHECK(report.mStage == UpstreamStage::kDraining);
   CHECK(report.mSequence == 4);
+  CHECK(report.mIncarnation == Incarnation(1770000000123));
   CHECK(report.mReclaimable);
   const auto bye = Read("POST", "/instances/i-1/deregister");
   CHECK(std::get<runtime::GoodbyeCall>(bye).mName == UpstreamName("i-1"));
 }
 
+// Symptom: requests were sent to an address that belongs to nobody.
+// Sequence: another writer's announcement lacks a field, or has it of another
+// type or with a word that no page names.
+// Cause: what was missing was taken for empty, and any state for ready.
+TEST_CASE("AnAnnouncementThatIsNotWholeNamesNoUpstream")
+{
+  const std::string whole =
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":4,)"
+    R"("state":"ready","seq":1,"born":5})";
+  const auto with = [&](const std::string& aFrom, const std::string& aTo) {
+    std::string beat = whole;
+    beat.replace(beat.find(aFrom), aFrom.size(), aTo);
+    return RefusalOf(Read("POST", "/instances/i-1/heartbeat", beat));
+  };
+  CHECK(with("\"s\"", "\"s\"") == 0);
+  CHECK(with("\"s\"", "7") == 400);
+  CHECK(with("service", "servixe") == 400);
+  CHECK(with("\"zone\":\"z\",", "") == 400);
+  CHECK(with("\"slots\":4", "\"slots\":\"4\"") == 400);
+  CHECK(with("\"seq\":1", "\"seq\":null") == 400);
+  CHECK(with("\"ready\"", "\"sleeping\"") == 400);
+  CHECK(with("\"state\":\"ready\",", "") == 400);
+  CHECK(with("\"born\":5", "\"born\":5.5") == 400);
+  CHECK(with("\"born\":5", "\"born\":\"x\"") == 400);
+  CHECK(with("10.1.0.9:80", "10.1.0.9") == 400);
+}
+
 TEST_CASE("MalformedCallsAreRefused")
 {
   CHECK(RefusalOf(Read("POST", "/instances/i-1/heartbeat", "{")) == 400);
