--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -114,7 +114,9 @@
   if (lacking >= mLacking) {
     mLacking = lacking;
     mLackingAt = aNow;
-  } else if (aNow - mLackingAt >= mOptions.mLastingFor) {
+  } else if (!mLoadSeen || aNow - mLackingAt >= mOptions.mLastingFor) {
+    // Before any load there are no waves: what was found running goes as soon
+    // as reclaimable ones are ready in its place.
     mLacking = lacking;
   }
   return mLacking;
--- a/test/fleet/PoolPlannerTest.cpp
+++ b/test/fleet/PoolPlannerTest.cpp
@@ -92,6 +92,40 @@
   CHECK(cloud.mTaken[Key("b", false)] == 0);
 }
 
+// Symptom: a tenth of the seconds paid for were those of twelve lasting
+// upstreams that nobody used.
+// Sequence: they are found running; reclaimable ones are ready in their place
+// before the first request.
+// Cause: they were kept for a while, as among the waves of a day.
+TEST_CASE("BeforeAnyLoadLastingOnesGoAsSoonAsReclaimableOnesAreReady")
+{
+  PoolPlanner planner({ .mLeast = 8, .mLastingFor = std::chrono::seconds(3) });
+  Cloud cloud;
+  cloud.mView.mReady = { { Key("a", false), 4 }, { Key("b", false), 4 } };
+  const auto lasting = [&] {
+    return cloud.mView.mReady[Key("a", false)] +
+           cloud.mView.mReady[Key("b", false)];
+  };
+  cloud.Run(planner, 0);
+  cloud.Run(planner, 3900);
+  CHECK(cloud.mTaken.find(Key("b", false)) == cloud.mTaken.end());
+  cloud.CarryOut();
+  cloud.Run(planner, 4000);
+  cloud.CarryOut();
+  CHECK(lasting() == 0);
+  // Once there is load they stay for a while.
+  cloud.mView.mRunning = 10.0;
+  cloud.mView.mReady[Key("a", true)] = 0;
+  cloud.mView.mReady[Key("b", true)] = 0;
+  cloud.Run(planner, 10000);
+  cloud.CarryOut();
+  CHECK(lasting() == 4);
+  cloud.mView.mReady[Key("a", true)] = 4;
+  cloud.Run(planner, 12000);
+  cloud.CarryOut();
+  CHECK(lasting() == 4);
+}
+
 // Symptom: nearly all requests failed for twenty seconds.
 // Sequence: the cloud took one failure domain after the other back, and had no
 // reclaimable instances to give meanwhile.
