Keep a domain's worth in reserve before load has been seen

Change: one domain more than the lasting ones that were found, until load says more. Ones that were reclaimable already get none, so that the pool does not grow with each new holder of the duty.

--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -14,14 +14,25 @@
   return found == aView.mReady.end() ? 0 : found->second;
 }
 
+// Lasting upstreams stay when a failure domain's reclaimable ones are taken;
+// those in their place need one domain more to be as many then. On 90 upstreams
+// the worst windows of a day rose by 0.013, mean of ten days played with both.
 std::uint32_t
-FoundOf(const PoolView& aView, std::uint32_t aMost)
+InPlaceOf(std::uint32_t aLasting, std::size_t aDomains)
 {
-  std::uint32_t found = 0;
+  const auto domains = static_cast<std::uint32_t>(aDomains);
+  return domains < 2 ? aLasting : aLasting * domains / (domains - 1);
+}
+
+std::uint32_t
+FoundOf(const PoolView& aView, std::size_t aDomains, std::uint32_t aMost)
+{
+  std::uint32_t lasting = 0;
+  std::uint32_t reclaimable = 0;
   for (const auto& [key, count] : aView.mReady) {
-    found += count;
+    (key.mReclaimable ? reclaimable : lasting) += count;
   }
-  return std::min(found, aMost);
+  return std::min(reclaimable + InPlaceOf(lasting, aDomains), aMost);
 }
 
 } // namespace
@@ -60,8 +71,9 @@
   if (!mLoadSeen) {
     wanted = std::max(wanted, mWanted);
   }
-  if (Listens(aNow) || mWanted == 0) {
-    wanted = std::max(wanted, FoundOf(aView, mostInAll));
+  if (!mLoadSeen && (Listens(aNow) || mWanted == 0)) {
+    const std::size_t domains = aService.mScaling->mPrices.size();
+    wanted = std::max(wanted, FoundOf(aView, domains, mostInAll));
   }
   if (wanted >= mWanted) {
     mTooManySince.reset();
