Say who refused by which limit, and spread prompts that share nothing

Prompts of one part had the same order of upstreams on all entries (test: 400 of them now reach all of 8 upstreams).

--- a/include/peridotspool/gateway/QuotaGate.h
+++ b/include/peridotspool/gateway/QuotaGate.h
@@ -38,6 +38,8 @@
   std::uint64_t mTag = 0;
   bool mGranted = false;
   Duration mComeBack{ 0 };
+  /** The entry decided by its own part, as the leader did not answer. */
+  bool mByOwnPart = false;
 };
 
 /**
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -46,7 +46,7 @@
   bool OutlivesProcess() const;
   void AskQuota();
   void OnQuota(const QuotaDecided& aDecided);
-  void RefuseForQuota(Duration aComeBack);
+  void RefuseForQuota(Duration aComeBack, bool aByOwnPart);
   double Units() const;
   void CountUsage();
   void ChooseService();
--- a/src/gateway/ExchangeQuota.cpp
+++ b/src/gateway/ExchangeQuota.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using observe::CounterId;
+using observe::EventId;
 
 constexpr unsigned kTooMany = 429;
 constexpr double kLeastComeBack = 0.2;
@@ -44,7 +45,7 @@
       Dispatch();
       return;
     case QuotaOutcome::kRefused:
-      RefuseForQuota(answer.mComeBack);
+      RefuseForQuota(answer.mComeBack, true);
       return;
     case QuotaOutcome::kAsked:
       mQuotaTag = answer.mTag;
@@ -68,14 +69,25 @@
   } else if (aDecided.mGranted) {
     Dispatch();
   } else {
-    RefuseForQuota(aDecided.mComeBack);
+    RefuseForQuota(aDecided.mComeBack, aDecided.mByOwnPart);
   }
 }
 
 void
-Exchange::RefuseForQuota(Duration aComeBack)
+Exchange::RefuseForQuota(Duration aComeBack, bool aByOwnPart)
 {
   mCore.mCounters.Add(CounterId::kRefusedRateLimit);
+  mCore.mLogger.Log(EventId::kRequestRefused,
+                    { { "request", mId },
+                      { "reason", "rate_limit" },
+                      { "customer", mCustomer->mName },
+                      { "units", Units() },
+                      { "rate", mCustomer->mRatePerSecond },
+                      { "burst", mCustomer->mBurst },
+                      { "settings", mTable->Version() },
+                      { "decided_by", aByOwnPart ? "own part" : "leader" },
+                      { "asked_ms", mCore.mNow() - mArrivedAt },
+                      { "come_back_ms", aComeBack } });
   AnswerOwn(
     kTooMany,
     "over the customer's limit",
--- a/src/gateway/QuotaGate.cpp
+++ b/src/gateway/QuotaGate.cpp
@@ -137,7 +137,8 @@
     const bool granted = TakeOwn(account, waiting->second.mUnits, aNow);
     decided.push_back({ .mTag = waiting->first,
                         .mGranted = granted,
-                        .mComeBack = OwnComeBack(account) });
+                        .mComeBack = OwnComeBack(account),
+                        .mByOwnPart = true });
     waiting = mWaiting.erase(waiting);
   }
   return decided;
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -150,9 +150,12 @@
       candidates.push_back(&belief);
     }
   }
+  // Prompts that share nothing would all have the same order.
+  const PromptParts& prompt = aQuestion.mPrompt;
+  const std::uint64_t seed =
+    prompt.mAffinity != 0 ? prompt.mAffinity : prompt.mOwn;
   const auto order = [&](const Belief* aOne) {
-    return RendezvousWeight(aQuestion.mPrompt.mAffinity,
-                            aOne->mReport.mName.Value());
+    return RendezvousWeight(seed, aOne->mReport.mName.Value());
   };
   std::sort(candidates.begin(),
             candidates.end(),
--- a/test/gateway/UpstreamBoardTest.cpp
+++ b/test/gateway/UpstreamBoardTest.cpp
@@ -132,6 +132,22 @@
   CHECK(other->mReads == 3600);
 }
 
+TEST_CASE("PromptsThatShareNothingAreSpread")
+{
+  const UpstreamBoard board = MakeBoard(8);
+  std::map<UpstreamName, int> used;
+  for (std::uint64_t tokens = 1000; tokens < 1400; ++tokens) {
+    ++used[board
+             .Choose({ .mService = kService, .mPrompt = { .mOwn = tokens } },
+                     At(0))
+             ->mName];
+  }
+  CHECK(used.size() == 8);
+  for (const auto& [name, count] : used) {
+    CHECK(count > 20);
+  }
+}
+
 // Symptom: an upstream that had restarted under its name was taken for full, or
 // stayed ejected.
 // Cause: what was believed of its earlier process was kept under the name.
