Write what the restart cases and the placement play share once

Two cases each made the cluster lossy and killed all its replicas in the same lines, and the play listed its engines twice.

--- a/test/control/RestartElectionTest.cpp
+++ b/test/control/RestartElectionTest.cpp
@@ -20,6 +20,15 @@
   aCluster.Run(std::chrono::seconds(1));
 }
 
+/** From now on messages are late, lost or doubled. */
+void
+MakeLossy(ControlCluster& aCluster)
+{
+  aCluster.mFaults.mLoss = 0.05;
+  aCluster.mFaults.mDuplication = 0.1;
+  aCluster.mFaults.mMaxDelay = std::chrono::milliseconds(120);
+}
+
 std::vector<std::string>
 Controls(ControlCluster& aCluster)
 {
@@ -32,6 +41,17 @@
   return names;
 }
 
+/** Kills all replicas at once; returns their names. */
+std::vector<std::string>
+CrashAll(ControlCluster& aCluster)
+{
+  std::vector<std::string> names = Controls(aCluster);
+  for (const std::string& name : names) {
+    aCluster.Crash(name);
+  }
+  return names;
+}
+
 } // namespace
 
 // Symptom: after a loss of power of everything, nobody is served for a second
@@ -44,10 +64,7 @@
   INFO("seed " << seed);
   ControlCluster cluster(seed);
   StartThree(cluster);
-  const std::vector<std::string> names = Controls(cluster);
-  for (const std::string& name : names) {
-    cluster.Crash(name);
-  }
+  const std::vector<std::string> names = CrashAll(cluster);
   for (const std::string& name : names) {
     cluster.Run(std::chrono::milliseconds(60));
     cluster.Restart(name);
@@ -66,10 +83,7 @@
   INFO("seed " << seed);
   ControlCluster cluster(seed);
   StartThree(cluster);
-  const std::vector<std::string> names = Controls(cluster);
-  for (const std::string& name : names) {
-    cluster.Crash(name);
-  }
+  const std::vector<std::string> names = CrashAll(cluster);
   cluster.LoseDisk(names[seed % names.size()]);
   for (const std::string& name : names) {
     cluster.Restart(name);
@@ -89,9 +103,7 @@
   INFO("seed " << seed);
   ControlCluster cluster(seed);
   StartThree(cluster);
-  cluster.mFaults.mLoss = 0.05;
-  cluster.mFaults.mDuplication = 0.1;
-  cluster.mFaults.mMaxDelay = std::chrono::milliseconds(120);
+  MakeLossy(cluster);
   std::mt19937_64 random(seed);
   const std::vector<std::string> names = Controls(cluster);
   for (int round = 0; round < 30; ++round) {
@@ -145,9 +157,7 @@
   INFO("seed " << seed);
   ControlCluster cluster(seed);
   StartThree(cluster);
-  cluster.mFaults.mLoss = 0.05;
-  cluster.mFaults.mDuplication = 0.1;
-  cluster.mFaults.mMaxDelay = std::chrono::milliseconds(120);
+  MakeLossy(cluster);
   std::mt19937_64 random(seed);
   const std::vector<std::string> names = Controls(cluster);
   for (int round = 0; round < 60; ++round) {
--- a/test/gateway/PlacementUnderLoadTest.cpp
+++ b/test/gateway/PlacementUnderLoadTest.cpp
@@ -70,6 +70,22 @@
   return load;
 }
 
+/** A board that knows all engines and nothing of their work. */
+UpstreamBoard
+IdleBoard(TimePoint aNow)
+{
+  UpstreamBoard board{ UpstreamBoardOptions{} };
+  for (int engine = 0; engine < kEngines; ++engine) {
+    const membership::KnownUpstream known{
+      .mReport = { .mName = UpstreamName(std::to_string(engine)),
+                   .mService = kService,
+                   .mSlots = 64 }
+    };
+    board.Take(known.mReport.mName, &known, aNow);
+  }
+  return board;
+}
+
 /** Entries and engines, with the choice of one policy or the other. */
 class Play
 {
@@ -80,16 +96,8 @@
     , mTellers(kEntries)
   {
     for (int entry = 0; entry < kEntries; ++entry) {
-      mBoards.emplace_back(UpstreamBoardOptions{});
+      mBoards.push_back(IdleBoard(At(0)));
       mTellers[entry].UsePeers(kEntries - 1);
-      for (int engine = 0; engine < kEngines; ++engine) {
-        const membership::KnownUpstream known{
-          .mReport = { .mName = UpstreamName(std::to_string(engine)),
-                       .mService = kService,
-                       .mSlots = 64 }
-        };
-        mBoards.back().Take(known.mReport.mName, &known, At(0));
-      }
     }
   }
 
@@ -124,21 +132,12 @@
 
   UpstreamChoice Choose(const Arrival& aOne)
   {
-    UpstreamBoard fresh{ UpstreamBoardOptions{} };
-    ChooseQuestion question{ .mService = kService, .mPrompt = aOne.mPrompt };
-    if (!mByPlaceOnly) {
-      return *mBoards[aOne.mEntry].Choose(question, At(aOne.mAtMs));
-    }
+    const ChooseQuestion question{ .mService = kService,
+                                   .mPrompt = aOne.mPrompt };
+    const TimePoint now = At(aOne.mAtMs);
     // An idle board orders the engines by the prefix alone.
-    for (int engine = 0; engine < kEngines; ++engine) {
-      const membership::KnownUpstream known{
-        .mReport = { .mName = UpstreamName(std::to_string(engine)),
-                     .mService = kService,
-                     .mSlots = 64 }
-      };
-      fresh.Take(known.mReport.mName, &known, At(0));
-    }
-    return *fresh.Choose(question, At(aOne.mAtMs));
+    return mByPlaceOnly ? *IdleBoard(now).Choose(question, now)
+                        : *mBoards[aOne.mEntry].Choose(question, now);
   }
 
   double Serve(const Arrival& aOne)
