--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -180,7 +180,7 @@
 // after the prompts that all entries have sent there, and its own reading. Of
 // 30 prompts a second (6,600 tokens in the mean) on 12 engines, 96 in 100 have
 // their first event within 600 ms instead of 84 to 88, and the 95th percentile
-// is 0.47 s instead of 0.9 to 1.1 s: test/gateway/PlacementUnderLoadTest.
+// is 0.50 s instead of 0.9 to 1.1 s: test/gateway/PlacementUnderLoadTest.
 //
 // All entries order the upstreams of a prefix alike, without a message between
 // them, so its tokens are read into one memory as long as that one is as soon
