Ask keepers for plain calls too, and tell what upstreams fail

Ruled out: a lower count for ejection (a single entry sees 0.7 sends a second to it); health checks (the fault is one where they pass).

Change: a keeper also knows, faded over 2 s, how many of the sends of all entries an upstream failed; from 20 in 100 on that counts against it. Plain calls ask the keepers of four upstreams in an order of their own, and so go to the least busy by what all entries sent.

--- a/include/peridotspool/gateway/LoadKeeper.h
+++ b/include/peridotspool/gateway/LoadKeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Time.h"
+#include "peridotspool/gateway/FailureShare.h"
 #include "peridotspool/gateway/LoadMessage.h"
 #include "peridotspool/gateway/PrefixMemory.h"
 #include "peridotspool/gateway/ReadingQueue.h"
@@ -44,6 +45,7 @@
     Incarnation mIncarnation;
     ReadingQueue mReading;
     PrefixMemory mPrefixes;
+    FailureShare mFailures;
     std::unordered_map<std::uint64_t, Send> mSends;
     TimePoint mUsedAt;
   };
--- a/include/peridotspool/gateway/LoadMessage.h
+++ b/include/peridotspool/gateway/LoadMessage.h
@@ -33,10 +33,14 @@
   std::uint32_t mRunning = 0;
   /** Tokens of the prompt asked for that it need not read again. */
   std::uint32_t mKept = 0;
+  /** Of 100 sends that ended lately, how many it failed. */
+  std::uint32_t mFailing = 0;
 
   auto operator<=>(const LoadLine&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadLine, (), (mUpstream, mWaitUs, mRunning, mKept))
+BOOST_DESCRIBE_STRUCT(LoadLine,
+                      (),
+                      (mUpstream, mWaitUs, mRunning, mKept, mFailing))
 
 /** From a keeper: a line for each upstream that was asked for. */
 struct LoadTold
@@ -85,9 +89,11 @@
   std::uint64_t mSend = 0;
   /** It gave an event, so its prompt has been read. */
   bool mWasRead = false;
+  /** The upstream failed it, or its connection broke. */
+  bool mFailed = false;
 
   auto operator<=>(const LoadEnded&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadEnded, (), (mUpstream, mSend, mWasRead))
+BOOST_DESCRIBE_STRUCT(LoadEnded, (), (mUpstream, mSend, mWasRead, mFailed))
 
 } // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/UpstreamBoard.h
+++ b/include/peridotspool/gateway/UpstreamBoard.h
@@ -55,6 +55,8 @@
   ServiceName mService;
   /** What the request has an engine read; empty for a plain call. */
   PromptParts mPrompt;
+  /** Orders the upstreams for a plain call; differs for each. */
+  std::uint64_t mSeed = 0;
   /** Upstreams that this request was sent to already. */
   std::set<UpstreamName> mTried;
   /** If not empty, the choice is among these, as long as one takes work. */
@@ -113,8 +115,8 @@
   void TakeKept(const LoadLine& aLine, TimePoint aNow);
 
   /**
-   * The first few of a prompt's order, whose keepers are to be asked before the
-   * choice; empty where there is no choice.
+   * The first few of a request's order, whose keepers are to be asked before
+   * the choice; empty where there is no choice.
    */
   std::vector<ShortlistedUpstream> Shortlist(const ChooseQuestion& aQuestion,
                                              TimePoint aNow) const;
@@ -153,11 +155,14 @@
     std::uint32_t mEjections = 0;
     TimePoint mEjectedUntil;
     ReadingQueue mReading;
+    /** Of 100 sends of all entries, as its keeper last said. */
+    std::uint32_t mFailing = 0;
   };
 
   static bool TakesWork(const Belief& aBelief);
   static bool HasPrompt(const ChooseQuestion& aQuestion);
   double FullnessOf(const Belief& aBelief, TimePoint aNow) const;
+  static double FailingPart(const Belief& aBelief);
   bool Eject(Belief& aBelief, TimePoint aNow);
   std::vector<const Belief*> Candidates(const ChooseQuestion& aQuestion,
                                         TimePoint aNow,
--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -23,6 +23,13 @@
     std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count());
 }
 
+bool
+IsFailure(SendResult aResult)
+{
+  return aResult == SendResult::kFailed || aResult == SendResult::kBroken ||
+         aResult == SendResult::kSilent;
+}
+
 } // namespace
 
 // Returns true iff the exchange waits for keepers' word: GoOnAsked follows when
@@ -99,10 +106,6 @@
 void
 Exchange::TellSent(const UpstreamChoice& aChoice)
 {
-  mKeeper.reset();
-  if (!mSent.IsReading() || mQuestion.mPrompt.Tokens() == 0) {
-    return;
-  }
   mKeeper = mCore.mKeepers.KeeperOf(aChoice.mName, aChoice.mDomain);
   if (!mKeeper) {
     return;
@@ -146,7 +149,8 @@
     mCore.mTellEntry(*keeper,
                      LoadEnded{ .mUpstream = mUpstream,
                                 .mSend = mLoadSend,
-                                .mWasRead = !mSent.IsReading() });
+                                .mWasRead = !mSent.IsReading(),
+                                .mFailed = IsFailure(aResult) });
   }
   return mCore.mBoard.Ended(mSent, aResult, mCore.mNow());
 }
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -142,7 +142,8 @@
   }
   // A checked table has no route without weight.
   PERIDOTSPOOL_INVARIANT(total > 0);
-  std::uint64_t place = XXH3_64bits(mId.data(), mId.size()) % total;
+  mQuestion.mSeed = XXH3_64bits(mId.data(), mId.size());
+  std::uint64_t place = mQuestion.mSeed % total;
   for (const ServiceShare& share : mRoute->mShares) {
     if (place < share.mWeight) {
       mService = share.mService;
--- a/src/gateway/LoadKeeper.cpp
+++ b/src/gateway/LoadKeeper.cpp
@@ -90,6 +90,7 @@
   if (!aEnded.mWasRead) {
     account->second.mReading.Correct(aNow + send->second.mReading, aNow);
   }
+  account->second.mFailures.Take(aEnded.mFailed, aNow);
   account->second.mSends.erase(send);
 }
 
@@ -106,6 +107,7 @@
       line.mRunning = static_cast<std::uint32_t>(account.mSends.size());
       line.mKept =
         static_cast<std::uint32_t>(account.mPrefixes.Kept(aAsk.mParts));
+      line.mFailing = account.mFailures.Percent(aNow);
     }
     told.mLines.push_back(std::move(line));
   }
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -75,6 +75,7 @@
   }
   Belief& belief = found->second;
   belief.mReading.Take(std::chrono::microseconds(aLine.mWaitUs), aNow);
+  belief.mFailing = aLine.mFailing;
   belief.mReported = aLine.mRunning;
   belief.mInFlightAtReport = belief.mInFlight;
   belief.mReportedAt = aNow;
--- a/src/gateway/UpstreamBoardChoice.cpp
+++ b/src/gateway/UpstreamBoardChoice.cpp
@@ -26,6 +26,12 @@
 constexpr int kReadingCost = 2;
 constexpr Duration kOtherDomainTime = std::chrono::milliseconds(2);
 constexpr Duration kSilentTime = std::chrono::seconds(2);
+/** What a failed send costs, in time and in units of fullness: a repeat comes
+ * late if it may come at all. */
+constexpr Duration kFailedTime = std::chrono::seconds(3);
+constexpr double kFailedCost = 3.0;
+/** Fewer failures of 100 are as likely at any other upstream. */
+constexpr std::uint32_t kFailingFrom = 20;
 /**
  * Engines that differ by less are as good as each other. Which of them is taken
  * then follows from the request: a strict order would have all entries send to
@@ -44,11 +50,16 @@
   return XXH3_64bits_withSeed(aName.data(), aName.size(), aAffinity);
 }
 
-// Prompts that share nothing would all have the same order.
+// Prompts that share nothing would all have the same order, and plain calls
+// too.
 std::uint64_t
-OrderSeed(const PromptParts& aPrompt)
+OrderSeed(const ChooseQuestion& aQuestion)
 {
-  return aPrompt.mAffinity != 0 ? aPrompt.mAffinity : aPrompt.mOwn;
+  const PromptParts& prompt = aQuestion.mPrompt;
+  if (prompt.mAffinity != 0) {
+    return prompt.mAffinity;
+  }
+  return prompt.mOwn != 0 ? prompt.mOwn : aQuestion.mSeed;
 }
 
 } // namespace
@@ -74,7 +85,7 @@
   if (!candidates.empty()) {
     return candidates;
   }
-  const std::uint64_t seed = OrderSeed(aQuestion.mPrompt);
+  const std::uint64_t seed = OrderSeed(aQuestion);
   std::vector<std::pair<std::uint64_t, const Belief*>> ordered;
   for (const auto& [name, belief] : mBeliefs) {
     if (fits(belief)) {
@@ -107,9 +118,6 @@
 UpstreamBoard::Shortlist(const ChooseQuestion& aQuestion, TimePoint aNow) const
 {
   std::vector<ShortlistedUpstream> shortlist;
-  if (!HasPrompt(aQuestion)) {
-    return shortlist;
-  }
   const auto candidates = Candidates(aQuestion, aNow);
   if (candidates.size() < 2) {
     return shortlist;
@@ -128,6 +136,17 @@
   return aQuestion.mPrompt.Tokens() != 0 || aQuestion.mPrompt.mAffinity != 0;
 }
 
+// An upstream that fails a part of its requests answers fast, and so looks
+// idle. With 68 entries before it each saw one of its failures every two
+// seconds, and none saw four in a row: for as long as one of four upstreams
+// failed all it got, a quarter of the calls failed. Its keeper sees all of
+// them.
+double
+UpstreamBoard::FailingPart(const Belief& aBelief)
+{
+  return aBelief.mFailing < kFailingFrom ? 0.0 : aBelief.mFailing / 100.0;
+}
+
 // Null where nobody is known to keep more of it than the chosen one.
 const UpstreamBoard::Belief*
 UpstreamBoard::KeepsMost(const Belief& aChosen,
@@ -198,6 +217,7 @@
         TimeFor(aQuestion.mService, ReadsAt(belief, aQuestion, i, aNow)) +
       std::chrono::duration_cast<Duration>(fullness * kFullTime) +
       (near ? Duration(0) : kOtherDomainTime) +
+      std::chrono::duration_cast<Duration>(FailingPart(belief) * kFailedTime) +
       (belief.mSilent ? kSilentTime : Duration(0)));
   }
   const Duration soonest = *std::min_element(times.begin(), times.end());
@@ -217,8 +237,9 @@
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const Belief& belief = *aCandidates[i];
     const bool near = belief.mReport.mDomain == mOptions.mDomain;
-    const double cost =
-      FullnessOf(belief, aNow) + (near ? 0.0 : kOtherDomainCost);
+    const double cost = FullnessOf(belief, aNow) +
+                        (near ? 0.0 : kOtherDomainCost) +
+                        FailingPart(belief) * kFailedCost;
     if (i == 0 || cost < bestCost) {
       best = i;
       bestCost = cost;
