Give up upstreams in steps, and none while others can't be had

Change: the pool shrinks by half at most, and by half again three seconds later; not within three seconds of a refusal, for 25 s at most.

--- a/include/peridotspool/fleet/PoolPlanner.h
+++ b/include/peridotspool/fleet/PoolPlanner.h
@@ -27,6 +27,12 @@
   Duration mListenFor = std::chrono::milliseconds(1500);
   /** Fewer upstreams are ordered only after they were too many this long. */
   Duration mShrinkAfter = std::chrono::seconds(8);
+  /** Then by half at the most, and by half again after this long. */
+  Duration mShrinkEach = std::chrono::seconds(3);
+  /** None are given up for this long after others were refused... */
+  Duration mDryFor = std::chrono::seconds(3);
+  /** ...but too many are not kept for longer than this. */
+  Duration mKeepMost = std::chrono::seconds(25);
   /** With fewer reclaimable ones than this part, lasting ones are taken. */
   double mLastingPart = 0.5;
   /** Lasting ones are kept at least this long. */
@@ -89,6 +95,7 @@
   std::uint32_t WantedInAll(const gateway::ServiceProfile& aService,
                             const PoolView& aView,
                             TimePoint aNow);
+  std::uint32_t Shrunk(std::uint32_t aWanted, TimePoint aNow);
   void NoteFound(const gateway::ScalingProfile& aScaling,
                  const PoolView& aView,
                  TimePoint aNow);
@@ -119,6 +126,9 @@
   bool mLastingOrdered = false;
   std::optional<TimePoint> mPlansSince;
   std::optional<TimePoint> mTooManySince;
+  /** When fewer were wanted for long enough, and there were fewer then. */
+  std::optional<TimePoint> mShrunkAt;
+  std::optional<TimePoint> mRefusedAt;
   /** Lasting upstreams that stand in for reclaimable ones. */
   std::uint32_t mLacking = 0;
   TimePoint mLackingAt;
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -106,12 +106,31 @@
   }
   if (wanted >= mWanted) {
     mTooManySince.reset();
+    mShrunkAt.reset();
     return wanted;
   }
-  if (!mTooManySince) {
-    mTooManySince = aNow;
+  return Shrunk(wanted, aNow);
+}
+
+// Upstreams that are given up take what they keep of prompts with them. A pool
+// of 540 that was cut to 155 at once had all prompts read anew by those left
+// while the cloud had no reclaimable ones to give: the windows after it earned
+// 0.77 and 0.67 of 0.95, and a hundred lasting ones at seven times the price
+// were taken for sixteen seconds. So it shrinks in steps, whose effect on the
+// load is seen before the next one, and not while others could not be had.
+std::uint32_t
+PoolPlanner::Shrunk(std::uint32_t aWanted, TimePoint aNow)
+{
+  mTooManySince = mTooManySince.value_or(aNow);
+  const Duration since = aNow - *mTooManySince;
+  const bool dry = mRefusedAt && aNow - *mRefusedAt < mOptions.mDryFor;
+  const bool early = mShrunkAt ? aNow - *mShrunkAt < mOptions.mShrinkEach
+                               : since < mOptions.mShrinkAfter;
+  if (early || (dry && since < mOptions.mKeepMost)) {
+    return mWanted;
   }
-  return aNow - *mTooManySince >= mOptions.mShrinkAfter ? wanted : mWanted;
+  mShrunkAt = aNow;
+  return std::max(aWanted, mWanted / 2);
 }
 
 void
@@ -265,6 +284,7 @@
     slot.mOrdered = aOrder.mDesired;
     slot.mOrderedAt = aNow;
   } else {
+    mRefusedAt = aRefused ? aNow : mRefusedAt;
     slot.mRefusedUntil =
       aNow + (aRefused ? mOptions.mRefusedFor : std::chrono::milliseconds(500));
   }
--- a/test/fleet/PoolPlannerTest.cpp
+++ b/test/fleet/PoolPlannerTest.cpp
@@ -246,6 +246,53 @@
   CHECK(planner.Wanted() == 9);
 }
 
+// Symptom: in the middle of a calm day windows earned 0.67 of 0.95, and a
+// hundred lasting upstreams were paid for. Sequence: a reserve of four times
+// the load's need; a domain is reclaimed and nothing is to be had in its place;
+// eight seconds of load have been seen. Cause: the pool was cut to the load's
+// need at once, at that moment.
+TEST_CASE("ThePoolShrinksInStepsAndNotWhileOthersAreRefused")
+{
+  PoolPlanner planner({ .mLeast = 2, .mRunningEach = 1.0 });
+  Cloud cloud;
+  cloud.mView.mReady = { { Key("a", true), 10 }, { Key("b", true), 10 } };
+  cloud.Run(planner, 0);
+  REQUIRE(planner.Wanted() == 20);
+  cloud.mView.mRunning = 2.0;
+  cloud.mDry = true;
+  cloud.mView.mReady[Key("b", true)] = 0;
+  for (int ms = 5000; ms < 17000; ms += 100) {
+    cloud.Run(planner, ms);
+    CHECK(planner.Wanted() == 20);
+  }
+  cloud.mDry = false;
+  cloud.mView.mReady[Key("b", true)] = 10;
+  std::map<std::uint32_t, int> lasted;
+  for (int ms = 17000; ms < 40000; ms += 100) {
+    cloud.Run(planner, ms);
+    ++lasted[planner.Wanted()];
+  }
+  CHECK(planner.Wanted() == 2);
+  for (const std::uint32_t step : { 10U, 5U }) {
+    INFO("step to " << step << " lasted " << lasted[step] << " plans");
+    CHECK(lasted[step] == 30);
+  }
+}
+
+TEST_CASE("APoolThatCannotBeHadInFullIsNotKeptForEver")
+{
+  PoolPlanner planner({ .mLeast = 2, .mRunningEach = 1.0 });
+  Cloud cloud;
+  cloud.mView.mReady = { { Key("a", false), 10 } };
+  cloud.mDry = true;
+  cloud.Run(planner, 0);
+  cloud.mView.mRunning = 2.0;
+  for (int ms = 5000; ms < 45000; ms += 100) {
+    cloud.Run(planner, ms);
+  }
+  CHECK(planner.Wanted() < 20);
+}
+
 TEST_CASE("NothingIsOrderedWhenNothingIsToChange")
 {
   PoolPlanner planner({ .mLeast = 8, .mListenFor = Duration(0) });
