Bound what a keeper is asked, and keep accounts from being copied

Read as a newcomer: an account holds places into its own list, so a copy would point into the other one; a question's length was bounded by the frame alone. Two ifs of one condition in PoolPlanner become one.

--- a/include/peridotspool/gateway/PrefixMemory.h
+++ b/include/peridotspool/gateway/PrefixMemory.h
@@ -18,6 +18,14 @@
 class PrefixMemory
 {
 public:
+  PrefixMemory() = default;
+  // Places point into the list.
+  PrefixMemory(const PrefixMemory&) = delete;
+  PrefixMemory& operator=(const PrefixMemory&) = delete;
+  PrefixMemory(PrefixMemory&&) = default;
+  PrefixMemory& operator=(PrefixMemory&&) = default;
+  ~PrefixMemory() = default;
+
   /** A prompt of these parts was sent; aMost: tokens that the engine keeps. */
   void Use(const std::vector<PromptPart>& aParts, std::uint64_t aMost);
   /** Tokens of the prompt, from its begin, that need not be read again. */
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -79,8 +79,6 @@
   }
 }
 
-// Load comes in waves that are shorter than a start and a drain; following them
-// down would give up memories that are needed again seconds later.
 std::uint32_t
 PoolPlanner::WantedInAll(const gateway::ServiceProfile& aService,
                          const PoolView& aView,
@@ -94,15 +92,12 @@
              static_cast<std::uint32_t>(std::min<double>(mostInAll, byLoad)));
   // Before any load has been seen, what somebody else thought right stays.
   mLoadSeen = mLoadSeen || aView.mRunning >= 1.0;
-  if (!mLoadSeen) {
-    wanted = std::max(wanted, mWanted);
-  }
   if (!mLoadSeen) {
     NoteFound(*aService.mScaling, aView, aNow);
-    const double found =
-      mFoundReclaimable + mFoundLasting * InPlaceOfOne(*aService.mScaling);
-    wanted = std::max(
-      wanted, static_cast<std::uint32_t>(std::min<double>(mostInAll, found)));
+    const double found = std::min<double>(
+      mostInAll,
+      mFoundReclaimable + mFoundLasting * InPlaceOfOne(*aService.mScaling));
+    wanted = std::max({ wanted, mWanted, static_cast<std::uint32_t>(found) });
   }
   if (wanted >= mWanted) {
     mTooManySince.reset();
@@ -112,7 +107,8 @@
   return Shrunk(wanted, aNow);
 }
 
-// Upstreams that are given up take what they keep of prompts with them. A pool
+// Load comes in waves that are shorter than a start and a drain, and upstreams
+// that are given up take what they keep of prompts with them. A pool
 // of 540 that was cut to 155 at once had all prompts read anew by those left
 // while the cloud had no reclaimable ones to give: the windows after it earned
 // 0.77 and 0.67 of 0.95, and a hundred lasting ones at seven times the price
--- a/src/gateway/LoadKeeper.cpp
+++ b/src/gateway/LoadKeeper.cpp
@@ -20,6 +20,7 @@
 /** Bounds of what other processes may have this one hold. */
 constexpr std::size_t kMostAccounts = 4096;
 constexpr std::size_t kMostSends = 1024;
+constexpr std::size_t kMostAsked = 64;
 
 std::uint32_t
 Microseconds(Duration aDuration)
@@ -99,6 +100,9 @@
 {
   LoadTold told{ .mTag = aAsk.mTag, .mLines = {} };
   for (const UpstreamName& name : aAsk.mUpstreams) {
+    if (told.mLines.size() == kMostAsked) {
+      break;
+    }
     LoadLine line{ .mUpstream = name };
     const auto found = mAccounts.find(name);
     if (found != mAccounts.end()) {
