--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -115,6 +115,7 @@
       { "candidates", aChoice.mCandidates },
       { "wait_ms", aChoice.mWait },
       { "reads", aChoice.mReads },
+      { "read_ms", mSent.mReading },
       { "copies", aChoice.mNeighbour.has_value() },
       { "load_age_ms",
         aChoice.mReportAge ? *aChoice.mReportAge : Duration(-1000) },
