Count an engine's lateness once, however many prompts wait there

Cause: a first event that came late moved the end of its engine's queue by that, and so did the next one for the same reason, as its own plan had not moved. With ten prompts waiting, one second of lateness became ten. Engines with nothing to read were shunned, prompts were read again elsewhere, and first events stayed late. Change: ReadingQueue keeps the lateness beside the plan and sets it anew with each prompt that was read; one that is given up is withdrawn from it.

--- a/include/peridotspool/gateway/ReadingQueue.h
+++ b/include/peridotspool/gateway/ReadingQueue.h
@@ -16,18 +16,23 @@
 public:
   /** How long a prompt that comes now waits for those before it. */
   Duration Wait(TimePoint aNow) const;
-  /** A prompt that takes aReading was sent; returns when it will be read. */
-  TimePoint Add(Duration aReading, TimePoint aNow);
-  /** Somebody who knows all that was sent there says how long it is. */
-  void Take(Duration aWait, TimePoint aNow) { mReadAt = aNow + aWait; }
   /**
-   * A prompt that was to be read at aExpected has been read at aNow, or never
-   * will be: those behind it come earlier or later by the difference.
+   * A prompt that takes aReading was sent. Returns when it is planned to have
+   * been read, by the engine's plan: how late that is, WasRead tells.
    */
-  void Correct(TimePoint aExpected, TimePoint aNow);
+  TimePoint Add(Duration aReading, TimePoint aNow);
+  /** Somebody who knows all that was sent there says how long it is. */
+  void Take(Duration aWait, TimePoint aNow);
+  /** A prompt that was planned to be read at aPlanned has been read at aNow. */
+  void WasRead(TimePoint aPlanned, TimePoint aNow);
+  /** A prompt that takes aReading never will be read. */
+  void Withdraw(Duration aReading);
 
 private:
-  TimePoint mReadAt;
+  /** The end of the plan. */
+  TimePoint mEnd;
+  /** How late the engine is, against its plan; negative when it is early. */
+  Duration mLate{ 0 };
 };
 
 } // namespace peridotspool::gateway
--- a/src/gateway/LoadKeeper.cpp
+++ b/src/gateway/LoadKeeper.cpp
@@ -73,7 +73,7 @@
   }
   const auto send = account->second.mSends.find(aBegun.mSend);
   if (send != account->second.mSends.end()) {
-    account->second.mReading.Correct(send->second.mReadAt, aNow);
+    account->second.mReading.WasRead(send->second.mReadAt, aNow);
   }
 }
 
@@ -89,7 +89,7 @@
     return;
   }
   if (!aEnded.mWasRead) {
-    account->second.mReading.Correct(aNow + send->second.mReading, aNow);
+    account->second.mReading.Withdraw(send->second.mReading);
   }
   account->second.mFailures.Take(aEnded.mFailed, aNow);
   account->second.mSends.erase(send);
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -141,7 +141,7 @@
   // Small prompts are let in before the others and show nothing of the queue.
   const bool tells = aSent.mReads >= kTellingTokens;
   if (tells) {
-    belief->mReading.Correct(aSent.mReadAt, aNow);
+    belief->mReading.WasRead(aSent.mReadAt, aNow);
   }
   aSent.mReadAt = TimePoint();
   return tells;
@@ -158,7 +158,7 @@
   }
   Belief& belief = *found;
   if (aSent.IsReading()) {
-    belief.mReading.Correct(aNow + aSent.mReading, aNow);
+    belief.mReading.Withdraw(aSent.mReading);
   }
   belief.mInFlight -= belief.mInFlight > 0 ? 1 : 0;
   switch (aResult) {
--- a/test/gateway/OverloadRecoveryTest.cpp
+++ b/test/gateway/OverloadRecoveryTest.cpp
@@ -11,6 +11,8 @@
 // their prefix, and were read again there, which kept first events late.
 // Evidence: in the play below 25 of 100 engines had nothing to read and 2 were
 // believed to, and 3.5 s of waiting were believed in where 0.7 s were waited.
+// With the lateness counted once, and nothing else changed, 99 of 100 prompts
+// came in time again instead of 60 to 86.
 #include "gateway/LoadPlay.h"
 
 #include <catch2/catch.hpp>
--- a/test/gateway/ReadingQueueTest.cpp
+++ b/test/gateway/ReadingQueueTest.cpp
@@ -34,11 +34,41 @@
   ReadingQueue queue;
   const TimePoint first = queue.Add(milliseconds(100), At(0));
   queue.Add(milliseconds(50), At(0));
-  queue.Correct(first, At(160));
+  queue.WasRead(first, At(160));
   CHECK(queue.Wait(At(160)) == milliseconds(50));
   // A belief that is far off does not keep an engine out for long.
   queue.Add(std::chrono::hours(1), At(200));
   CHECK(queue.Wait(At(200)) <= std::chrono::seconds(10));
+  queue.WasRead(first, At(60000));
+  CHECK(queue.Wait(At(60000)) <= std::chrono::seconds(10));
+}
+
+TEST_CASE("TheSameLatenessCountsOnce")
+{
+  ReadingQueue queue;
+  const TimePoint first = queue.Add(milliseconds(100), At(0));
+  const TimePoint second = queue.Add(milliseconds(100), At(0));
+  queue.Add(milliseconds(100), At(0));
+  queue.WasRead(first, At(500));
+  CHECK(queue.Wait(At(500)) == milliseconds(200));
+  queue.WasRead(second, At(600));
+  CHECK(queue.Wait(At(600)) == milliseconds(100));
+  // What comes later is behind them, and late with them.
+  const TimePoint last = queue.Add(milliseconds(100), At(650));
+  CHECK(queue.Wait(At(650)) == milliseconds(150));
+  queue.WasRead(last, At(800));
+  CHECK(queue.Wait(At(800)) == Duration(0));
+}
+
+TEST_CASE("WhatIsGivenUpIsNotWaitedFor")
+{
+  ReadingQueue queue;
+  queue.Add(milliseconds(100), At(0));
+  const TimePoint second = queue.Add(milliseconds(100), At(0));
+  queue.Withdraw(milliseconds(100));
+  CHECK(queue.Wait(At(0)) == milliseconds(100));
+  queue.WasRead(second, At(100));
+  CHECK(queue.Wait(At(100)) == Duration(0));
 }
 
 TEST_CASE("TheRateFollowsWhatEnginesShow")
