Learn the reading speed from what isn't waiting

Cause: the speed was a mean of samples that include waiting and the way there and back. Ruled out: learning only where nothing was believed to wait (it did so already; what waits for a place in a batch isn't seen). Change: ReadRate keeps a low quartile of the time for a token, from prompts of 3,000 tokens and more, and one of the way, from small ones (LowQuartile).

--- a/include/peridotspool/gateway/ReadRate.h
+++ b/include/peridotspool/gateway/ReadRate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Time.h"
+#include "peridotspool/gateway/LowQuartile.h"
 
 #include <cstdint>
 
@@ -8,7 +9,7 @@
 
 /**
  * How fast a service's engines read prompts, learned from the time to the first
- * event of requests that had nothing to wait for.
+ * event of requests that had no prompt to wait for, as far as was known.
  *
  * A pure step. Not thread-safe.
  */
@@ -17,12 +18,14 @@
 public:
   /** How long an engine takes to read so many tokens. */
   Duration TimeFor(std::uint64_t aTokens) const;
-  /** An engine with nothing else to read took aTook for aTokens. */
+  /** The first event after aTokens to read came after aTook. */
   void Learn(std::uint64_t aTokens, Duration aTook);
 
 private:
-  /** A guess until the first request has shown more. */
-  double mTokensPerMs = 40.0;
+  /** Guesses until the first requests have shown more. */
+  LowQuartile mMsPerToken{ 0.025 };
+  /** From the end of reading to the first event. */
+  LowQuartile mUntilFirstMs{ 1.0 };
 };
 
 } // namespace peridotspool::gateway
--- /dev/null
+++ b/src/gateway/LowQuartile.cpp
@@ -0,0 +1,33 @@
+#include "peridotspool/gateway/LowQuartile.h"
+
+#include <algorithm>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+constexpr double kQuartile = 0.25;
+/** How far a sample moves the value, as a part of it, at first and at last. */
+constexpr double kFirstStep = 0.5;
+constexpr double kLeastStep = 0.02;
+
+} // namespace
+
+// A mean follows what waits: when engines are full for seconds, each sample is
+// many times what it should be, and the mean needs as long again to come back.
+// This one rises by one in a hundred with a sample above it and falls by three
+// with one below it, however far off they are.
+void
+LowQuartile::Take(double aSample)
+{
+  if (mSamples == 0) {
+    mValue = aSample;
+  }
+  ++mSamples;
+  const double step =
+    std::max(kLeastStep, kFirstStep / static_cast<double>(mSamples));
+  mValue *=
+    aSample < mValue ? 1.0 - (1.0 - kQuartile) * step : 1.0 + kQuartile * step;
+}
+
+} // namespace peridotspool::gateway
--- a/src/gateway/ReadRate.cpp
+++ b/src/gateway/ReadRate.cpp
@@ -6,11 +6,15 @@
 
 namespace {
 
-/** Below it the way there and back counts more than the reading. */
-constexpr std::uint64_t kLeastTokens = 1500;
-constexpr double kPart = 0.1;
-constexpr double kSlowest = 1.0;
-constexpr double kFastest = 10000.0;
+/** Fewer are read of prompts that are kept whole, if at all. */
+constexpr std::uint64_t kLeastTokens = 100;
+/** Below it the way to the first event counts more than the reading. */
+constexpr std::uint64_t kMostOfSmall = 1500;
+/** From here on the reading counts more. */
+constexpr std::uint64_t kLeastOfLarge = 3000;
+constexpr double kLeastMsPerToken = 0.0001;
+constexpr double kMostMsPerToken = 1.0;
+constexpr double kLeastUntilFirstMs = 0.1;
 
 double
 Milliseconds(Duration aDuration)
@@ -24,19 +28,29 @@
 ReadRate::TimeFor(std::uint64_t aTokens) const
 {
   return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(static_cast<double>(aTokens) /
-                                              mTokensPerMs));
+    std::chrono::duration<double, std::milli>(static_cast<double>(aTokens) *
+                                              mMsPerToken.Value()));
 }
 
+// Small prompts show the way there and back and the first step, large ones the
+// reading. Taken together as tokens in a time, engines that read 42 tokens a ms
+// were believed to read 20 on a calm day.
 void
 ReadRate::Learn(std::uint64_t aTokens, Duration aTook)
 {
-  if (aTokens < kLeastTokens || aTook <= Duration(0)) {
+  const double took = Milliseconds(aTook);
+  if (aTokens < kLeastTokens || took <= 0.0) {
     return;
   }
-  const double sample = static_cast<double>(aTokens) / Milliseconds(aTook);
-  mTokensPerMs +=
-    kPart * (std::clamp(sample, kSlowest, kFastest) - mTokensPerMs);
+  const double tokens = static_cast<double>(aTokens);
+  if (aTokens < kMostOfSmall) {
+    mUntilFirstMs.Take(
+      std::max(kLeastUntilFirstMs, took - tokens * mMsPerToken.Value()));
+  } else if (aTokens >= kLeastOfLarge) {
+    mMsPerToken.Take(std::clamp((took - mUntilFirstMs.Value()) / tokens,
+                                kLeastMsPerToken,
+                                kMostMsPerToken));
+  }
 }
 
 } // namespace peridotspool::gateway
