Let what an upstream's requests took count for ten seconds

Cause: an upstream's mean time changed only with what was sent there, and what it said kept everything away. Ruled out: Admission's mean (whatever runs changes it; nothing is kept away for good), FailureShare (forgets with time), the pool (more that run order more). Change: the mean holds for 10 s after the last request that ended there, then the service's mean does, and learning begins anew (RouterOptions::mHoldAge).

--- a/include/peridotspool/routing/RouterOptions.h
+++ b/include/peridotspool/routing/RouterOptions.h
@@ -34,6 +34,8 @@
   double mMaxWaitingPerSlot = 4;
   /** Expected time of a request before one has ended. */
   Duration mFirstHold = std::chrono::milliseconds(500);
+  /** What an upstream's requests took counts for this long after the last. */
+  Duration mHoldAge = std::chrono::seconds(10);
   /** Blocks of prompts that the prefix index holds (a power of two). */
   std::uint32_t mPrefixBlocks = 1 << 16;
   EjectionOptions mEjection;
--- a/src/routing/Score.cpp
+++ b/src/routing/Score.cpp
@@ -24,10 +24,16 @@
 /** Part of a prompt's time that a full cache hit saves. */
 constexpr double kCacheSaves = 0.9;
 
+// An upstream's own mean changes only with what is sent there. One that was
+// slow while too much was sent there would be kept out by it for good: it had
+// none of 160 requests in the 80 s after it, and has its part 10 s after it now
+// (SlowOnceTest). So the mean holds for a while, then its service's does.
 double
-HoldMicros(const CandidateFacts& aFacts, const RouterOptions& aOptions)
+HoldMicros(const CandidateFacts& aFacts,
+           const RouterOptions& aOptions,
+           TimePoint aNow)
 {
-  if (aFacts.mFigures.mHoldMicros > 0) {
+  if (aFacts.mFigures.mHoldMicros > 0 && aNow < aFacts.mFigures.mHoldExpires) {
     return aFacts.mFigures.mHoldMicros;
   }
   return aFacts.mServiceHoldMicros > 0
@@ -84,7 +90,7 @@
                TimePoint aNow)
 {
   const UpstreamFigures& figures = aFacts.mFigures;
-  const double hold = HoldMicros(aFacts, aOptions);
+  const double hold = HoldMicros(aFacts, aOptions, aNow);
   const auto remaining = static_cast<double>((aQuery.mDeadline - aNow).count());
   const auto target = static_cast<double>(aQuery.mFirstTokenTarget.count());
   ScoreParts parts;
--- a/src/routing/Upstream.h
+++ b/src/routing/Upstream.h
@@ -20,6 +20,8 @@
   float mFirstTokenMicros = 0;
   /** Mean time that a request holds a slot; zero before one has ended. */
   float mHoldMicros = 0;
+  /** When that is too old to go by. */
+  TimePoint mHoldExpires;
   /** Currency units an hour. */
   float mPrice = 0;
   /** Share of guessed prefixes that the engine confirmed. */
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -218,7 +218,7 @@
   if (aEnd == AttemptEnd::kCompleted) {
     const Duration mean(static_cast<Duration::rep>(PoolOf(aIndex).mHoldMicros));
     eject = detail.mEjection.OnCompleted(took, mean, mOptions.mEjection);
-    Learn(aIndex, took);
+    Learn(aIndex, took, aNow);
   } else if (aEnd != AttemptEnd::kCancelled) {
     eject = detail.mEjection.OnFailure(mOptions.mEjection);
   }
@@ -228,11 +228,13 @@
 }
 
 void
-UpstreamTable::Learn(UpstreamIndex aIndex, Duration aTook)
+UpstreamTable::Learn(UpstreamIndex aIndex, Duration aTook, TimePoint aNow)
 {
   const auto took = static_cast<double>(aTook.count());
   UpstreamFigures& figures = mFigures[aIndex];
-  figures.mHoldMicros = static_cast<float>(Mean(figures.mHoldMicros, took));
+  const double mean = aNow < figures.mHoldExpires ? figures.mHoldMicros : 0;
+  figures.mHoldMicros = static_cast<float>(Mean(mean, took));
+  figures.mHoldExpires = aNow + mOptions.mHoldAge;
   ServicePool& pool = PoolOf(aIndex);
   pool.mHoldMicros = Mean(pool.mHoldMicros, took);
 }
--- a/src/routing/UpstreamTable.h
+++ b/src/routing/UpstreamTable.h
@@ -71,7 +71,7 @@
   void TakeFigures(UpstreamIndex aIndex, TimePoint aNow);
   void UpdateServing(UpstreamIndex aIndex, TimePoint aNow);
   void StopServing(UpstreamIndex aIndex);
-  void Learn(UpstreamIndex aIndex, Duration aTook);
+  void Learn(UpstreamIndex aIndex, Duration aTook, TimePoint aNow);
   void TryEject(UpstreamIndex aIndex, TimePoint aNow);
   void EndEjection(UpstreamIndex aIndex);
   void Forget(UpstreamIndex aIndex);
