Show that a full deployment stays late after an overload

Everything that comes is sent, also what is known to be late or to be given up before its first event, and all that comes next waits behind it.

--- a/test/gateway/OverloadRecoveryTest.cpp
+++ b/test/gateway/OverloadRecoveryTest.cpp
@@ -21,6 +21,7 @@
 
 namespace {
 
+constexpr double kWholeLoadFromMs = 16000.0;
 constexpr double kOverloadFromMs = 24000.0;
 constexpr double kOverloadToMs = 32000.0;
 /** All that waits at the overload's end has been read or its caller has left
@@ -60,29 +61,52 @@
     std::chrono::microseconds(told.mLines.at(0).mWaitUs));
 }
 
+/** Half of the load, all of it, 2.2 times as much for 8 s, all of it again. */
+void
+CheckRecovery(const Deployment& aDeployment,
+              unsigned aSeed,
+              double aLeastBefore)
+{
+  const auto load = MakeLoad(
+    aDeployment,
+    aSeed,
+    { { .mFromMs = 0.0, .mToMs = kWholeLoadFromMs, .mTimes = 0.5 },
+      { .mFromMs = kOverloadFromMs, .mToMs = kOverloadToMs, .mTimes = 2.2 } });
+  LoadPlay play(aDeployment, Policy::kByKeepers);
+  play.Run(load);
+  const Outcome before = play.Of(kWholeLoadFromMs, kOverloadFromMs);
+  const Outcome after =
+    play.Of(kOverloadToMs + kAgainAfterMs, aDeployment.mDayMs);
+  INFO("seed " << aSeed << ": within 1,000 ms " << before.mInObjective
+               << " before the overload, " << after.mInObjective
+               << " from 12 s after it on; p95 " << before.mP95Ms << " and "
+               << after.mP95Ms << " ms; read " << before.mRead << " and "
+               << after.mRead << " of the tokens");
+  CHECK(before.mInObjective > aLeastBefore);
+  CHECK(after.mInObjective > before.mInObjective - 0.03);
+}
+
 } // namespace
 
 TEST_CASE("AfterAnOverloadFirstEventsComeAsSoonAsBefore")
 {
   for (const unsigned seed : { 1U, 2U, 3U }) {
-    const auto load =
-      MakeLoad(kBusy,
-               seed,
-               { { .mFromMs = 0.0, .mToMs = 16000.0, .mTimes = 0.5 },
-                 { .mFromMs = kOverloadFromMs,
-                   .mToMs = kOverloadToMs,
-                   .mTimes = 2.2 } });
-    LoadPlay play(kBusy, Policy::kByKeepers);
-    play.Run(load);
-    const Outcome before = play.Of(16000.0, kOverloadFromMs);
-    const Outcome after = play.Of(kOverloadToMs + kAgainAfterMs, kBusy.mDayMs);
-    INFO("seed " << seed << ": within 1,000 ms " << before.mInObjective
-                 << " before the overload, " << after.mInObjective
-                 << " from 12 s after it on; p95 " << before.mP95Ms << " and "
-                 << after.mP95Ms << " ms; read " << before.mRead << " and "
-                 << after.mRead << " of the tokens");
-    CHECK(before.mInObjective > 0.95);
-    CHECK(after.mInObjective > before.mInObjective - 0.03);
+    CheckRecovery(kBusy, seed, 0.95);
+  }
+}
+
+// With a quarter less of engines all prompts together leave none of them a
+// moment without one, and none comes in time: what is read is for callers whose
+// answers come late or who have left, and it keeps the next ones waiting.
+// Sequence: 86 to 98 of 100 came in time; after an overload of 8 s none did,
+// for as long as the play goes on, at the load of before. Cause: a prompt that
+// is known to be late was sent all the same.
+TEST_CASE("WhatWouldBeLateDoesNotMakeAllOthersLate")
+{
+  Deployment full = kBusy;
+  full.mEngines = 60;
+  for (const unsigned seed : { 1U, 2U, 3U }) {
+    CheckRecovery(full, seed, 0.8);
   }
 }
 
