Refuse at once a prompt that is known to be late

Cause: everything was sent, also what all engines that could be asked begin after its objective. It was read before all that came later, which was late by it. Change: LateRefusal decides from what is expected (the wait that its keeper told, its own reading, the way) against the route's objective, which nothing used so far; eight keepers are asked before it refuses, instead of four. Only of prompts of 3,000 tokens and more, where the engine's batch is half full or more and its keeper has spoken. The caller is told when it would be in time. What is refused or ends otherwise without having run is given back to its customer's limit.

--- /dev/null
+++ b/include/peridotspool/gateway/LateRefusal.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "peridotspool/base/Time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace peridotspool::gateway {
+
+/** What is expected of a prompt at the upstream that would begin it soonest. */
+struct StartOutlook
+{
+  /** From now to its first event. */
+  Duration mExpected{ 0 };
+  /** A first event within this is on time; zero if none is set. */
+  Duration mObjective{ 0 };
+  /** Tokens of the prompt; 0 for a plain call. */
+  std::uint64_t mPrompt = 0;
+  /** Who keeps account of the upstream has said what it has to do. */
+  bool mHeard = false;
+  /** Places of its batch that are taken, as a part of them. */
+  double mFullness = 0.0;
+};
+
+/**
+ * Returns when the caller of a prompt is to come back, as its first event is
+ * expected to be late; empty if the prompt is to be served.
+ */
+std::optional<Duration>
+ComeBackIn(const StartOutlook& aOutlook);
+
+} // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/ReadRate.h
+++ b/include/peridotspool/gateway/ReadRate.h
@@ -18,13 +18,14 @@
 public:
   /** How long an engine takes to read so many tokens. */
   Duration TimeFor(std::uint64_t aTokens) const;
+  /** From the end of reading to the first event. */
+  Duration UntilFirst() const;
   /** The first event after aTokens to read came after aTook. */
   void Learn(std::uint64_t aTokens, Duration aTook);
 
 private:
   /** Guesses until the first requests have shown more. */
   LowQuartile mMsPerToken{ 0.025 };
-  /** From the end of reading to the first event. */
   LowQuartile mUntilFirstMs{ 1.0 };
 };
 
--- a/include/peridotspool/gateway/UpstreamBoard.h
+++ b/include/peridotspool/gateway/UpstreamBoard.h
@@ -59,6 +59,8 @@
   std::uint64_t mSeed = 0;
   /** Upstreams that this request was sent to already. */
   std::set<UpstreamName> mTried;
+  /** The first look found none that begins it in time: more are asked. */
+  bool mLooksFurther = false;
   /** If not empty, the choice is among these, as long as one takes work. */
   std::vector<UpstreamName> mAmong;
   /** Tokens of the prompt that upstreams keep, where a keeper has said so. */
@@ -77,6 +79,8 @@
   Duration mWait{ 0 };
   /** Tokens that it is expected to read for this request. */
   std::uint64_t mReads = 0;
+  /** Until the first event of a prompt that is sent there now. */
+  Duration mExpected{ 0 };
   /** Place in the order that the affinity gives; 0 is the first. */
   std::size_t mRank = 0;
   std::size_t mCandidates = 0;
@@ -85,6 +89,8 @@
   std::optional<Address> mNeighbour;
   /** It is in the instance's own failure domain. */
   bool mNear = false;
+  /** Its keeper has answered for this request. */
+  bool mHeard = false;
   /** Age of the newest load report; empty without one. */
   std::optional<Duration> mReportAge;
 };
@@ -177,6 +183,7 @@
                           const ChooseQuestion& aQuestion,
                           TimePoint aNow) const;
   Belief* Find(const SentRequest& aSent);
+  ReadRate RateOf(const ServiceName& aService) const;
   Duration TimeFor(const ServiceName& aService, std::uint64_t aTokens) const;
   std::uint64_t ReadsAt(const Belief& aBelief,
                         const ChooseQuestion& aQuestion,
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -76,7 +76,15 @@
   const TimePoint now = mCore.mNow();
   const auto choice = mCore.mBoard.Choose(mQuestion, now);
   if (choice) {
-    SendTo(*choice);
+    const auto comeBack = RefusesLate(*choice);
+    if (!comeBack) {
+      SendTo(*choice);
+    } else if (mQuestion.mLooksFurther) {
+      RefuseLate(*choice, *comeBack);
+    } else {
+      mQuestion.mLooksFurther = true;
+      Dispatch();
+    }
     return;
   }
   if (mRuns == 0 && mRefusals == 0 && WaitForStart()) {
@@ -120,6 +128,7 @@
       { "load_age_ms",
         aChoice.mReportAge ? *aChoice.mReportAge : Duration(-1000) },
       { "ask_ms", mAskTook },
+      { "heard", aChoice.mHeard },
       { "runs", mRuns },
       { "refusals", mRefusals },
       { "prefix",
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -57,6 +57,8 @@
   void GoOnAsked();
   void StopAsking();
   void Place();
+  std::optional<Duration> RefusesLate(const UpstreamChoice& aChoice) const;
+  void RefuseLate(const UpstreamChoice& aChoice, Duration aComeBack);
   void SendTo(const UpstreamChoice& aChoice);
   void TellSent(const UpstreamChoice& aChoice);
   std::uint64_t EngineMemory() const;
@@ -104,6 +106,8 @@
   /** Who keeps account of the send under way. */
   std::optional<Address> mKeeper;
   std::uint64_t mLoadSend = 0;
+  /** It counts against its customer's limit. */
+  bool mGranted = false;
   bool mCounted = false;
   std::uint32_t mRuns = 0;
   std::uint32_t mRefusals = 0;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -129,7 +129,7 @@
     mCore.mWaiting.erase(mQuotaTag);
     mQuotaTag = 0;
   }
-  if (mCustomer != nullptr && mRuns == 0 && mSent.mSentAt != TimePoint()) {
+  if (mGranted && mRuns == 0) {
     mCore.mQuota.GiveBack(mCustomer->mName, Units());
   }
   mOver = true;
--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -1,6 +1,7 @@
 // What a request asks and tells those who keep account of upstreams' load.
 
 #include "gateway/Exchange.h"
+#include "peridotspool/gateway/LateRefusal.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +17,8 @@
  */
 constexpr Duration kAskFor = std::chrono::milliseconds(20);
 
+constexpr unsigned kUnavailable = 503;
+
 std::uint32_t
 ToMicroseconds(Duration aDuration)
 {
@@ -120,6 +123,43 @@
                              .mMemory = EngineMemory() });
 }
 
+// Empty where it is to be sent: also where it may have run already, or its
+// caller has a part of the answer.
+std::optional<Duration>
+Exchange::RefusesLate(const UpstreamChoice& aChoice) const
+{
+  if (mRuns > 0 || mBegun) {
+    return std::nullopt;
+  }
+  return ComeBackIn({ .mExpected = aChoice.mExpected,
+                      .mObjective = mRoute->mTargetLatency,
+                      .mPrompt = mQuestion.mPrompt.Tokens(),
+                      .mHeard = aChoice.mHeard,
+                      .mFullness = aChoice.mFullness });
+}
+
+void
+Exchange::RefuseLate(const UpstreamChoice& aChoice, Duration aComeBack)
+{
+  mCore.mCounters.Add(observe::CounterId::kRefusedLate);
+  mCore.mLogger.Log(observe::EventId::kRequestRefused,
+                    { { "request", mId },
+                      { "reason", "late" },
+                      { "service", mService },
+                      { "upstream", aChoice.mName },
+                      { "expected_ms", aChoice.mExpected },
+                      { "objective_ms", mRoute->mTargetLatency },
+                      { "wait_ms", aChoice.mWait },
+                      { "reads", aChoice.mReads },
+                      { "fullness", aChoice.mFullness },
+                      { "candidates", aChoice.mCandidates },
+                      { "asked_ms", mCore.mNow() - mArrivedAt },
+                      { "come_back_ms", aComeBack } });
+  AnswerOwn(kUnavailable,
+            "upstreams are behind",
+            std::chrono::duration<double>(aComeBack).count());
+}
+
 std::uint64_t
 Exchange::EngineMemory() const
 {
--- a/src/gateway/ExchangeQuota.cpp
+++ b/src/gateway/ExchangeQuota.cpp
@@ -42,6 +42,7 @@
     mCore.mQuota.Take(*mCustomer, Units(), mCore.mNow());
   switch (answer.mOutcome) {
     case QuotaOutcome::kGranted:
+      mGranted = true;
       Dispatch();
       return;
     case QuotaOutcome::kRefused:
@@ -67,6 +68,7 @@
       mCore.mQuota.GiveBack(mCustomer->mName, Units());
     }
   } else if (aDecided.mGranted) {
+    mGranted = true;
     Dispatch();
   } else {
     RefuseForQuota(aDecided.mComeBack, aDecided.mByOwnPart);
--- a/src/gateway/ReadRate.cpp
+++ b/src/gateway/ReadRate.cpp
@@ -22,14 +22,25 @@
   return std::chrono::duration<double, std::milli>(aDuration).count();
 }
 
+Duration
+FromMilliseconds(double aMs)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(aMs));
+}
+
 } // namespace
 
+Duration
+ReadRate::UntilFirst() const
+{
+  return FromMilliseconds(mUntilFirstMs.Value());
+}
+
 Duration
 ReadRate::TimeFor(std::uint64_t aTokens) const
 {
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(static_cast<double>(aTokens) *
-                                              mMsPerToken.Value()));
+  return FromMilliseconds(static_cast<double>(aTokens) * mMsPerToken.Value());
 }
 
 // Small prompts show the way there and back and the first step, large ones the
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -81,11 +81,17 @@
   belief.mReportedAt = aNow;
 }
 
+ReadRate
+UpstreamBoard::RateOf(const ServiceName& aService) const
+{
+  const auto rate = mRates.find(aService);
+  return rate == mRates.end() ? ReadRate() : rate->second;
+}
+
 Duration
 UpstreamBoard::TimeFor(const ServiceName& aService, std::uint64_t aTokens) const
 {
-  const auto rate = mRates.find(aService);
-  return (rate == mRates.end() ? ReadRate() : rate->second).TimeFor(aTokens);
+  return RateOf(aService).TimeFor(aTokens);
 }
 
 bool
--- a/src/gateway/UpstreamBoardChoice.cpp
+++ b/src/gateway/UpstreamBoardChoice.cpp
@@ -43,6 +43,8 @@
 constexpr double kCopyPart = 0.2;
 /** Upstreams whose keepers are asked for one request. */
 constexpr std::size_t kShortlist = 4;
+/** Asked before a prompt is refused that none of those begins in time. */
+constexpr std::size_t kLongShortlist = 8;
 
 std::uint64_t
 RendezvousWeight(std::uint64_t aAffinity, const std::string& aName)
@@ -122,7 +124,8 @@
   if (candidates.size() < 2) {
     return shortlist;
   }
-  const std::size_t count = std::min(kShortlist, candidates.size());
+  const std::size_t count = std::min(
+    aQuestion.mLooksFurther ? kLongShortlist : kShortlist, candidates.size());
   for (std::size_t i = 0; i < count; ++i) {
     const membership::UpstreamReport& report = candidates[i]->mReport;
     shortlist.push_back({ .mName = report.mName, .mDomain = report.mDomain });
@@ -296,6 +299,8 @@
                                ? PickSoonest(candidates, aQuestion, aNow)
                                : PickLeastFull(candidates, aNow);
   const Belief& belief = *candidates[picked];
+  const std::uint64_t reads = ReadsAt(belief, aQuestion, picked, aNow);
+  const ReadRate rate = RateOf(aQuestion.mService);
   return UpstreamChoice{
     .mName = belief.mReport.mName,
     .mIncarnation = belief.mReport.mIncarnation,
@@ -303,13 +308,16 @@
     .mDomain = belief.mReport.mDomain,
     .mFullness = FullnessOf(belief, aNow),
     .mWait = belief.mReading.Wait(aNow),
-    .mReads = ReadsAt(belief, aQuestion, picked, aNow),
+    .mReads = reads,
+    .mExpected =
+      belief.mReading.Wait(aNow) + rate.TimeFor(reads) + rate.UntilFirst(),
     .mRank = picked,
     .mCandidates = candidates.size(),
     .mNeighbour = aQuestion.mPrompt.mAffinity != 0
                     ? NeighbourOf(belief, aQuestion, aNow)
                     : std::nullopt,
     .mNear = belief.mReport.mDomain == mOptions.mDomain,
+    .mHeard = aQuestion.mKept.contains(belief.mReport.mName),
     .mReportAge = belief.mReportedAt
                     ? std::optional(Duration(aNow - *belief.mReportedAt))
                     : std::nullopt,
--- a/test/gateway/ExchangeLoadTest.cpp
+++ b/test/gateway/ExchangeLoadTest.cpp
@@ -38,6 +38,10 @@
       core.mTellEntry = [this](const Address&, const SharedMessage& aMessage) {
         const std::lock_guard lock(mMutex);
         mTold.push_back(aMessage);
+        if (const auto* ask = std::get_if<LoadAsk>(&aMessage);
+            ask && mAnswers) {
+          AnswerAtOnce(ask->mTag);
+        }
       };
     });
     mGateway.Add("u1", mOne.Where());
@@ -67,6 +71,18 @@
     return count;
   }
 
+  /** From now on the keeper says this of both, before the wait is over. */
+  void AnswerAll(std::uint32_t aWaitUs, std::uint32_t aRunning)
+  {
+    const std::lock_guard lock(mMutex);
+    mAnswers.emplace();
+    for (const char* name : { "u1", "u2" }) {
+      mAnswers->push_back({ .mUpstream = UpstreamName(name),
+                            .mWaitUs = aWaitUs,
+                            .mRunning = aRunning });
+    }
+  }
+
   void Answer(std::vector<LoadLine> aLines)
   {
     const LoadTold told{ .mTag = AskedTag(), .mLines = std::move(aLines) };
@@ -85,10 +101,29 @@
   GatewayFixture mGateway;
 
 private:
+  // Posted on the relay thread, it is taken before any timer is looked at.
+  void AnswerAtOnce(std::uint64_t aTag)
+  {
+    GatewayCore& core = mGateway.Core();
+    http::net::post(core.mIo, [&core, told = LoadTold{ aTag, *mAnswers }] {
+      core.TakeTold(told);
+    });
+  }
+
   mutable std::mutex mMutex;
   std::vector<SharedMessage> mTold;
+  std::optional<std::vector<LoadLine>> mAnswers;
 };
 
+std::string
+PromptText(const std::string& aId)
+{
+  const std::string text = RequestText("prompt", aId);
+  const std::size_t fields = text.find("\r\n") + 2;
+  return text.substr(0, fields) + "X-Prefix: aa:12000,bb:3000\r\n" +
+         text.substr(fields);
+}
+
 } // namespace
 
 TEST_CASE("ACallGoesToTheUpstreamThatItsKeeperCallsIdle")
@@ -144,4 +179,39 @@
   CHECK(asking.Count<LoadSent>() == sent);
 }
 
+// Symptom: during an overload, and after it, nobody had the first event in
+// time. Sequence: all engines are behind by more than what is still on time,
+// and each new prompt is sent behind the others. Cause: what was known to be
+// late was sent all the same.
+TEST_CASE("APromptThatWouldBeLateIsRefusedAtOnceAndWasNotSent")
+{
+  AskingGateway asking;
+  asking.AnswerAll(5000000, 8);
+  Caller caller(asking.mGateway.Where());
+  caller.Send(PromptText("r1"));
+  const std::string answer = caller.ReadAnswer();
+  CHECK(StatusOf(answer) == "HTTP/1.1 503");
+  CHECK_THAT(answer, Catch::Contains("Retry-After: 4."));
+  CHECK(asking.Counted(CounterId::kRefusedLate) == 1);
+  CHECK(asking.Counted(CounterId::kLoadUnanswered) == 0);
+  CHECK(asking.Count<LoadSent>() == 0);
+  CHECK(asking.mOne.Requests().size() + asking.mTwo.Requests().size() == 0);
+}
+
+// An engine that has room begins sooner than what waits to be read lets expect,
+// and a plain call has nothing to be read.
+TEST_CASE("OnlyAPromptThatAFullUpstreamKeepsWaitingIsRefusedAsLate")
+{
+  AskingGateway asking;
+  asking.AnswerAll(5000000, 1);
+  Caller prompt(asking.mGateway.Where());
+  prompt.Send(PromptText("r1"));
+  CHECK(StatusOf(prompt.ReadAnswer()) == "HTTP/1.1 200");
+  asking.AnswerAll(5000000, 8);
+  Caller plain(asking.mGateway.Where());
+  plain.Send(RequestText("safe", "r2"));
+  CHECK(StatusOf(plain.ReadAnswer()) == "HTTP/1.1 200");
+  CHECK(asking.Counted(CounterId::kRefusedLate) == 0);
+}
+
 } // namespace peridotspool::gateway
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -60,6 +60,16 @@
            .mResumable = aResumable };
 }
 
+/** A stream that may run once, of which a first event within 1 s is on time. */
+Route
+MakePromptRoute()
+{
+  Route route = MakeRoute("prompt", RequestKind::kStreaming, false);
+  route.mTargetLatency = std::chrono::seconds(1);
+  route.mSticky = true;
+  return route;
+}
+
 std::shared_ptr<const RouteTable>
 MakeTable()
 {
@@ -68,7 +78,8 @@
   source.mServices = { ServiceProfile{ .mName = ServiceName("s") } };
   source.mRoutes = { MakeRoute("safe", RequestKind::kIdempotent, false),
                      MakeRoute("once", RequestKind::kNonIdempotent, false),
-                     MakeRoute("stream", RequestKind::kStreaming, true) };
+                     MakeRoute("stream", RequestKind::kStreaming, true),
+                     MakePromptRoute() };
   source.mLimits.mBodyBytes = 10000;
   source.mLimits.mHeaderBytes = 4000;
   LastReason reason;
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -114,7 +114,8 @@
   std::thread mRelay;
 };
 
-/** Returns a request on the route of a kind: "safe", "once" or "stream". */
+/** Returns a request on the route of a kind: "safe", "once", "stream" or
+ * "prompt". */
 std::string
 RequestText(const std::string& aKind,
             const std::string& aId,
--- a/test/gateway/LoadPlay.cpp
+++ b/test/gateway/LoadPlay.cpp
@@ -1,5 +1,7 @@
 #include "gateway/LoadPlay.h"
 
+#include "peridotspool/gateway/LateRefusal.h"
+
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -81,8 +83,9 @@
     load.push_back(
       { .mAtMs = at,
         .mPrompt = MakePrompt(subject, aDeployment.mShared, own, load.size()),
-        .mEntry = static_cast<int>(
-          random() % static_cast<unsigned>(aDeployment.mEntries)) });
+        .mEntry = static_cast<int>(random() %
+                                   static_cast<unsigned>(aDeployment.mEntries)),
+        .mAskedMs = at });
   }
   return load;
 }
@@ -108,8 +111,8 @@
 LoadPlay::Run(const std::vector<Arrival>& aLoad)
 {
   for (const Arrival& one : aLoad) {
-    Settle(one.mAtMs);
-    Serve(one);
+    ServeReturning(one.mAtMs);
+    ServeWhenIn(one);
   }
   const double last = aLoad.empty() ? 0.0 : aLoad.back().mAtMs;
   Settle(last + std::min(mDeployment.mPatienceMs, mDeployment.mDayMs));
@@ -123,6 +126,7 @@
   double asked = 0.0;
   double read = 0.0;
   double good = 0.0;
+  double refused = 0.0;
   for (const Served& one : mServed) {
     if (one.mAtMs < aFromMs || one.mAtMs >= aToMs) {
       continue;
@@ -131,7 +135,9 @@
     speeds.push_back(one.mBelievedSpeed);
     asked += one.mAsked;
     read += one.mRead;
-    good += one.mFirstMs <= mDeployment.mObjectiveMs ? 1.0 : 0.0;
+    refused += one.mRefused ? 1.0 : 0.0;
+    good +=
+      !one.mRefused && one.mFirstMs <= mDeployment.mObjectiveMs ? 1.0 : 0.0;
   }
   if (times.empty()) {
     return {};
@@ -140,7 +146,8 @@
   std::sort(speeds.begin(), speeds.end());
   return { .mInObjective = good / static_cast<double>(times.size()),
            .mP95Ms = times[times.size() * 95 / 100],
-           .mRead = read / asked,
+           .mRefused = refused / static_cast<double>(times.size()),
+           .mRead = asked > 0.0 ? read / asked : 0.0,
            .mBelievedSpeed = speeds[speeds.size() / 2] };
 }
 
@@ -169,9 +176,11 @@
 }
 
 UpstreamChoice
-LoadPlay::Choose(const Arrival& aOne)
+LoadPlay::Choose(const Arrival& aOne, bool aLooksFurther)
 {
-  ChooseQuestion question{ .mService = kService, .mPrompt = aOne.mPrompt };
+  ChooseQuestion question{ .mService = kService,
+                           .mPrompt = aOne.mPrompt,
+                           .mLooksFurther = aLooksFurther };
   const TimePoint now = At(aOne.mAtMs);
   if (mPolicy == Policy::kByPlace) {
     // An idle board orders the engines by the prefix alone.
@@ -184,7 +193,11 @@
       ask.mUpstreams.push_back(upstream.mName);
     }
     question.mAmong = ask.mUpstreams;
+    std::uniform_real_distribution<double> part(0.0, 1.0);
     for (const LoadLine& line : mKeeper.Answer(ask, now).mLines) {
+      if (part(mRandom) < mDeployment.mUnheard) {
+        continue;
+      }
       board.TakeKept(line, now);
       question.mKept[line.mUpstream] = line.mKept;
     }
@@ -208,24 +221,79 @@
 }
 
 void
-LoadPlay::Serve(const Arrival& aOne)
+LoadPlay::ServeReturning(double aMs)
+{
+  while (!mReturning.empty() && mReturning.begin()->first <= aMs) {
+    const Arrival one = mReturning.begin()->second;
+    mReturning.erase(mReturning.begin());
+    ServeWhenIn(one);
+  }
+}
+
+void
+LoadPlay::ServeWhenIn(const Arrival& aOne)
+{
+  Settle(aOne.mAtMs);
+  for (const bool further : { false, true }) {
+    const UpstreamChoice choice = Choose(aOne, further);
+    const auto comeBack = ComeBack(aOne, choice);
+    if (!comeBack) {
+      Serve(aOne, choice);
+      return;
+    }
+    if (further) {
+      Refuse(aOne, *comeBack);
+    }
+  }
+}
+
+std::optional<Duration>
+LoadPlay::ComeBack(const Arrival& aOne, const UpstreamChoice& aChoice) const
+{
+  return ComeBackIn(
+    { .mExpected = aChoice.mExpected,
+      .mObjective = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(mDeployment.mObjectiveMs)),
+      .mPrompt = aOne.mPrompt.Tokens(),
+      .mHeard = aChoice.mHeard,
+      .mFullness = aChoice.mFullness });
+}
+
+void
+LoadPlay::Refuse(const Arrival& aOne, Duration aComeBack)
+{
+  Arrival again = aOne;
+  again.mAtMs += Milliseconds(aComeBack);
+  ++again.mRefusals;
+  const bool leaves = again.mRefusals > mDeployment.mReturns ||
+                      again.mAtMs - again.mAskedMs > mDeployment.mPatienceMs;
+  if (leaves) {
+    mServed.push_back({ .mAtMs = aOne.mAskedMs,
+                        .mFirstMs = mDeployment.mPatienceMs,
+                        .mRefused = true });
+  } else {
+    mReturning.emplace(again.mAtMs, again);
+  }
+}
+
+void
+LoadPlay::Serve(const Arrival& aOne, const UpstreamChoice& aChoice)
 {
-  const UpstreamChoice choice = Choose(aOne);
-  const std::size_t place = std::stoul(choice.mName.Value());
+  const std::size_t place = std::stoul(aChoice.mName.Value());
   Engine& engine = mEngines[place];
-  const double reads = TokensToRead(engine, aOne.mPrompt, choice.mNeighbour);
+  const double reads = TokensToRead(engine, aOne.mPrompt, aChoice.mNeighbour);
   engine.mKept.Use(aOne.mPrompt.mParts, mDeployment.mMemory);
-  const SentRequest sent = BoardOf(aOne.mEntry).Sent(choice, At(aOne.mAtMs));
+  const SentRequest sent = BoardOf(aOne.mEntry).Sent(aChoice, At(aOne.mAtMs));
   const std::uint64_t send = ++mLastSend;
   engine.mEngine.Send(send, reads, mDeployment.mAnswerTokens);
   Tell(aOne.mAtMs,
-       LoadSent{ .mUpstream = choice.mName,
+       LoadSent{ .mUpstream = aChoice.mName,
                  .mSend = send,
                  .mReadUs = Microseconds(sent.mReading),
                  .mParts = aOne.mPrompt.mParts,
                  .mMemory = mDeployment.mMemory });
   mServed.push_back(
-    { .mAtMs = aOne.mAtMs,
+    { .mAtMs = aOne.mAskedMs,
       .mFirstMs = mDeployment.mPatienceMs,
       .mAsked = static_cast<double>(aOne.mPrompt.Tokens()),
       .mRead = reads,
@@ -289,7 +357,7 @@
       continue;
     }
     UnderWay& one = found->second;
-    if (aMs - mServed[one.mPlace].mAtMs < mDeployment.mPatienceMs) {
+    if (Milliseconds(At(aMs) - one.mSent.mSentAt) < mDeployment.mPatienceMs) {
       return;
     }
     mEngines[one.mEngine].mEngine.Drop(found->first);
--- a/test/gateway/LoadPlay.h
+++ b/test/gateway/LoadPlay.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <random>
 #include <vector>
 
 namespace peridotspool::gateway {
@@ -36,6 +37,10 @@
   double mObjectiveMs = 600.0;
   /** A caller without its first event leaves. */
   double mPatienceMs = 1e9;
+  /** The part of the keepers' answers that come too late to be heard. */
+  double mUnheard = 0.0;
+  /** Times that a caller comes back after a refusal. */
+  int mReturns = 1;
   double mDayMs = 60000.0;
 };
 
@@ -63,14 +68,20 @@
   double mAtMs = 0.0;
   PromptParts mPrompt;
   int mEntry = 0;
+  /** When its caller asked first, and how often it was refused since. */
+  double mAskedMs = 0.0;
+  int mRefusals = 0;
 };
 
 /** What became of one prompt. */
 struct Served
 {
+  /** When its caller asked first. */
   double mAtMs = 0.0;
-  /** From its arrival; its caller's patience where there was none. */
+  /** From then on; its caller's patience where there was none. */
   double mFirstMs = 0.0;
+  /** It was refused for good. */
+  bool mRefused = false;
   double mAsked = 0.0;
   double mRead = 0.0;
   /** What the entry took the engine's speed for, tokens a ms. */
@@ -82,6 +93,8 @@
 {
   double mInObjective = 0.0;
   double mP95Ms = 0.0;
+  /** Refused for good. */
+  double mRefused = 0.0;
   /** Tokens read, as a part of those asked for. */
   double mRead = 0.0;
   /** Median of the believed speeds. */
@@ -121,11 +134,16 @@
 
   UpstreamBoard IdleBoard() const;
   UpstreamBoard& BoardOf(int aEntry);
-  UpstreamChoice Choose(const Arrival& aOne);
+  UpstreamChoice Choose(const Arrival& aOne, bool aLooksFurther);
+  std::optional<Duration> ComeBack(const Arrival& aOne,
+                                   const UpstreamChoice& aChoice) const;
+  void Refuse(const Arrival& aOne, Duration aComeBack);
+  void ServeReturning(double aMs);
+  void ServeWhenIn(const Arrival& aOne);
   double TokensToRead(const Engine& aEngine,
                       const PromptParts& aPrompt,
                       const std::optional<Address>& aNeighbour) const;
-  void Serve(const Arrival& aOne);
+  void Serve(const Arrival& aOne, const UpstreamChoice& aChoice);
   template<typename Message>
   void Tell(double aMs, const Message& aMessage);
   void TakeNews(double aMs);
@@ -138,7 +156,10 @@
   std::vector<Engine> mEngines;
   std::vector<UpstreamBoard> mBoards;
   LoadKeeper mKeeper;
+  std::mt19937 mRandom{ 1 };
   std::vector<Served> mServed;
+  /** Who was told to come back, by when that is. */
+  std::multimap<double, Arrival> mReturning;
   std::map<std::uint64_t, UnderWay> mUnderWay;
   std::uint64_t mLastSend = 0;
   /** The oldest send that may still have to be given up. */
--- a/test/gateway/OverloadRecoveryTest.cpp
+++ b/test/gateway/OverloadRecoveryTest.cpp
@@ -81,7 +81,7 @@
                << " before the overload, " << after.mInObjective
                << " from 12 s after it on; p95 " << before.mP95Ms << " and "
                << after.mP95Ms << " ms; read " << before.mRead << " and "
-               << after.mRead << " of the tokens");
+               << after.mRead << " of the tokens; refused " << after.mRefused);
   CHECK(before.mInObjective > aLeastBefore);
   CHECK(after.mInObjective > before.mInObjective - 0.03);
 }
