Wait 50 ms for the word of keepers

Cause: answers come after 20 to 50 ms while entries have much to do. Ruled out: the senders' own turn (their timer is met within 2 ms); single late keepers (where one is late, mostly all are).

--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -15,7 +15,7 @@
  * of a core. One that is frozen, cut off or gone costs a request this much, for
  * as long as the members' list still names it.
  */
-constexpr Duration kAskFor = std::chrono::milliseconds(20);
+constexpr Duration kAskFor = std::chrono::milliseconds(50);
 
 constexpr unsigned kUnavailable = 503;
 
