--- a/test/gateway/OverloadRecoveryTest.cpp
+++ b/test/gateway/OverloadRecoveryTest.cpp
@@ -62,18 +62,23 @@
 }
 
 /** Half of the load, all of it, 2.2 times as much for 8 s, all of it again. */
-void
-CheckRecovery(const Deployment& aDeployment,
-              unsigned aSeed,
-              double aLeastBefore)
+std::vector<Arrival>
+MakeOverload(const Deployment& aDeployment, unsigned aSeed)
 {
-  const auto load = MakeLoad(
+  return MakeLoad(
     aDeployment,
     aSeed,
     { { .mFromMs = 0.0, .mToMs = kWholeLoadFromMs, .mTimes = 0.5 },
       { .mFromMs = kOverloadFromMs, .mToMs = kOverloadToMs, .mTimes = 2.2 } });
+}
+
+void
+CheckRecovery(const Deployment& aDeployment,
+              unsigned aSeed,
+              double aLeastBefore)
+{
   LoadPlay play(aDeployment, Policy::kByKeepers);
-  play.Run(load);
+  play.Run(MakeOverload(aDeployment, aSeed));
   const Outcome before = play.Of(kWholeLoadFromMs, kOverloadFromMs);
   const Outcome after =
     play.Of(kOverloadToMs + kAgainAfterMs, aDeployment.mDayMs);
@@ -110,6 +115,27 @@
   }
 }
 
+// Symptom: during an overload itself hardly anybody got a first event in time,
+// while the engines read two thirds of what was asked.
+// Sequence: all places of the engines' batches are taken, and as many prompts
+// wait for one. There is little left to read, so the next ones are sent too.
+// Cause: only what is to be read counted as waiting, a place in the batch
+// didn't. Evidence: first events of prompts sent to an engine with one and a
+// half times its places taken came 1.3 s later than believed, with twice as
+// many 2.1 s later, with places free 0.03 to 0.1 s later (68 entries, ten
+// seconds).
+TEST_CASE("WhileTooMuchIsAskedHalfOfItIsStillInTime")
+{
+  for (const unsigned seed : { 1U, 2U, 3U }) {
+    LoadPlay play(kBusy, Policy::kByKeepers);
+    play.Run(MakeOverload(kBusy, seed));
+    const Outcome during = play.Of(kOverloadToMs - 4000.0, kOverloadToMs);
+    INFO("seed " << seed << ": within 1,000 ms " << during.mInObjective
+                 << " in the last four seconds, refused " << during.mRefused);
+    CHECK(during.mInObjective > 0.5);
+  }
+}
+
 // Symptom: during an overload every fourth prompt waited three times as long as
 // the others.
 // Sequence: entries that have much to do answer some questions about an
