--- a/test/process/SystemFiles.cpp
+++ b/test/process/SystemFiles.cpp
@@ -1,5 +1,7 @@
 #include "process/SystemFiles.h"
 
+#include "support/TestRoot.h"
+
 #include "peridotspool/settings/KeyHash.h"
 
 #include <arpa/inet.h>
@@ -118,9 +120,7 @@
 
 SystemFiles::SystemFiles()
 {
-  std::string pattern =
-    (std::filesystem::temp_directory_path() / "peridotspool-test-XXXXXX")
-      .string();
+  std::string pattern = (TestRoot() / "peridotspool-test-XXXXXX").string();
   REQUIRE(::mkdtemp(pattern.data()) != nullptr);
   mFolder = pattern;
   WriteKeys();
--- a/test/soak/SoakTest.cpp
+++ b/test/soak/SoakTest.cpp
@@ -1,5 +1,6 @@
 // ctest-labels: soak
 #include "soak/SoakRun.h"
+#include "support/TestRoot.h"
 
 #include <catch2/catch.hpp>
 
@@ -15,9 +16,8 @@
 std::filesystem::path
 FolderFor(std::uint64_t aSeed)
 {
-  return std::filesystem::temp_directory_path() /
-         ("peridotspool-soak-" + std::to_string(::getpid()) + "-" +
-          std::to_string(aSeed));
+  return test::TestRoot() / ("peridotspool-soak-" + std::to_string(::getpid()) +
+                             "-" + std::to_string(aSeed));
 }
 
 std::uint64_t
