--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -62,6 +62,10 @@
          COMMAND ${PYTHON3_PROGRAM}
                  ${CMAKE_SOURCE_DIR}/test/scripts/missed_days_test.py)
 set_tests_properties(scripts/missed-days PROPERTIES LABELS "unit")
+add_test(NAME scripts/regression
+         COMMAND ${PYTHON3_PROGRAM}
+                 ${CMAKE_SOURCE_DIR}/test/scripts/regression_test.py)
+set_tests_properties(scripts/regression PROPERTIES LABELS "unit")
 
 # The soak runs the program of the users' platform as real processes.
 if(TARGET test_soak)
--- a/test/scripts/missed_days_test.py
+++ b/test/scripts/missed_days_test.py
@@ -25,8 +25,8 @@
             return subprocess.run([SCRIPT, path], capture_output=True, text=True,
                                   check=False)
 
-    def entry(self, *days):
-        return json.dumps({"site": "some", "days": days})
+    def entry(self, *days, finished=True):
+        return json.dumps({"site": "some", "ok": finished, "days": days})
 
     def test_a_missed_floor_counts_without_a_broken_rule(self):
         done = self.run_on(self.entry(
@@ -44,6 +44,11 @@
         self.assertEqual(done.returncode, 0)
         self.assertIn("0 of 2 days missed their gate", done.stdout)
 
+    def test_a_play_that_did_not_finish_says_nothing_of_its_days(self):
+        done = self.run_on(self.entry(day("one"), finished=False))
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("did not finish", done.stderr)
+
     def test_what_is_no_entry_is_told(self):
         for text in ("", "{}", '{"days": 3, "site": "some"}'):
             done = self.run_on(text)
