Name contents and ends of upstreams' lives in our lines

What couldn't be told apart: whether copies of one request or different ones ended the engines, and whether an engine had ended or a connection to it.

Lines of a request (sent, retried, ended) now name its content, a 128-bit hash of customer, method, host, path with query and body. After a lost answer one connection is tried to the upstream's address: refused, or another life announced there, means that the life has ended (UpstreamEnded, with the contents that it was running); accepted means that it goes on. Upstreams that said that they leave are not looked at. routing/CrashWitness decides it, a pure step. No request is treated in another way.

Ruled out: taking a closed connection for an end (a reset or a cut closes it as well), a request to the health path (it costs the upstream a place), and silence at the registry (known seconds later, and the same in a cut).

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -105,6 +105,7 @@
 {
   const TimePoint now = mCore.mNow();
   mUpstream = aChoice.mName;
+  mUpstreamAddress = aChoice.mAddress;
   mQuestion.mTried.insert(mUpstream);
   mHead = UpstreamHead{};
   mBody.clear();
@@ -114,6 +115,7 @@
   mCore.mLogger.Log(
     EventId::kRequestSent,
     { { "request", mId },
+      { "content", ToText(mContent) },
       { "route", mRoute->mName },
       { "service", mService },
       { "upstream", mUpstream },
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -72,6 +72,7 @@
   void Follow(NextStep aStep, const char* aReason, observe::CounterId aRetry);
   void WaitForCaller();
   void RelayEvents(std::string_view aEvents);
+  void WitnessBreak(const LinkFailure& aFailure);
   void FinishWhole();
   void FinishStream();
   void OnTimeout();
@@ -88,6 +89,7 @@
   const Customer* mCustomer = nullptr;
   ServiceName mService;
   std::string mId;
+  ContentId mContent;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   http::net::steady_timer mTimer;
@@ -97,6 +99,7 @@
 
   std::shared_ptr<UpstreamLink> mLink;
   UpstreamName mUpstream;
+  Address mUpstreamAddress;
   SentRequest mSent;
   std::uint64_t mQuotaTag = 0;
   /** The inquiry that it waits for; 0 for none. */
--- a/src/gateway/ExchangeAnswer.cpp
+++ b/src/gateway/ExchangeAnswer.cpp
@@ -1,6 +1,7 @@
 // What an upstream answers, and how it reaches the caller.
 
 #include "gateway/Exchange.h"
+#include "gateway/LifeProbe.h"
 
 #include <algorithm>
 #include <utility>
@@ -209,12 +210,40 @@
   End(mHead.mStatus, "whole");
 }
 
+// What ended may be the connection, or the upstream. One that said that it
+// leaves may end at any time and loses nothing by what it ran.
+void
+Exchange::WitnessBreak(const LinkFailure& aFailure)
+{
+  const routing::UpstreamLife life{ .mName = mUpstream,
+                                    .mIncarnation = mSent.mIncarnation };
+  if (aFailure.mRefused) {
+    mCore.NoteRefused(life);
+    return;
+  }
+  if (!aFailure.mMayHaveBeenSent || !mCore.mBoard.IsReady(mUpstream)) {
+    return;
+  }
+  const auto ended = mCore.mWitness.Lost(life,
+                                         mUpstreamAddress,
+                                         { .mContent = mContent,
+                                           .mSentAt = mSent.mSentAt,
+                                           .mLostAt = mCore.mNow() });
+  if (ended) {
+    mCore.NoteEnded(*ended);
+  } else if (mCore.mWitness.ShouldProbe(life)) {
+    ProbeLife(mCore, life, mUpstreamAddress);
+  }
+}
+
 void
 Exchange::OnBroken(const LinkFailure& aFailure)
 {
+  WitnessBreak(aFailure);
   EndSend(SendResult::kBroken);
   mCore.mLogger.Log(EventId::kRequestRetried,
                     { { "request", mId },
+                      { "content", ToText(mContent) },
                       { "upstream", mUpstream },
                       { "cause", aFailure.mReason },
                       { "may_have_run", aFailure.mMayHaveBeenSent },
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -79,6 +79,12 @@
   }
   mDeadline = mArrivedAt + wait;
   ChooseService();
+  mContent = ContentOf(
+    { .mCustomer = mCustomer == nullptr ? CustomerName() : mCustomer->mName,
+      .mMethod = mRequest.mMethod,
+      .mHost = FieldOf(mRequest.mFields, "host"),
+      .mTarget = mRequest.mTarget,
+      .mBody = mRequest.mBody });
   mCore.mBudget.TakeRequest(mService, mArrivedAt);
   mTimer.expires_after(wait);
   mTimer.async_wait([self = shared_from_this()](http::ErrorCode aError) {
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -16,6 +16,7 @@
 #include "peridotspool/gateway/UsageTally.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
+#include "peridotspool/routing/CrashWitness.h"
 
 #include <cstdint>
 #include <functional>
@@ -76,6 +77,7 @@
   std::optional<StopPlan> mStopPlan;
   /** Requests are refused: the process is about to end. */
   bool mRefusing = false;
+  routing::CrashWitness mWitness;
 
   /** A keeper has answered. */
   void TakeTold(const LoadTold& aTold)
@@ -94,6 +96,10 @@
     }
   }
 
+  /** Nobody listens any more where a life of an upstream did. */
+  void NoteRefused(const routing::UpstreamLife& aLife);
+  void NoteEnded(const routing::EndedLife& aEnded);
+
   /** Something that a starting process lacked has come. */
   void WakeStarting()
   {
--- a/src/gateway/UpstreamLink.cpp
+++ b/src/gateway/UpstreamLink.cpp
@@ -82,7 +82,7 @@
   }
   mTimer.cancel();
   if (aError) {
-    Break(aError.message());
+    Break(aError.message(), aError == net::error::connection_refused);
     return;
   }
   SetSocketOptions(mSocket);
@@ -291,11 +291,12 @@
 }
 
 void
-UpstreamLink::Break(const std::string& aReason)
+UpstreamLink::Break(const std::string& aReason, bool aRefused)
 {
   const LinkFailure failure{ .mReason = aReason,
                              .mMayHaveBeenSent = mSent,
-                             .mReused = mServed > 0 };
+                             .mReused = mServed > 0,
+                             .mRefused = aRefused };
   UpstreamListener* listener = std::exchange(mListener, nullptr);
   Close();
   if (listener != nullptr) {
--- a/src/gateway/UpstreamLink.h
+++ b/src/gateway/UpstreamLink.h
@@ -21,6 +21,8 @@
   bool mMayHaveBeenSent = true;
   /** The connection had served an earlier request. */
   bool mReused = false;
+  /** Nobody listens at the upstream's address. */
+  bool mRefused = false;
 };
 
 /** What a request's connection to an upstream tells, on the relay thread. */
@@ -80,7 +82,7 @@
   bool TakeHead();
   void TakeBody();
   void EndAnswer();
-  void Break(const std::string& aReason);
+  void Break(const std::string& aReason, bool aRefused = false);
   void Close();
 
   http::Tcp::socket mSocket;
--- a/src/runtime/UpstreamFeed.cpp
+++ b/src/runtime/UpstreamFeed.cpp
@@ -37,11 +37,18 @@
   if (!ready || restarted) {
     mCore.mPool.Forget(aName);
   }
+  for (const auto& ended : mCore.mWitness.Announced(
+         { .mName = aName, .mIncarnation = known->mReport.mIncarnation },
+         known->mReport.mAddress,
+         aNow)) {
+    mCore.NoteEnded(ended);
+  }
 }
 
 void
 UpstreamFeed::Forget(TimePoint aNow)
 {
+  mCore.mWitness.Forget(aNow);
   for (const UpstreamName& name : mDirectory.Forget(aNow)) {
     mCore.mBoard.Take(name, nullptr, aNow);
   }
