Show that a request ends upstream after upstream (known red)

What callers saw: each end of an engine cut two to seven answers, and the request that had ended it was sent on and on.

--- a/test/soak/SoakRecord.h
+++ b/test/soak/SoakRecord.h
@@ -46,6 +46,13 @@
   Time mAt;
 };
 
+/** A life of an upstream that a request ended. */
+struct SeenEnd
+{
+  std::string mUpstream;
+  Time mAt;
+};
+
 /** A configuration that an operator sent. */
 struct SeenChange
 {
@@ -98,6 +105,7 @@
 {
   std::vector<SeenRequest> mRequests;
   std::vector<SeenRun> mRuns;
+  std::vector<SeenEnd> mEnds;
   std::vector<SeenChange> mChanges;
   /** Versions in force at entries, and versions read back. */
   std::vector<SeenVersion> mInForce;
--- a/test/soak/SoakUpstream.cpp
+++ b/test/soak/SoakUpstream.cpp
@@ -15,6 +15,8 @@
 constexpr Ms kCheck{ 5 };
 constexpr Ms kPlainWork{ 15 };
 constexpr Ms kEventGap{ 25 };
+/** A deadly request takes this long to end the upstream that runs it. */
+constexpr Ms kDying{ 75 };
 constexpr Ms kIdle{ 20000 };
 constexpr int kSlots = 8;
 /** A misbehaving upstream spoils every third request. */
@@ -86,9 +88,12 @@
 void
 SoakUpstream::Start()
 {
-  if (mRunning.exchange(true)) {
+  if (mRunning) {
     return;
   }
+  Bury();
+  mRunning = true;
+  mDied = false;
   ++mLife;
   mName = "u" + std::to_string(mNumber) + "-" + std::to_string(mLife);
   mDraining = false;
@@ -100,18 +105,41 @@
 void
 SoakUpstream::Crash()
 {
-  if (!mRunning.exchange(false)) {
+  Die();
+  Bury();
+}
+
+// Nobody can connect from the first moment on, as with a process that is gone.
+void
+SoakUpstream::Die()
+{
+  mRunning = false;
+  ::shutdown(mListening, SHUT_RDWR);
+  const std::lock_guard lock(mMutex);
+  for (Session& session : mSessions) {
+    session.mWire->Shut();
+  }
+}
+
+void
+SoakUpstream::Bury()
+{
+  if (!mAccepting.joinable()) {
     return;
   }
   mAccepting.join();
   mBeating.join();
   ::close(mListening);
-  const std::lock_guard lock(mMutex);
-  for (Session& session : mSessions) {
+  std::list<Session> sessions;
+  {
+    // One of them may be about to end this life, for which it takes the lock.
+    const std::lock_guard lock(mMutex);
+    sessions.swap(mSessions);
+  }
+  for (Session& session : sessions) {
     session.mWire->Shut();
     session.mThread.join();
   }
-  mSessions.clear();
 }
 
 void
@@ -244,6 +272,10 @@
                               .mPath = aRequest.mTarget,
                               .mAt = Clock::now() });
   });
+  if (!mDeadly.empty() && aRequest.mTarget == mDeadly) {
+    DieAnswering(aWire, id);
+    return false;
+  }
   ++mBusy;
   bool goOn = true;
   if (Misbehaves(FaultKind::kMute)) {
@@ -264,6 +296,21 @@
   return goOn;
 }
 
+void
+SoakUpstream::DieAnswering(Wire& aWire, const std::string& aId)
+{
+  aWire.Send("HTTP/1.1 200 OK\r\n" + Head(aId) +
+             "Content-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n");
+  if (Sleeps(kDying)) {
+    mRecorder.With([&](Record& aRecord) {
+      aRecord.mEnds.push_back({ .mUpstream = mName, .mAt = Clock::now() });
+    });
+    mDied = true;
+    Die();
+  }
+}
+
 bool
 SoakUpstream::AnswerPlain(Wire& aWire, const std::string& aId)
 {
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -62,6 +62,10 @@
   const std::string& Service() const { return mService; }
   /** kMute, kLoseAnswers, kReject, kFail or kGarble; empty: works well. */
   void Misbehave(std::optional<FaultKind> aHow);
+  /** From now on it dies of each request with this target that it begins. */
+  void DieOf(const std::string& aTarget) { mDeadly = aTarget; }
+  /** Returns true iff a request has ended this life; Start begins the next. */
+  bool HasDied() const { return mDied; }
 
 private:
   struct Session
@@ -71,6 +75,10 @@
     std::shared_ptr<std::atomic<bool>> mDone;
   };
 
+  /** Ends the present life at once, from whatever thread. */
+  void Die();
+  /** Waits for the threads of a life that is over. */
+  void Bury();
   void Beat();
   void Accept();
   void Serve(Wire& aWire);
@@ -80,6 +88,8 @@
   bool AnswerStream(Wire& aWire,
                     const std::string& aId,
                     const std::string& aAfter);
+  /** Sends the head of an answer, and is gone before its first event. */
+  void DieAnswering(Wire& aWire, const std::string& aId);
   std::string Head(const std::string& aId) const;
   bool Misbehaves(FaultKind aHow);
   bool Sleeps(Ms aFor) const;
@@ -96,6 +106,8 @@
   std::atomic<int> mHow{ -1 };
   std::atomic<unsigned> mCounted{ 0 };
   std::atomic<int> mBusy{ 0 };
+  std::string mDeadly;
+  std::atomic<bool> mDied{ false };
   int mListening = -1;
   std::mutex mMutex;
   std::list<Session> mSessions;
