Tell of each vote, and of each write that the disk holds up

What was seen: a group that elected nobody for 20 s and a minute, and lines that couldn't tell whether votes were asked, refused or waiting for a disk; its journals' last writes told it only afterwards.

Each vote and pre-vote asked, heard, given or refused, and given to the disk is a line now (an election in peace tells nothing, VoteNoticesTest). Each write that took 10 ms to sync is one, the others are summed up every ten seconds, and a write that is still under way after a second is told of by the thread that doesn't wait for it (runtime/SyncWatch).

No decision changed.

--- a/include/peridotspool/control/ControlEffect.h
+++ b/include/peridotspool/control/ControlEffect.h
@@ -45,6 +45,10 @@
   kSnapshotMade,
   kSnapshotInstalled,
   kIdentityLost,
+  kVoteSaved,
+  kVoteAsked,
+  kVoteHeard,
+  kVoteAnswered,
 };
 BOOST_DESCRIBE_ENUM(ControlNotice,
                     kTookLead,
@@ -56,7 +60,11 @@
                     kMemberSilent,
                     kSnapshotMade,
                     kSnapshotInstalled,
-                    kIdentityLost)
+                    kIdentityLost,
+                    kVoteSaved,
+                    kVoteAsked,
+                    kVoteHeard,
+                    kVoteAnswered)
 
 /** For the host's log. */
 struct NoticeEffect
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -99,6 +99,7 @@
     }
     return;
   }
+  NoteVoteHeard(envelope.mFrom, envelope.mMessage);
   RunConsensus(ReplicaMessageEvent{ envelope.mFrom, envelope.mMessage });
 }
 
@@ -152,6 +153,7 @@
 void
 ControlNodeState::TakeEffect(SendReplicaEffect aEffect)
 {
+  NoteVoteSent(aEffect);
   if (const auto address = AddressOf(aEffect.mTo)) {
     SendTo(*address, aEffect.mTo, std::move(aEffect.mMessage));
   }
@@ -160,6 +162,7 @@
 void
 ControlNodeState::TakeEffect(PersistEffect aEffect)
 {
+  NoteVoteSaved(aEffect);
   mEffects.emplace_back(std::move(aEffect));
 }
 
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -80,6 +80,10 @@
   std::optional<Address> AddressOf(ReplicaId aReplica) const;
   void SendTo(const Address& aTo, ReplicaId aReplica, ReplicaMessage aMessage);
   void Notice(ControlNotice aNotice, std::string aText);
+  // ControlVotes.cpp: what is told of elections
+  void NoteVoteSent(const SendReplicaEffect& aSend);
+  void NoteVoteHeard(ReplicaId aFrom, const ReplicaMessage& aMessage);
+  void NoteVoteSaved(const PersistEffect& aWrite);
 
   // ControlJoin.cpp: replicas without an identity, and the replica set
   void NoteReplaced(const JoinRequest& aRequest);
--- /dev/null
+++ b/src/control/ControlVotes.cpp
@@ -0,0 +1,62 @@
+// What is told of elections. A group that elects nobody can be waiting for a
+// message, for a disk, or for a leader's lease: the lines tell which, as a
+// promise leaves only once it has synced.
+
+#include "control/ControlNodeState.h"
+
+namespace peridotspool::control {
+
+namespace {
+
+std::string
+Flag(const char* aName, bool aIsSet)
+{
+  return std::string(" ") + aName + "=" + (aIsSet ? "true" : "false");
+}
+
+std::string
+TextOf(const char* aSide, ReplicaId aOther, Term aTerm, bool aPreVote)
+{
+  return std::string(aSide) + "=" + std::to_string(aOther.Value()) +
+         " term=" + std::to_string(aTerm.Value()) + Flag("pre", aPreVote);
+}
+
+} // namespace
+
+void
+ControlNodeState::NoteVoteSent(const SendReplicaEffect& aSend)
+{
+  if (const auto* request = std::get_if<VoteRequest>(&aSend.mMessage)) {
+    Notice(ControlNotice::kVoteAsked,
+           TextOf("of", aSend.mTo, request->mTerm, request->mPreVote));
+  } else if (const auto* reply = std::get_if<VoteReply>(&aSend.mMessage)) {
+    Notice(ControlNotice::kVoteAnswered,
+           TextOf("to", aSend.mTo, reply->mTerm, reply->mPreVote) +
+             Flag("granted", reply->mGranted) +
+             Flag("restarted", reply->mRestarted));
+  }
+}
+
+// A request without an answer was dropped: this replica hears a leader.
+void
+ControlNodeState::NoteVoteHeard(ReplicaId aFrom, const ReplicaMessage& aMessage)
+{
+  if (const auto* request = std::get_if<VoteRequest>(&aMessage)) {
+    Notice(ControlNotice::kVoteHeard,
+           TextOf("from", aFrom, request->mTerm, request->mPreVote) +
+             " last=" + std::to_string(request->mLastIndex.Value()));
+  }
+}
+
+void
+ControlNodeState::NoteVoteSaved(const PersistEffect& aWrite)
+{
+  if (aWrite.mVote) {
+    Notice(ControlNotice::kVoteSaved,
+           "for=" + std::to_string(aWrite.mVote->mVotedFor.Value()) +
+             " term=" + std::to_string(aWrite.mVote->mTerm.Value()) +
+             " write=" + std::to_string(aWrite.mToken.Value()));
+  }
+}
+
+} // namespace peridotspool::control
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -41,6 +41,14 @@
       return EventId::kSnapshotInstalled;
     case ControlNotice::kIdentityLost:
       return EventId::kReplicaIdentityLost;
+    case ControlNotice::kVoteSaved:
+      return EventId::kVoteSaved;
+    case ControlNotice::kVoteAsked:
+      return EventId::kVoteAsked;
+    case ControlNotice::kVoteHeard:
+      return EventId::kVoteHeard;
+    case ControlNotice::kVoteAnswered:
+      return EventId::kVoteAnswered;
   }
   return EventId::kEpochChanged;
 }
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -9,6 +9,7 @@
 #include "peridotspool/wire/Codec.h"
 #include "runtime/ControlDecider.h"
 #include "runtime/HostParts.h"
+#include "runtime/SyncWatch.h"
 
 #include <atomic>
 #include <thread>
@@ -21,6 +22,8 @@
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr std::size_t kDiskSlots = 1024;
 constexpr std::chrono::milliseconds kFullDiskPause{ 100 };
+/** Syncs from this on have a line each; shorter ones are summed up. */
+constexpr Duration kLongSync = std::chrono::milliseconds(10);
 constexpr std::size_t kMaxOperatorBody = 8U << 20;
 constexpr std::uint32_t kStatusUnavailable = 503;
 
@@ -228,6 +231,7 @@
         // Before the input: a replica that was frozen must learn that its
         // lease is over before it answers anything that waited.
         decider.Tick(now);
+        LogSyncs(now);
         nextTick = now + kTick;
       }
       if (input) {
@@ -247,13 +251,33 @@
         }
         continue;
       }
+      mSyncs.Begin(ReadClock());
       if (!WriteWhenThereIsRoom(*write)) {
         return;
       }
+      const Duration took = mSyncs.End(ReadClock());
+      if (took >= kLongSync) {
+        mLogger->Log(observe::EventId::kDiskSynced,
+                     { { "write", write->mToken }, { "took_ms", took } });
+      }
       mRing.Push(SyncedInput{ write->mToken });
     }
   }
 
+  // Of the deciding thread: the one that waits for the disk can't tell.
+  void LogSyncs(TimePoint aNow)
+  {
+    if (const auto since = mSyncs.Hangs(aNow)) {
+      mLogger->Log(observe::EventId::kDiskHangs, { { "for_ms", *since } });
+    }
+    if (const auto summary = mSyncs.Due(aNow)) {
+      mLogger->Log(observe::EventId::kDiskSyncs,
+                   { { "count", summary->mCount },
+                     { "mean_ms", summary->mMean },
+                     { "longest_ms", summary->mLongest } });
+    }
+  }
+
   // Others go on without this replica while its disk is full. Ending the
   // process instead would make it start again and again until there is room,
   // and take its other work with it.
@@ -299,6 +323,7 @@
   ControlHostOptions mOptions;
   BoundedRing<ControlInput> mRing;
   BoundedRing<control::PersistEffect> mDisk;
+  SyncWatch mSyncs;
   std::optional<storage::ControlStore> mStore;
   std::unique_ptr<wire::PeerTransport> mTransport;
   std::unique_ptr<http::HttpServer> mServer;
--- a/test/control/ControlCluster.cpp
+++ b/test/control/ControlCluster.cpp
@@ -286,7 +286,9 @@
                          [&](const AnswerEffect& aAnswer) {
                            mAnswers[aAnswer.mCall] = aAnswer.mAnswer;
                          },
-                         [](const NoticeEffect&) {} },
+                         [&](const NoticeEffect& aNotice) {
+                           mNotices.push_back(aNotice);
+                         } },
              aEffect);
 }
 
--- a/test/control/ControlCluster.h
+++ b/test/control/ControlCluster.h
@@ -109,6 +109,8 @@
   std::size_t Voters() const;
   bool AllEntriesAt(Revision aRevision) const;
   std::map<std::string, ClusterProcess>& Processes() { return mProcesses; }
+  /** All that replicas have told for their logs. */
+  const std::vector<NoticeEffect>& Notices() const { return mNotices; }
   /** Problems found by checks that hold at all times. */
   const std::vector<std::string>& Problems() const { return mProblems; }
 
@@ -162,6 +164,7 @@
   std::uint64_t mLastNonce = 1000;
   CallId mLastCall;
   std::map<CallId, OperatorAnswer> mAnswers;
+  std::vector<NoticeEffect> mNotices;
   std::vector<std::string> mProblems;
   std::map<Revision, std::string> mTexts;
   std::map<Revision, TimePoint> mCommittedAt;
