Show by the soak that no harmless content is held to end upstreams

What callers would see: refusals with a minute to come back, for contents that many ask for, because upstreams ended beside them. The soak's sixteen callers have four contents between them while its upstreams are crashed and moved: the case in which a wrong verdict is likeliest.

A check over all answers that callers saw, and a record in which it finds such a refusal (SoakChecksTest passes).

--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -5,12 +5,15 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
 
 namespace peridotspool::soak {
 
 namespace {
 
 constexpr std::size_t kMostSentences = 20;
+/** What a caller is told whose request is held to end upstreams. */
+constexpr std::string_view kBlame = "upstreams end under requests like this";
 
 /** Work on one record; each member function checks one promise. */
 class Checker
@@ -30,6 +33,7 @@
     CheckAnswers();
     CheckRuns();
     CheckStrangers();
+    CheckBlame();
     CheckRegress();
     CheckInForce();
     CheckReads();
@@ -130,6 +134,18 @@
     }
   }
 
+  // All callers ask for the same few contents, and upstreams end because
+  // somebody ends them: no content is to blame.
+  void CheckBlame()
+  {
+    for (const SeenRequest& one : mRecord.mRequests) {
+      if (one.mBody.find(kBlame) != std::string::npos) {
+        Say("request " + one.mId + " (" + NameOf(one.mKind) +
+            ") was refused for ending upstreams, and ends none");
+      }
+    }
+  }
+
   // In one life of an entry's process versions only rise.
   void CheckRegress()
   {
--- a/test/soak/SoakChecksTest.cpp
+++ b/test/soak/SoakChecksTest.cpp
@@ -107,6 +107,15 @@
     record.mRequests[1].mHasRetryAfter = true;
     CHECK_THAT(FirstFault(record), Catch::Contains("refused as not run"));
   }
+  SECTION("a harmless request that is held to end upstreams")
+  {
+    record.mRequests[0].mStatus = 503;
+    record.mRequests[0].mHasRetryAfter = true;
+    record.mRequests[0].mBody =
+      R"({"reason":"upstreams end under requests like this one"})";
+    record.mRuns.erase(record.mRuns.begin());
+    CHECK_THAT(FirstFault(record), Catch::Contains("ends none"));
+  }
   SECTION("a run at another service")
   {
     record.mRuns[1].mService = "safe";
