Refuse numbers in a document that do not fit

What an operator would have seen: a document acknowledged, and other numbers than its own in force, such as a timeout or a count of attempts.

Cause: a number above its type's range was cast, which gives any value; times overflowed when they became microseconds.

ConfigDocumentTest and TokenCountsTest have a case each.

--- a/src/gateway/TokenCounts.cpp
+++ b/src/gateway/TokenCounts.cpp
@@ -6,6 +6,13 @@
 
 namespace peridotspool::gateway {
 
+namespace {
+
+/** No engine holds more; what a caller claims beyond it is not believed. */
+constexpr std::uint64_t kMostClaimed = 10000000;
+
+} // namespace
+
 std::optional<TokenCounts>
 ReadTokenCounts(std::string_view aText)
 {
@@ -18,7 +25,8 @@
   if (!prompt || !answer) {
     return std::nullopt;
   }
-  return TokenCounts{ .mPrompt = *prompt, .mAnswer = *answer };
+  return TokenCounts{ .mPrompt = std::min(*prompt, kMostClaimed),
+                      .mAnswer = std::min(*answer, kMostClaimed) };
 }
 
 // Beside other callers' prompts a token took 11 ms on a well loaded engine.
--- a/test/gateway/TokenCountsTest.cpp
+++ b/test/gateway/TokenCountsTest.cpp
@@ -16,4 +16,13 @@
   }
 }
 
+TEST_CASE("WhatNoEngineHoldsIsNotBelieved")
+{
+  const auto counts = ReadTokenCounts("18446744073709551615,3");
+  REQUIRE(counts.has_value());
+  CHECK(counts->mPrompt == 10000000);
+  CHECK(counts->mAnswer == 3);
+  CHECK(LongestTime(*ReadTokenCounts("1,18446744073709551615")) > Duration(0));
+}
+
 } // namespace peridotspool::gateway
--- a/test/platform/ConfigDocumentTest.cpp
+++ b/test/platform/ConfigDocumentTest.cpp
@@ -97,4 +97,20 @@
   }
 }
 
+// Symptom: a document was acknowledged and other numbers than its own were in
+// force.
+// Cause: a number that doesn't fit was cut to whatever the cast made of it.
+TEST_CASE("ReadConfigRefusesNumbersThatDoNotFit")
+{
+  CHECK_THAT(FaultWith("/routes/0/timeout_ms", 1e300),
+             Catch::Contains("timeout_ms: too large"));
+  CHECK_THAT(FaultWith("/routes/0/max_attempts", 4294967296.0),
+             Catch::Contains("max_attempts: too large"));
+  CHECK(FaultWith("/routes/0/max_attempts", 4294967295.0).empty());
+  CHECK_THAT(FaultWith("/services/0/engine/kv_tokens", 18446744073709551616.0),
+             Catch::Contains("kv_tokens: too large"));
+  CHECK_THAT(FaultWith("/tenants/0/plain_tokens", 1e15),
+             Catch::Contains("plain_tokens: too large"));
+}
+
 } // namespace peridotspool::platform
