Keep room for the ends that tell when many end at once

What callers would see: one request that had ended twenty upstreams at once would end one more each time it had its turn, for as long as it came.

Cause: sixteen ends are kept of one content, and those of copies that ran at the same time filled them; the ends of the only copy that ran, without which nothing is refused, found no room. Found by reading the code again.

Ruled out: a larger bound (a caller can send more copies than any).

An end of the only copy takes the place of one that had no turn, but for the first. ManyEndsAtOnceLeaveRoomForThoseThatTell fails before (one at a time for good) and passes now; the plays and the other cases pass as before.

--- a/src/routing/QuarantineBank.cpp
+++ b/src/routing/QuarantineBank.cpp
@@ -35,6 +35,26 @@
   return std::min(aMs, kMost);
 }
 
+// Ends of the only copy that ran tell the most. The first end of all stays as
+// well: one that has to yield, among so many, ended beside others.
+template<typename Crashes>
+bool
+HasRoom(Crashes& aCrashes, bool aHadTurn)
+{
+  if (aCrashes.size() < kMostCrashes) {
+    return true;
+  }
+  const auto yields =
+    std::find_if(aCrashes.begin() + 1, aCrashes.end(), [](const auto& aOne) {
+      return !aOne.mHadTurn;
+    });
+  if (!aHadTurn || yields == aCrashes.end()) {
+    return false;
+  }
+  aCrashes.erase(yields);
+  return true;
+}
+
 } // namespace
 
 QuarantineBank::QuarantineBank(const QuarantineTable& aCommitted,
@@ -96,7 +116,7 @@
     suspect.mTurn.reset();
   }
   // One life counts once, however many copies of the content it was running.
-  if (!Knows(suspect, record) && suspect.mCrashes.size() < kMostCrashes) {
+  if (!Knows(suspect, record) && HasRoom(suspect.mCrashes, aLine.mHadTurn)) {
     const Crash crash{
       .mRecord = record,
       .mSentAt = aNow - std::chrono::milliseconds(CapMs(aLine.mSentAgoMs)),
--- a/test/routing/QuarantineBankTest.cpp
+++ b/test/routing/QuarantineBankTest.cpp
@@ -162,6 +162,26 @@
   CHECK(leader.Stage() == QuarantineStage::kRefused);
 }
 
+// Symptom: a content ended one upstream after the other for as long as it came,
+// each time with its turn, and was never refused.
+// Sequence: twenty copies of it had ended as many upstreams at once.
+// Cause: these filled what is kept of one content, and the ends of the only
+// copy that ran, which tell, found no room.
+TEST_CASE("ManyEndsAtOnceLeaveRoomForThoseThatTell")
+{
+  Leader leader;
+  for (int i = 0; i < 20; ++i) {
+    leader.Crash("u" + std::to_string(i), i, 300 + i);
+  }
+  leader.Commit(320);
+  for (const int at : { 1000, 2000 }) {
+    REQUIRE(leader.Grants(static_cast<std::uint64_t>(at), at));
+    leader.Crash("v" + std::to_string(at), at, at + 100, true);
+    leader.Commit(at + 100);
+  }
+  CHECK(leader.Stage() == QuarantineStage::kRefused);
+}
+
 TEST_CASE("ASlowedContentHasOneTurnAtATime")
 {
   Leader leader;
