Give a turn back that nobody waits for any more

What callers would see: all requests of a content that runs once at a time refused for as long as one request may take, after its turn was granted in the moment in which that one gave up waiting or its caller left.

Cause: the leader holds the turn for its request's whole time, and only a request that had got it gave it back. Found by reading the code again.

Ruled out: answering late grants (a doubled answer to a request that runs would give its turn away).

The entry says that the request is over, behind its last question on the same connection. ATurnThatNobodyWaitsForIsGivenBack fails before in both its cases and passes now.

--- a/src/routing/QuarantineGate.cpp
+++ b/src/routing/QuarantineGate.cpp
@@ -121,6 +121,8 @@
     if (late) {
       tick.mDecided.push_back(
         { .mTag = aPair.first, .mOutcome = GateOutcome::kTooLate });
+      tick.mEnded.push_back(
+        { .mContent = waiting.mContent, .mTag = aPair.first });
     }
     return late;
   });
@@ -144,10 +146,17 @@
   return tick;
 }
 
+// Its turn may be granted at this moment: it is given back, behind the question
+// for it, as one that is over.
 void
 QuarantineGate::Forget(std::uint64_t aTag)
 {
-  mWaiting.erase(aTag);
+  const auto waiting = mWaiting.find(aTag);
+  if (waiting != mWaiting.end()) {
+    mTurns[aTag] = { .mContent = waiting->second.mContent,
+                     .mBackAt = TimePoint() };
+    mWaiting.erase(waiting);
+  }
 }
 
 std::optional<TurnEnded>
--- a/test/routing/QuarantineGateTest.cpp
+++ b/test/routing/QuarantineGateTest.cpp
@@ -149,6 +149,27 @@
         std::vector{ TurnEnded{ kContent, 0, true, 70 } });
 }
 
+// Symptom: all requests of a content were refused for ten seconds, as their
+// turn did not come. Sequence: the leader granted a turn in the moment in which
+// its request had waited long enough, or its caller had left. Cause: nobody
+// gave that turn back.
+TEST_CASE("ATurnThatNobodyWaitsForIsGivenBack")
+{
+  QuarantineGate gate = SlowingGate();
+  const GateAnswer answer = gate.Ask(kContent, kTimeLeft, At(0));
+  const std::vector givenBack{ TurnEnded{ kContent, answer.mTag, false } };
+  SECTION("its request has waited long enough")
+  {
+    CHECK(gate.Tick(At(1000)).mEnded == givenBack);
+  }
+  SECTION("its caller has left")
+  {
+    gate.Forget(answer.mTag);
+    CHECK(gate.Tick(At(50)).mEnded == givenBack);
+  }
+  CHECK(gate.Tick(At(2000)).mEnded.empty());
+}
+
 TEST_CASE("ARequestWhoseCallerLeftWaitsForNothing")
 {
   QuarantineGate gate = SlowingGate();
