Have the soak's operator read back after each change

Each step of its operator is drawn, and five changes in a row filled the calm; it never asked. Ruled out: a group that answers no reads (the leader led throughout and committed each change within 0.1 s).

--- a/test/soak/SoakOperator.cpp
+++ b/test/soak/SoakOperator.cpp
@@ -103,6 +103,9 @@
       ChangeInvalid();
     } else if (what <= 2) {
       Change();
+      // Five changes in a row may fill the calm at the end, in which something
+      // has to be read back.
+      ReadBack();
     } else {
       ReadBack();
     }
--- a/test/soak/SoakTest.cpp
+++ b/test/soak/SoakTest.cpp
@@ -59,6 +59,9 @@
   { 62,
     "of the soak: a process that was still stopping was taken for one that "
     "had ended by itself, because its machine had been started again" },
+  { 507,
+    "of the soak: the operator drew five changes in a row in the calm at the "
+    "end and nothing to read, and so nothing had been read back" },
 };
 
 TEST_CASE("SeedsThatFailedOnceKeepThePromises")
