--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -134,18 +134,6 @@
   }
 }
 
-Address
-ScriptedUpstream::Where() const
-{
-  return { "127.0.0.1", mAcceptor.local_endpoint().port() };
-}
-
-void
-ScriptedUpstream::StopListening()
-{
-  ::shutdown(mAcceptor.native_handle(), SHUT_RDWR);
-}
-
 std::vector<std::string>
 ScriptedUpstream::Requests() const
 {
@@ -374,14 +362,6 @@
   return exchanges;
 }
 
-std::vector<SharedMessage>
-GatewayFixture::ToldLeader()
-{
-  std::vector<SharedMessage> told;
-  OnRelay([&] { told = mToldLeader; });
-  return told;
-}
-
 void
 GatewayFixture::Add(const std::string& aName, const Address& aWhere)
 {
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -41,9 +41,12 @@
   explicit ScriptedUpstream(Handler aHandler);
   ~ScriptedUpstream();
 
-  Address Where() const;
+  Address Where() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
   /** From now on nobody listens at its address. */
-  void StopListening();
+  void StopListening() { ::shutdown(mAcceptor.native_handle(), SHUT_RDWR); }
   /** Requests that came, whole, as they were sent. */
   std::vector<std::string> Requests() const;
   std::size_t Connections() const { return mConnections; }
@@ -106,7 +109,12 @@
   bool IsQuiet();
   std::size_t Exchanges();
   /** What was told to the control leader. */
-  std::vector<SharedMessage> ToldLeader();
+  std::vector<SharedMessage> ToldLeader()
+  {
+    std::vector<SharedMessage> told;
+    OnRelay([&] { told = mToldLeader; });
+    return told;
+  }
 
 private:
   observe::Counters mCounters;
