--- a/test/gateway/ExchangeStartTest.cpp
+++ b/test/gateway/ExchangeStartTest.cpp
@@ -56,10 +56,8 @@
   });
   CHECK(upstream.Requests().empty());
   gateway.OnRelay([&] {
-    gateway.Core().Take(rollout::RolloutUpdate{ .mTerm = 1,
-                                                .mSequence = 1,
-                                                .mNumber = 1,
-                                                .mServices = {} });
+    gateway.Core().Take(rollout::RolloutUpdate{
+      .mTerm = 1, .mSequence = 1, .mNumber = 1, .mServices = {} });
   });
   CHECK(StatusOf(caller.ReadAnswer()) == "HTTP/1.1 200");
   gateway.OnRelay([&] { gateway.Core().WakeStarting(); });
--- a/test/soak/CrashingRequestTest.cpp
+++ b/test/soak/CrashingRequestTest.cpp
@@ -1,9 +1,6 @@
 // ctest-labels: soak
-#include "soak/SoakMachine.h"
-#include "soak/SoakOperator.h"
-#include "soak/SoakProxy.h"
+#include "soak/SoakSystem.h"
 #include "soak/SoakUpstream.h"
-#include "support/TestRoot.h"
 
 #include <catch2/catch.hpp>
 
@@ -17,7 +14,6 @@
 #include <random>
 #include <string>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 namespace peridotspool::soak {
@@ -26,8 +22,6 @@
 
 constexpr int kUpstreams = 8;
 constexpr int kCallers = 3;
-constexpr int kProbeNumber = 9;
-constexpr Ms kFirstConfig{ 15000 };
 /** Until all entries know all upstreams. */
 constexpr Ms kUntilReady{ 2500 };
 constexpr Ms kSlice{ 5 };
@@ -62,26 +56,15 @@
 {
 public:
   DeadlySystem(int aBlock, std::string aTarget)
-    : mPlaces{ aBlock }
+    : mSystem(aBlock, "deadly")
     , mTarget(std::move(aTarget))
-    , mFolder(test::TestRoot() /
-              ("peridotspool-deadly-" + std::to_string(::getpid()) + "-" +
-               std::to_string(aBlock)))
-    , mProxy(mPlaces)
-    , mProbe(mPlaces, kProbeNumber)
-    , mOperator(mPlaces, 1, mProbe, mRecorder)
   {
-    std::filesystem::remove_all(mFolder);
-    for (int number = 1; number <= kMachines; ++number) {
-      mMachines.push_back(std::make_unique<SoakMachine>(
-        mPlaces, number, mFolder / ("m" + std::to_string(number))));
-    }
     for (int number = 1; number <= kUpstreams; ++number) {
       mUpstreams.push_back(std::make_unique<SoakUpstream>(
-        mPlaces,
+        mSystem.Where(),
         number,
         NameOf(number % 2 == 0 ? Kind::kStream : Kind::kResume),
-        mRecorder));
+        mSystem.Seen()));
       mUpstreams.back()->DieOf(mTarget);
     }
   }
@@ -92,40 +75,23 @@
     for (std::thread& caller : mCallers) {
       caller.join();
     }
-    if (mDropsLogs) {
-      std::filesystem::remove_all(mFolder);
-    }
   }
   DeadlySystem(const DeadlySystem&) = delete;
   DeadlySystem& operator=(const DeadlySystem&) = delete;
 
   bool Start()
   {
-    if (!mProxy.Start()) {
-      return false;
-    }
-    for (const auto& machine : mMachines) {
-      machine->WriteSettings(true);
-      machine->StartAll();
-    }
     for (const auto& upstream : mUpstreams) {
       upstream->Start();
     }
-    mProbe.Start();
-    if (!mOperator.SendFirst(kFirstConfig)) {
+    if (!mSystem.Start()) {
       return false;
     }
-    for (const auto& machine : mMachines) {
-      machine->WriteSettings(false);
-    }
     std::this_thread::sleep_for(kUntilReady);
     return true;
   }
 
-  SoakMachine& Machine(int aNumber)
-  {
-    return *mMachines.at(static_cast<std::size_t>(aNumber - 1));
-  }
+  SoakMachine& Machine(int aNumber) { return mSystem.Machine(aNumber); }
 
   /** Plays for so long, and does the deeds in their order. */
   void Play(Ms aFor, const std::vector<Deed>& aDeeds = {})
@@ -148,11 +114,11 @@
   }
 
   /** Its logs are wanted no more. */
-  void DropLogs() { mDropsLogs = true; }
+  void DropLogs() { mSystem.DropLogs(); }
 
   std::optional<Time> ThirdEnd()
   {
-    return mRecorder.With([](const Record& aRecord) {
+    return mSystem.Seen().With([](const Record& aRecord) {
       return aRecord.mEnds.size() < kEndsBeforeKnown
                ? std::nullopt
                : std::optional(aRecord.mEnds[kEndsBeforeKnown - 1].mAt);
@@ -163,7 +129,7 @@
   std::size_t RunsAfterwards()
   {
     const auto third = ThirdEnd();
-    return mRecorder.With([&](const Record& aRecord) {
+    return mSystem.Seen().With([&](const Record& aRecord) {
       return static_cast<std::size_t>(std::count_if(
         aRecord.mRuns.begin(), aRecord.mRuns.end(), [&](const SeenRun& aRun) {
           return third && aRun.mPath == mTarget &&
@@ -174,11 +140,11 @@
 
   std::size_t Ends()
   {
-    return mRecorder.With(
+    return mSystem.Seen().With(
       [](const Record& aRecord) { return aRecord.mEnds.size(); });
   }
 
-  const std::filesystem::path& Folder() const { return mFolder; }
+  const std::filesystem::path& Folder() const { return mSystem.Folder(); }
 
 private:
   void ReviveUpstreams()
@@ -203,7 +169,7 @@
     std::mt19937_64 random(static_cast<std::uint64_t>(aCaller));
     for (int sent = 0; mSending; ++sent) {
       const int entry = 1 + static_cast<int>(random() % kMachines);
-      CallOnce(mPlaces.Own(entry),
+      CallOnce(mSystem.Where().Own(entry),
                kCallerPort,
                RequestText("POST",
                            mTarget,
@@ -217,16 +183,9 @@
     }
   }
 
-  const Places mPlaces;
+  SoakSystem mSystem;
   const std::string mTarget;
-  const std::filesystem::path mFolder;
-  bool mDropsLogs = false;
-  Recorder mRecorder;
-  SoakProxy mProxy;
-  SoakProbe mProbe;
-  std::vector<std::unique_ptr<SoakMachine>> mMachines;
   std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
-  SoakOperator mOperator;
   std::map<SoakUpstream*, Time> mDiedAt;
   std::atomic<bool> mSending{ true };
   std::vector<std::thread> mCallers;
--- a/test/soak/SoakOperator.h
+++ b/test/soak/SoakOperator.h
@@ -28,6 +28,8 @@
   /** Sends the first configuration until it is taken. */
   bool SendFirst(Ms aPatience);
   void Start();
+  /** One call at a replica, and at the one that it names as the leader. */
+  std::optional<HttpText> Call(int aMachine, const std::string& aRequest);
 
 private:
   void Run();
@@ -36,7 +38,6 @@
   void ReadBack();
   /** Sends a change; returns the status of a clear answer. */
   std::optional<unsigned> Send(const std::string& aText, Ms aPatience);
-  std::optional<HttpText> Call(int aMachine, const std::string& aRequest);
 
   const Places mPlaces;
   std::mt19937_64 mRandom;
--- a/test/soak/SoakRecord.h
+++ b/test/soak/SoakRecord.h
@@ -42,10 +42,18 @@
   std::string mUpstream;
   /** What the upstream serves: a kind's name. */
   std::string mService;
+  std::string mVersion;
   std::string mPath;
   Time mAt;
 };
 
+/** An upstream answered with a failure of its own. */
+struct SeenFailure
+{
+  std::string mVersion;
+  Time mAt;
+};
+
 /** A life of an upstream that a request ended. */
 struct SeenEnd
 {
@@ -105,6 +113,7 @@
 {
   std::vector<SeenRequest> mRequests;
   std::vector<SeenRun> mRuns;
+  std::vector<SeenFailure> mFailures;
   std::vector<SeenEnd> mEnds;
   std::vector<SeenChange> mChanges;
   /** Versions in force at entries, and versions read back. */
--- a/test/soak/SoakUpstream.cpp
+++ b/test/soak/SoakUpstream.cpp
@@ -61,11 +61,12 @@
          const std::string& aAddress,
          int aDomain,
          const char* aState,
-         std::uint64_t aSequence)
+         std::uint64_t aSequence,
+         const std::string& aVersion)
 {
   return R"({"service":")" + aService + R"(","address":")" + aAddress +
-         R"(","zone":"d)" + std::to_string(aDomain) +
-         R"(","version":"v1","slots":8,"state":")" + aState +
+         R"(","zone":"d)" + std::to_string(aDomain) + R"(","version":")" +
+         aVersion + R"(","slots":8,"state":")" + aState +
          R"(","cold_remaining_ms":0,"seq":)" + std::to_string(aSequence) + "}";
 }
 
@@ -196,7 +197,8 @@
                                                address,
                                                mNumber % kDomains,
                                                draining ? "draining" : "ready",
-                                               ++sequence));
+                                               ++sequence,
+                                               mVersion));
     if (taken && draining && !told) {
       told = true;
       mRecorder.With([&](Record& aRecord) {
@@ -269,6 +271,7 @@
     aRecord.mRuns.push_back({ .mId = id,
                               .mUpstream = mName,
                               .mService = mService,
+                              .mVersion = mVersion,
                               .mPath = aRequest.mTarget,
                               .mAt = Clock::now() });
   });
@@ -285,6 +288,10 @@
     Sleeps(kPlainWork);
     goOn = false;
   } else if (Misbehaves(FaultKind::kFail)) {
+    mRecorder.With([&](Record& aRecord) {
+      aRecord.mFailures.push_back(
+        { .mVersion = mVersion, .mAt = Clock::now() });
+    });
     goOn = aWire.Send(Short(500, Head(id)));
   } else if (mService == NameOf(Kind::kStream) ||
              mService == NameOf(Kind::kResume)) {
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -35,7 +35,8 @@
          const std::string& aAddress,
          int aDomain,
          const char* aState,
-         std::uint64_t aSequence);
+         std::uint64_t aSequence,
+         const std::string& aVersion = "v1");
 
 /**
  * A stand-in for an upstream: one address, and one life after the other, each
@@ -57,6 +58,9 @@
   void Crash();
   /** Says that it leaves, serves on, and goes in a while. */
   void Drain();
+  /** Of its software; before Start. */
+  void UseVersion(const std::string& aVersion) { mVersion = aVersion; }
+  const std::string& Version() const { return mVersion; }
   /** Starts again at the same address, for another service. */
   void Become(const std::string& aService);
   const std::string& Service() const { return mService; }
@@ -97,6 +101,7 @@
   const Places mPlaces;
   const int mNumber;
   std::string mService;
+  std::string mVersion = "v1";
   Recorder& mRecorder;
   int mLife = 0;
   std::string mName;
