Hold comments to the style, and rollouts' judgement to one merge a step

Cause: comments in the product told figures of plays and stories, and nothing kept new ones from doing so. The linter found long functions and copies in the new code. The controller put all entries' reports together four times a step; at 300 entries that is some 60,000 map operations each 100 ms.

Reports are merged five times a second. Repeats after a failure of a new version have their own reason.

--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -67,6 +67,11 @@
                  ${CMAKE_SOURCE_DIR}/test/scripts/regression_test.py)
 set_tests_properties(scripts/regression PROPERTIES LABELS "unit")
 
+add_test(NAME scripts/style-check
+         COMMAND ${PYTHON3_PROGRAM}
+                 ${CMAKE_SOURCE_DIR}/test/scripts/style_check_test.py)
+set_tests_properties(scripts/style-check PROPERTIES LABELS "unit")
+
 # The soak runs the program of the users' platform as real processes.
 if(TARGET test_soak)
   target_sources(test_soak PRIVATE test/process/ChildProcess.cpp)
--- a/include/peridotspool/fleet/FleetEvent.h
+++ b/include/peridotspool/fleet/FleetEvent.h
@@ -80,7 +80,8 @@
   InstanceName mInstance;
 };
 
-/** How a service does: first token for 95 in 100, over the last seconds. */
+/** 95th percentile of the time to a service's first token, over the last
+ * seconds. */
 struct LatencyEvent
 {
   ServiceName mService;
--- a/include/peridotspool/fleet/ServiceDemand.h
+++ b/include/peridotspool/fleet/ServiceDemand.h
@@ -19,7 +19,7 @@
   /** Bounds of its instances; between them the latency target decides. */
   std::uint32_t mLeast = 1;
   std::uint32_t mMost = 1;
-  /** First token for 95 in 100. */
+  /** 95th percentile of the time to the first token. */
   Duration mLatencyTarget = std::chrono::milliseconds(440);
   double mLatencyWeight = 1.0;
   double mCostWeight = 1.0;
--- a/include/peridotspool/rollout/RolloutController.h
+++ b/include/peridotspool/rollout/RolloutController.h
@@ -129,6 +129,9 @@
     std::string mReason;
     std::optional<TimePoint> mProposedAt;
     std::unordered_map<std::uint64_t, Progress> mProgress;
+    /** What all entries together have seen, put together now and then. */
+    AnswersByRoute mAnswers;
+    TimePoint mMergedAt;
     /** Answers as they were some time ago, the oldest first. */
     std::deque<std::pair<TimePoint, AnswersByRoute>> mEarlier;
   };
--- a/include/peridotspool/rollout/RolloutGate.h
+++ b/include/peridotspool/rollout/RolloutGate.h
@@ -99,7 +99,8 @@
     std::uint64_t mUsed = 0;
     /** When the last allowance was given or used. */
     TimePoint mUnusedSince;
-    std::map<std::string, std::uint64_t> mRequestsByRoute;
+    std::uint64_t mChoices = 0;
+    std::map<std::string, std::uint64_t> mChoicesByRoute;
     /** By route and, for the new version, upstream. */
     std::map<std::pair<std::string, UpstreamName>, AnswerTally> mTallies;
   };
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -17,13 +17,9 @@
 /** Reclaimable upstreams that stand in for a lasting one before any load. */
 constexpr double kInPlaceOfOne = 2.0;
 
-// Those in the place of lasting ones start with empty memories: until prefixes
-// have been read once, prompts take 1.6 times the reading, and when a domain is
-// taken they have to be as many as the lasting ones were. On 140 upstreams with
-// as many in their place and a third more, the first eight seconds of a heavy
-// day earned 0.73, 0.66, 0.40 and 0.52, and 0.95 once there were twice as many.
-// They are never more than what the lasting ones cost, and enough for the loss
-// of one domain.
+// Reclaimable upstreams start with empty caches and have to read each prefix
+// once, and those of a whole domain may be reclaimed at any time. They never
+// cost more than the lasting ones that they replace.
 double
 InPlaceOfOne(const gateway::ScalingProfile& aScaling)
 {
@@ -107,13 +103,9 @@
   return Shrunk(wanted, aNow);
 }
 
-// Load comes in waves that are shorter than a start and a drain, and upstreams
-// that are given up take what they keep of prompts with them. A pool
-// of 540 that was cut to 155 at once had all prompts read anew by those left
-// while the cloud had no reclaimable ones to give: the windows after it earned
-// 0.77 and 0.67 of 0.95, and a hundred lasting ones at seven times the price
-// were taken for sixteen seconds. So it shrinks in steps, whose effect on the
-// load is seen before the next one, and not while others could not be had.
+// Load varies faster than upstreams start and drain, and an upstream that is
+// given up takes its cache with it. Shrinking in steps shows the effect of each
+// step on the load, and nothing is given up while none could be had again.
 std::uint32_t
 PoolPlanner::Shrunk(std::uint32_t aWanted, TimePoint aNow)
 {
@@ -172,13 +164,9 @@
   return mRefusedAt && aNow - *mRefusedAt < mOptions.mDryFor;
 }
 
-// While there are none to be had, the domain with most of those left is taken
-// for gone, as a start takes longer than a reclaim's notice; what is left then
-// has to carry the load's part. When four domains were reclaimed within eight
-// seconds, half of the pool was left after two of them and no lasting one had
-// been ordered: after the other two the windows of six seconds earned 0.14,
-// 0.21 and 0.43; with those for the load ordered in time 0.16, 0.38 and 0.47,
-// and the day 0.449 instead of 0.374.
+// A start takes longer than the notice of a reclaim. While no reclaimable ones
+// can be had, the domain that has most of them therefore counts as lost, and
+// what is left has to carry the load.
 std::uint32_t
 PoolPlanner::LackingNow(const PoolView& aView, TimePoint aNow) const
 {
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -102,9 +102,8 @@
 }
 
 void
-Exchange::SendTo(const UpstreamChoice& aChoice)
+Exchange::NoteChosen(const UpstreamChoice& aChoice)
 {
-  const TimePoint now = mCore.mNow();
   mUpstream = aChoice.mName;
   mUpstreamAddress = aChoice.mAddress;
   if (mRuns == 0 && mRefusals == 0) {
@@ -119,8 +118,11 @@
   mHead = UpstreamHead{};
   mBody.clear();
   mEvents.DropRest();
-  mSent = mCore.mBoard.Sent(aChoice, now);
-  TellSent(aChoice);
+}
+
+void
+Exchange::LogSent(const UpstreamChoice& aChoice)
+{
   mCore.mLogger.Log(
     EventId::kRequestSent,
     { { "request", mId },
@@ -147,6 +149,16 @@
       { "prefix",
         std::string(FieldOf(mRequest.mFields, mCore.mNames.mPrefix)) },
       { "in_domain", aChoice.mNear } });
+}
+
+void
+Exchange::SendTo(const UpstreamChoice& aChoice)
+{
+  const TimePoint now = mCore.mNow();
+  NoteChosen(aChoice);
+  mSent = mCore.mBoard.Sent(aChoice, now);
+  TellSent(aChoice);
+  LogSent(aChoice);
   std::string bytes = WriteForward(
     mRequest,
     mCore.mNames,
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -64,6 +64,8 @@
   std::optional<Duration> RefusesLate(const UpstreamChoice& aChoice) const;
   void RefuseLate(const UpstreamChoice& aChoice, Duration aComeBack);
   void SendTo(const UpstreamChoice& aChoice);
+  void NoteChosen(const UpstreamChoice& aChoice);
+  void LogSent(const UpstreamChoice& aChoice);
   void TellSent(const UpstreamChoice& aChoice);
   std::uint64_t EngineMemory() const;
   void TellBegun();
--- a/src/gateway/ExchangeAnswer.cpp
+++ b/src/gateway/ExchangeAnswer.cpp
@@ -203,7 +203,9 @@
   EndSend(failed ? SendResult::kFailed : SendResult::kAnswered);
   if (failed && AfterFailure(Facts()) == NextStep::kTryAnother &&
       mCore.mBudget.TakeRepeat(mService, mCore.mNow())) {
-    mCore.mCounters.Add(CounterId::kRetryUpstreamRefused);
+    mCore.mCounters.Add(mCore.mRollouts.IsTrying(mService, mVersion)
+                          ? CounterId::kRetryNewVersion
+                          : CounterId::kRetryUpstreamRefused);
     Dispatch();
     return;
   }
--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -10,16 +10,7 @@
 
 namespace {
 
-/**
- * A keeper answers within two crossings of domains and both processes' turns on
- * a tenth of a core: within 10 ms on calm days, and often within 20 to 50 ms
- * while entries have much to do, when its word counts most. With 20 ms a
- * quarter of the prompts in ten seconds of overload (4,370 of 17,238) went to
- * an engine of which nothing had been heard, with 50 ms 490 of 16,431, and the
- * day earned 0.774 of its worth instead of 0.755 (68 entries, a play each). One
- * that is frozen, cut off or gone costs a request this much, for as long as the
- * members' list still names it.
- */
+/** How long a request waits for the load of the upstreams it may go to. */
 constexpr Duration kAskFor = std::chrono::milliseconds(50);
 
 constexpr unsigned kUnavailable = 503;
--- a/src/gateway/LateRefusal.cpp
+++ b/src/gateway/LateRefusal.cpp
@@ -14,14 +14,10 @@
 
 } // namespace
 
-// Whatever is sent to engines that are behind is read before all that comes
-// later. Sent without regard to that, prompts of callers that get their answer
-// late, or have left by then, hold up the others until these are late too, and
-// engines stay behind for as long as the load does: at a load at which 86 to 98
-// of 100 prompts came in time before an overload of 8 s, none did after it. One
-// that is refused at once can be served elsewhere or later: 96 to 98 of 100
-// come in time from 12 s after the overload on, and one is refused for good
-// (OverloadRecoveryTest).
+// Engines read prompts in the order in which they come, also those whose
+// callers get their answer late or have left. Sending them more than they can
+// begin in time keeps them behind for as long as the load lasts; a request that
+// is refused at once can be served elsewhere or later.
 std::optional<Duration>
 ComeBackIn(const StartOutlook& aOutlook)
 {
--- a/src/gateway/QuotaBank.cpp
+++ b/src/gateway/QuotaBank.cpp
@@ -66,9 +66,8 @@
 }
 
 // A new leader does not know what was taken lately: it may have been all but
-// the part of the slack that full accounts leave. Beginning with nothing, 28 of
-// 55 requests of a customer at half its limit were refused in the second after
-// all processes had been killed; with this part 8 (QuotaTest).
+// the part of the slack that full accounts leave. Beginning with nothing would
+// refuse customers that are below their limits.
 double
 QuotaBank::Fresh() const
 {
--- a/src/gateway/ReadingQueue.cpp
+++ b/src/gateway/ReadingQueue.cpp
@@ -30,12 +30,9 @@
   mEnd = aNow + aWait - mLate;
 }
 
-// How late the engine is stands beside its plan, and each prompt that is read
-// says it anew. Were the plan's end moved instead, ten prompts one behind the
-// other would move it ten times for the same second, and engines with nothing
-// to read would be shunned for seconds: after an overload of 8 s, 60 to 86 of
-// 100 prompts came in time from 12 s after it on, and 99 do so
-// (OverloadRecoveryTest).
+// The delay of the engine is kept beside the plan, as each prompt that is read
+// reports it anew. Moving the end of the plan instead would count the same
+// delay once for each prompt, and idle engines would be avoided for seconds.
 void
 ReadingQueue::WasRead(TimePoint aPlanned, TimePoint aNow)
 {
--- a/src/gateway/UpstreamBoard.cpp
+++ b/src/gateway/UpstreamBoard.cpp
@@ -213,10 +213,8 @@
 }
 
 // With more requests than places a prompt waits for as many ends as there are
-// too many. While 2.2 times the load was asked for, 60 of 100 prompts came in
-// time with it instead of 22, as the others were refused at once
-// (OverloadRecoveryTest). An upstream that doesn't tell its places is taken to
-// have one for each.
+// too many. An upstream that doesn't tell its places is taken to have one for
+// each request.
 Duration
 UpstreamBoard::WaitForPlace(const Belief& aBelief, double aFullness) const
 {
--- a/src/gateway/UpstreamBoardChoice.cpp
+++ b/src/gateway/UpstreamBoardChoice.cpp
@@ -18,10 +18,7 @@
  * is short, and each step of its batch takes longer.
  */
 constexpr Duration kFullTime = std::chrono::milliseconds(250);
-/**
- * What an engine reads delays this request once, and once whatever comes there
- * while it reads. Counted twice, the load test of 300 entries reads 43 of 100
- * tokens asked for instead of 44, and its 95th first event comes as soon.
+/** Reading a prompt delays the request itself, and those that come meanwhile.
  */
 constexpr int kReadingCost = 2;
 constexpr Duration kOtherDomainTime = std::chrono::milliseconds(2);
@@ -109,6 +106,7 @@
                        std::uint64_t aSeed) const
 {
   std::vector<std::pair<std::uint64_t, const Belief*>> ordered;
+  ordered.reserve(aBeliefs.size());
   for (const Belief* belief : aBeliefs) {
     ordered.emplace_back(RendezvousWeight(aSeed, belief->mReport.mName.Value()),
                          belief);
@@ -129,13 +127,8 @@
   return candidates.empty() ? Candidates(aQuestion, aNow, true) : candidates;
 }
 
-// One entry in hundreds sees few of the requests that an upstream has, and what
-// it believes of the others is a guess. So before it chooses it asks those who
-// keep account of all sends. Of 390 prompts a second (17,000 tokens, 13,300 of
-// them shared) through 300 entries to 160 engines, 99.3 in 100 have their first
-// event within a second instead of 96.5, and the 95th percentile is 0.44 s
-// instead of 0.85 s: test/gateway/PlacementUnderLoadTest. With two asked it is
-// 0.51 s, with three 0.46 s, with eight 0.43 s; each costs two messages.
+// An entry sees few of the requests that an upstream has, so it asks the
+// entries that keep account of all sends before it chooses.
 std::vector<ShortlistedUpstream>
 UpstreamBoard::Shortlist(const ChooseQuestion& aQuestion, TimePoint aNow) const
 {
@@ -236,11 +229,8 @@
   return mean;
 }
 
-// What isn't heard in time is no sign of an idle upstream. Taken for one, it
-// was the soonest of all: while entries had much to do 6,500 of 13,000 prompts
-// went on without some keeper's word, 2,950 of them to an upstream that was
-// believed empty, and their first events came after 1.66 s instead of 0.56 s.
-// It is taken to have as much to do as those that were heard.
+// An upstream of which nothing was heard in time is taken to have as much to do
+// as those that were heard: taken for idle it would be preferred.
 UpstreamBoard::Load
 UpstreamBoard::LoadOf(const Belief& aBelief,
                       const Load& aUnheard,
@@ -258,17 +248,9 @@
            .mFullness = std::max(own.mFullness, aUnheard.mFullness) };
 }
 
-// An engine reads one prompt after the other, whatever their priorities: behind
-// one of 54,600 tokens a prompt of 200 waited 1.3 s, while all other engines
-// had nothing to read. So the choice goes by when the first event will come:
-// after the prompts that all entries have sent there, and its own reading. Of
-// 30 prompts a second (6,600 tokens in the mean) on 12 engines, 96 in 100 have
-// their first event within 600 ms instead of 84 to 88, and the 95th percentile
-// is 0.50 s instead of 0.9 to 1.1 s: test/gateway/PlacementUnderLoadTest.
-//
-// All entries order the upstreams of a prefix alike, without a message between
-// them, so its tokens are read into one memory as long as that one is as soon
-// as the others.
+// An engine reads one prompt after the other, whatever their priorities, so the
+// choice goes by when the first event is expected: after the prompts that all
+// entries have sent there, and the request's own.
 std::size_t
 UpstreamBoard::PickSoonest(const std::vector<const Belief*>& aCandidates,
                            const ChooseQuestion& aQuestion,
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -133,10 +133,7 @@
 }
 
 // Only voters judge silence, and one of them leads; the others answer callers
-// who ask for entries, and need to hear less often. With 300 entries and 21
-// replicas, of which 5 vote, an entry so sends 43 heartbeats a second instead
-// of 70, and is answered 3.3 times instead of 70 (kLearnersEach, and answers
-// only of the leader or to one that seeks it).
+// who ask for entries, and are told less often.
 void
 ControlSession::SendHeartbeat(bool aToAll)
 {
--- a/src/rollout/RolloutController.cpp
+++ b/src/rollout/RolloutController.cpp
@@ -31,6 +31,8 @@
 
 /** A version that turns bad is judged by its answers of this span. */
 constexpr Duration kRecent = std::chrono::seconds(2);
+/** Putting the reports of hundreds of entries together takes milliseconds. */
+constexpr Duration kMergeEach = std::chrono::milliseconds(200);
 constexpr Duration kKeptEach = std::chrono::milliseconds(500);
 
 std::uint64_t
@@ -102,7 +104,7 @@
 RolloutController::Reschedule(Run& aRun, const Rollout& aRollout)
 {
   FigureCounts took;
-  for (const auto& [route, answers] : Merged(aRun)) {
+  for (const auto& [route, answers] : aRun.mAnswers) {
     for (const auto& [place, count] : answers.mOld.mTook) {
       took[place] += count;
     }
@@ -120,7 +122,7 @@
 std::optional<VersionEvidence>
 RolloutController::Evidence(Run& aRun, TimePoint aNow) const
 {
-  const AnswersByRoute answers = Merged(aRun);
+  const AnswersByRoute& answers = aRun.mAnswers;
   auto& earlier = aRun.mEarlier;
   if (earlier.empty() || aNow - earlier.back().first >= kKeptEach) {
     earlier.emplace_back(aNow, answers);
@@ -128,13 +130,13 @@
   while (earlier.size() > 1 && aNow - earlier[1].first >= kRecent) {
     earlier.pop_front();
   }
-  const auto inAll = Judge(answers);
+  auto inAll = Judge(answers);
   if (inAll && inAll->IsBad()) {
     return inAll;
   }
   const double looks =
     1.0 + static_cast<double>(aRun.mSchedule.mFinishBy / kRecent);
-  const auto recent = Judge(Since(answers, earlier.front().second), looks);
+  auto recent = Judge(Since(answers, earlier.front().second), looks);
   const bool tellsMore =
     recent && inAll && recent->mLogEvidence > inAll->mLogEvidence;
   return tellsMore ? recent : inAll;
@@ -163,7 +165,7 @@
     static_cast<double>(Bound(aRun)) - kWatchSlackPart * mOptions.mExposeSlack;
   const auto needed = std::min<std::uint64_t>(
     kEnoughAnswers, static_cast<std::uint64_t>(std::max(0.0, possible)));
-  return AnswersOfNew(Merged(aRun)) >= needed &&
+  return AnswersOfNew(aRun.mAnswers) >= needed &&
          aPools.mNew >= (aPools.mOld + 1) / 2;
 }
 
@@ -191,7 +193,7 @@
   aRun.mStage = aStage;
   aRun.mStageAt = aNow;
   aRun.mShare = aShare;
-  const auto evidence = Judge(Merged(aRun));
+  const auto evidence = Judge(aRun.mAnswers);
   RolloutNotice notice{ .mRollout = aRollout.mId,
                         .mService = aRollout.mOrder.mService,
                         .mTo = aRollout.mOrder.mTo,
@@ -329,6 +331,10 @@
     const auto found = aPools.find(rollout.mOrder.mService);
     const VersionPools pools =
       found == aPools.end() ? VersionPools() : found->second;
+    if (added || aNow - run.mMergedAt >= kMergeEach) {
+      run.mMergedAt = aNow;
+      run.mAnswers = Merged(run);
+    }
     if (added) {
       Enter(run, rollout, pools, RolloutStage::kWatching, 0, aNow, step);
     }
--- a/src/rollout/RolloutGate.cpp
+++ b/src/rollout/RolloutGate.cpp
@@ -154,9 +154,9 @@
                     std::uint64_t aSeed,
                     TimePoint aNow)
 {
-  const auto requests = static_cast<double>(aRun.mRequests + 1);
-  const auto here = static_cast<double>(aRun.mRequestsByRoute.at(aRoute));
-  const auto routes = static_cast<double>(aRun.mRequestsByRoute.size());
+  const auto requests = static_cast<double>(aRun.mChoices);
+  const auto here = static_cast<double>(aRun.mChoicesByRoute.at(aRoute));
+  const auto routes = static_cast<double>(aRun.mChoicesByRoute.size());
   const auto spans =
     1.0 + static_cast<double>((aNow - aRun.mUnusedSince) / kUnusedSpan);
   const double part = spans * kTriedRequests * requests / (routes * here);
@@ -199,9 +199,10 @@
   if (versions == nullptr || run == nullptr) {
     return ChooseRepeat(aService, aReady, aNow);
   }
-  if (run->mRequestsByRoute.size() < kMostTallies ||
-      run->mRequestsByRoute.contains(aRoute)) {
-    ++run->mRequestsByRoute[aRoute];
+  if (run->mChoicesByRoute.size() < kMostTallies ||
+      run->mChoicesByRoute.contains(aRoute)) {
+    ++run->mChoicesByRoute[aRoute];
+    ++run->mChoices;
   } else {
     return ChooseRepeat(aService, aReady, aNow);
   }
--- a/src/rollout/SequentialTest.cpp
+++ b/src/rollout/SequentialTest.cpp
@@ -33,6 +33,7 @@
 {
   const double width = (1.0 - aTolerated) / kPoints;
   std::vector<double> terms;
+  terms.reserve(kPoints);
   for (int i = 0; i < kPoints; ++i) {
     terms.push_back(LogLikelihood(aCounts, aTolerated + (i + 0.5) * width));
   }
--- /dev/null
+++ b/test/control/RolloutSurvivesTest.cpp
@@ -0,0 +1,86 @@
+// ctest-labels: promise-state-survives promise-rollout
+#include "control/ControlCluster.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotspool::control {
+
+namespace {
+
+const ServiceName kService("s");
+
+RolloutStartRequest
+Start(const char* aTo)
+{
+  return { { .mService = kService,
+             .mTo = VersionName(aTo),
+             .mDuration = std::chrono::seconds(12),
+             .mOrderedMicros = 1000000 } };
+}
+
+std::vector<rollout::Rollout>
+Known(ControlCluster& aCluster)
+{
+  const OperatorAnswer answer = aCluster.AskLeader(RolloutsRequest{ kService });
+  const auto* known = std::get_if<RolloutsAnswer>(&answer);
+  return known == nullptr ? std::vector<rollout::Rollout>{} : known->mRollouts;
+}
+
+rollout::OrderVerdict
+VerdictOf(const OperatorAnswer& aAnswer)
+{
+  const auto* order = std::get_if<RolloutOrderAnswer>(&aAnswer);
+  REQUIRE(order != nullptr);
+  return order->mVerdict;
+}
+
+} // namespace
+
+// Guards against an acknowledged order that is lost with its leader, or with
+// all processes.
+TEST_CASE("AnOrderOutlivesTheLeaderAndAllProcesses")
+{
+  ControlCluster cluster(1);
+  cluster.StartControls(3);
+  CHECK(VerdictOf(cluster.AskLeader(Start("v2"))) ==
+        rollout::OrderVerdict::kStarted);
+  SECTION("a new leader")
+  {
+    const std::string before = cluster.Leader();
+    cluster.Crash(before);
+    REQUIRE(cluster.RunUntil(
+      [&] { return !cluster.Leader().empty() && cluster.Leader() != before; }));
+  }
+  SECTION("all restarted")
+  {
+    for (const char* name : { "control-1", "control-2", "control-3" }) {
+      cluster.Crash(name);
+      cluster.Restart(name);
+    }
+    REQUIRE(cluster.RunUntil([&] { return !cluster.Leader().empty(); }));
+  }
+  const auto known = Known(cluster);
+  REQUIRE(known.size() == 1);
+  CHECK(known[0].mOrder == Start("v2").mOrder);
+  CHECK(known[0].IsRunning());
+  CHECK(VerdictOf(cluster.AskLeader(Start("v2"))) ==
+        rollout::OrderVerdict::kRepeated);
+  CHECK(VerdictOf(cluster.AskLeader(Start("v3"))) ==
+        rollout::OrderVerdict::kBusy);
+}
+
+TEST_CASE("AnOperatorAbortsARollout")
+{
+  ControlCluster cluster(2);
+  cluster.StartControls(3);
+  CHECK(std::holds_alternative<RefusedAnswer>(
+    cluster.AskLeader(RolloutAbortRequest{ kService })));
+  cluster.AskLeader(Start("v2"));
+  cluster.AskLeader(RolloutAbortRequest{ kService, 2000000 });
+  const auto known = Known(cluster);
+  REQUIRE(known.size() == 1);
+  CHECK(known[0].mState == rollout::RolloutState::kRolledBack);
+  CHECK(known[0].mReason == "an operator aborted it");
+}
+
+} // namespace peridotspool::control
--- a/test/platform/ControlCallsTest.cpp
+++ b/test/platform/ControlCallsTest.cpp
@@ -160,6 +160,60 @@
   CHECK(order.mBody == R"({"service":"s","zone":"z","desired":6,"spot":true})");
 }
 
+TEST_CASE("RolloutsAreOrderedAndRead")
+{
+  const auto call = Read("POST",
+                         "/rollouts/start",
+                         R"({"service":"s","to":"v2","duration_s":12.5})");
+  const auto* order = std::get_if<control::RolloutStartRequest>(
+    &std::get<control::OperatorRequest>(call));
+  REQUIRE(order != nullptr);
+  CHECK(order->mOrder.mService == ServiceName("s"));
+  CHECK(order->mOrder.mTo == VersionName("v2"));
+  CHECK(order->mOrder.mDuration == std::chrono::milliseconds(12500));
+  const auto read = Read("GET", "/rollouts/s/read");
+  CHECK(std::get<control::RolloutsRequest>(std::get<control::OperatorRequest>(
+          read)) == control::RolloutsRequest{ ServiceName("s") });
+  for (const char* body :
+       { "",
+         "[]",
+         R"({"service":"s","duration_s":12})",
+         R"({"to":"v2","duration_s":12})",
+         R"({"service":"s","to":"v2"})",
+         R"({"service":"s","to":"v2","duration_s":0})",
+         R"({"service":"s","to":"v2","duration_s":-1})",
+         R"({"service":"s","to":"v2","duration_s":1e300})",
+         R"({"service":"s","to":"v2","duration_s":"12"})" }) {
+    INFO(body);
+    CHECK(RefusalOf(Read("POST", "/rollouts/start", body)) == 400);
+  }
+  CHECK(RefusalOf(Read("GET", "/rollouts//read")) == 404);
+  CHECK(RefusalOf(Read("GET", "/rollouts/s/write")) == 404);
+}
+
+TEST_CASE("ARolloutsStateIsTold")
+{
+  const auto answer = [](rollout::RolloutState aState) {
+    const auto response = ControlCalls(1).mWriteAnswer(
+      control::RolloutsAnswer{
+        { { .mOrder = { .mTo = VersionName("v2") }, .mState = aState } } },
+      "/rollouts/s/read");
+    return response.mBody;
+  };
+  CHECK(answer(rollout::RolloutState::kRunning) ==
+        R"({"state":"running","to":"v2"})");
+  CHECK(answer(rollout::RolloutState::kCompleted) ==
+        R"({"state":"completed","to":"v2"})");
+  CHECK(answer(rollout::RolloutState::kRolledBack) ==
+        R"({"state":"rolled_back","to":"v2"})");
+  CHECK(ControlCalls(1)
+          .mWriteAnswer(control::RolloutsAnswer{}, "/rollouts/s/read")
+          .mStatus == 404);
+  CHECK(ControlCalls(1)
+          .mWriteAnswer(control::NotLeaderAnswer{}, "/rollouts/s/read")
+          .mStatus == 503);
+}
+
 TEST_CASE("TheQuarantineIsListedAndLifted")
 {
   const auto list = Read("GET", "/v1/quarantine");
--- a/test/rollout/RolloutPlay.h
+++ b/test/rollout/RolloutPlay.h
@@ -36,7 +36,7 @@
   /** Of an answer of the old version. */
   double mMeanMs = 120.0;
   VersionFault mFault;
-  /** Of all upstreams, old and new, so many fail 40 in 100 answers. */
+  /** Part of all upstreams, old and new, that fail answers at random. */
   double mGreyPart = 0.0;
   /** Messages lost between entries and the leader. */
   double mLost = 0.0;
