--- a/include/peridotspool/runtime/CtlCommands.h
+++ b/include/peridotspool/runtime/CtlCommands.h
@@ -88,6 +88,9 @@
   CtlExit WaitInForce(std::uint64_t aRevision);
   CtlExit PrintEntryAnswer(const std::string& aPath);
   void PrintCounters();
+  CtlExit PrintRows(const std::optional<http::HttpResponse>& aResponse,
+                    const std::string& aList,
+                    const std::vector<std::string>& aColumns);
   CtlExit PrintQuarantine(const std::optional<http::HttpResponse>& aResponse);
   CtlExit PrintRollouts(const std::optional<http::HttpResponse>& aResponse);
   CtlExit PrintAnswer(const http::HttpResponse& aResponse);
--- a/src/runtime/CtlCommands.cpp
+++ b/src/runtime/CtlCommands.cpp
@@ -259,7 +259,9 @@
 }
 
 CtlExit
-CtlCommands::PrintQuarantine(const std::optional<http::HttpResponse>& aResponse)
+CtlCommands::PrintRows(const std::optional<http::HttpResponse>& aResponse,
+                       const std::string& aList,
+                       const std::vector<std::string>& aColumns)
 {
   if (!aResponse) {
     return CtlExit::kUnreachable;
@@ -270,12 +272,19 @@
   if (mFormat == CtlFormat::kJson) {
     std::cout << aResponse->mBody << "\n";
   } else {
-    std::cout << TableOf(FieldOf(ObjectOf(*aResponse), "contents"),
-                         { "content", "stage", "ends_in_a_row", "ends" });
+    std::cout << TableOf(FieldOf(ObjectOf(*aResponse), aList.c_str()),
+                         aColumns);
   }
   return CtlExit::kDone;
 }
 
+CtlExit
+CtlCommands::PrintQuarantine(const std::optional<http::HttpResponse>& aResponse)
+{
+  return PrintRows(
+    aResponse, "contents", { "content", "stage", "ends_in_a_row", "ends" });
+}
+
 CtlExit
 CtlCommands::Rollouts()
 {
@@ -305,20 +314,9 @@
 CtlExit
 CtlCommands::PrintRollouts(const std::optional<http::HttpResponse>& aResponse)
 {
-  if (!aResponse) {
-    return CtlExit::kUnreachable;
-  }
-  if (aResponse->mStatus != kStatusOk) {
-    return PrintRefusal(*aResponse);
-  }
-  if (mFormat == CtlFormat::kJson) {
-    std::cout << aResponse->mBody << "\n";
-  } else {
-    std::cout << TableOf(
-      FieldOf(ObjectOf(*aResponse), "rollouts"),
-      { "id", "service", "to", "state", "duration_ms", "reason" });
-  }
-  return CtlExit::kDone;
+  return PrintRows(aResponse,
+                   "rollouts",
+                   { "id", "service", "to", "state", "duration_ms", "reason" });
 }
 
 CtlExit
