Let a new leader read the settings before it judges an order's service

Cause: a rollout's service is looked up in the settings that the leader has read, and it reads them with its next report or tick. An order that came in between was answered 404, as for a service that nobody knows; three of those end an operator's call.

Change: the look-up takes the newest committed settings itself.

Shown: soak/RolloutTest sends the order 200 times while all processes restart; no answer is a clear no. Found by reading; not seen to fail before, as the gap is a tenth of a second.

--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -139,7 +139,7 @@
   if (start == nullptr || (mDuties && !mNode.Leads(mNow))) {
     return false;
   }
-  if (mDuties && mDuties->KnowsService(start->mOrder.mService)) {
+  if (mDuties && mDuties->KnowsService(start->mOrder.mService, mNode, mNow)) {
     return false;
   }
   mParts.mLogger.Log(observe::EventId::kRolloutOrdered,
--- a/src/runtime/DutyRollouts.cpp
+++ b/src/runtime/DutyRollouts.cpp
@@ -40,8 +40,11 @@
 } // namespace
 
 bool
-DutyRunner::KnowsService(const ServiceName& aService) const
+DutyRunner::KnowsService(const ServiceName& aService,
+                         const control::ControlNode& aNode,
+                         TimePoint aNow)
 {
+  UseSettings(aNode, aNow);
   return mTable && mTable->Service(aService) != nullptr;
 }
 
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -57,8 +57,11 @@
   }
   void Take(const CloudInput& aInput, TimePoint aNow);
   void Tick(const control::ControlNode& aNode, TimePoint aNow);
-  /** Returns false iff the settings name no such service. */
-  bool KnowsService(const ServiceName& aService) const;
+  /** Returns false iff the newest settings name no such service; of a leader.
+   */
+  bool KnowsService(const ServiceName& aService,
+                    const control::ControlNode& aNode,
+                    TimePoint aNow);
   /** The time of day that most processes agree on, in microseconds. */
   std::int64_t WallMicros(TimePoint aNow) const;
 
--- a/test/soak/RolloutTest.cpp
+++ b/test/soak/RolloutTest.cpp
@@ -96,19 +96,26 @@
     }
   }
 
-  /** Orders the new version, and starts its upstreams; returns the status. */
-  unsigned Order()
+  /** Sends the order; returns the status, 0 without an answer. */
+  unsigned SendOrder(int aMachine = 1)
   {
     const auto answer = mSystem.Operator().Call(
-      1,
+      aMachine,
       RequestText("POST",
                   "/rollouts/start",
                   "Content-Type: application/json\r\n",
                   R"({"service":")" + mService + R"(","to":")" + kNewVersion +
                     R"(","duration_s":12})"));
+    return answer ? answer->mStatus : 0;
+  }
+
+  /** Orders the new version, and starts its upstreams; returns the status. */
+  unsigned Order()
+  {
+    const unsigned status = SendOrder();
     mOrderedAt = Clock::now();
     ForVersion(kNewVersion, [](SoakUpstream& aOne) { aOne.Start(); });
-    return answer ? answer->mStatus : 0;
+    return status;
   }
 
   std::string State(int aMachine = 1)
@@ -293,6 +300,16 @@
     machine.KillEntry();
     machine.StartAll();
   }
+  // A leader that was elected just now knows the services of the settings.
+  std::vector<unsigned> refused;
+  for (int sent = 0; sent < 200; ++sent) {
+    const unsigned status = system.SendOrder(sent % kControls + 1);
+    if (status / 100 == 4) {
+      refused.push_back(status);
+    }
+    std::this_thread::sleep_for(Ms(10));
+  }
+  CHECK(refused == std::vector<unsigned>{});
   CHECK(system.WaitForEnd() == "rolled_back");
   CheckBounds(system);
   system.Processes().DropLogs();
