--- a/src/rollout/RolloutGate.cpp
+++ b/src/rollout/RolloutGate.cpp
@@ -12,14 +12,12 @@
 namespace {
 
 constexpr std::uint32_t kWholeShare = 1000;
-/**
- * While the new version is tried, of its upstreams so large a part is used that
- * each has about as much to do as one of the old version.
- */
+/** Share of the new version's upstreams that watched requests are sent to: few,
+ * so that faults which need load show while the version gets few requests. */
 constexpr double kTriedPart = 0.15;
 constexpr std::size_t kLeastTried = 2;
-/** Of an entry's requests, this part is tried at the new version as soon as it
- * is allowed; the part rises by as much with each span that it stays unused. */
+/** Probability of using an allowance for a request; it rises by as much with
+ * each kUnusedSpan that the allowance stays unused. */
 constexpr double kTriedRequests = 0.15;
 constexpr Duration kUnusedSpan = std::chrono::milliseconds(250);
 constexpr double kHundredths = 100.0;
@@ -146,8 +144,8 @@
   return filter;
 }
 
-// Each route is tried about as often: one that few requests come on would else
-// hardly be tried at all, and a version may be bad on that one alone.
+// Routes get equal numbers of requests to the new version, whatever their
+// traffic: a fault may be limited to a rarely used route.
 bool
 RolloutGate::MayTry(const Run& aRun,
                     const std::string& aRoute,
