Say what a request's units were granted by, and what a leader's accounts begin with

RequestEnded names the source of the units (leader, stock, own part); counters sum them; grants that come late are a gauge. The leader logs when its accounts begin, each second which customers it refused and what they had, and each change of the part of the rate that it gives. No decision is changed.

--- a/include/peridotspool/gateway/QuotaBank.h
+++ b/include/peridotspool/gateway/QuotaBank.h
@@ -9,6 +9,18 @@
 
 namespace peridotspool::gateway {
 
+/** What one customer was granted and refused since the last such figures. */
+struct QuotaFigures
+{
+  CustomerName mCustomer;
+  std::uint64_t mGranted = 0;
+  /** Of mGranted, for no request in particular. */
+  std::uint64_t mStock = 0;
+  std::uint64_t mRefused = 0;
+  double mBalance = 0.0;
+  double mMost = 0.0;
+};
+
 struct QuotaBounds
 {
   /** A limit is held over every window of this length. */
@@ -35,6 +47,10 @@
   /** Says how many of the entries can't be heard, and go on by themselves. */
   void UseSilent(std::size_t aSilent, std::size_t aEntries);
   QuotaGrant Ask(const QuotaAsk& aAsk, TimePoint aNow);
+  /** Customers that were refused something since the last call. */
+  std::vector<QuotaFigures> TakeFigures();
+  /** The part of the limits' rate that is given here. */
+  double FlowPart() const { return mFlowPart; }
 
 private:
   struct Account
@@ -43,6 +59,7 @@
     double mMost = 0.0;
     double mBalance = 0.0;
     TimePoint mAt;
+    QuotaFigures mFigures;
   };
 
   double MostOf(const Customer& aCustomer) const;
--- a/include/peridotspool/gateway/QuotaGate.h
+++ b/include/peridotspool/gateway/QuotaGate.h
@@ -4,6 +4,7 @@
 #include "peridotspool/gateway/Customer.h"
 #include "peridotspool/gateway/SharedMessage.h"
 
+#include <boost/describe/enum.hpp>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,9 +22,23 @@
   kRefused,
 };
 
+/** Whose rights a request's units were taken from. */
+enum class QuotaSource
+{
+  /** The customer has no limit, or the request was not granted. */
+  kNone,
+  kLeader,
+  /** Granted by the leader before the request came. */
+  kStock,
+  /** The entry's own part, while no leader answers. */
+  kOwnPart,
+};
+BOOST_DESCRIBE_ENUM(QuotaSource, kNone, kLeader, kStock, kOwnPart)
+
 struct QuotaAnswer
 {
   QuotaOutcome mOutcome = QuotaOutcome::kGranted;
+  QuotaSource mSource = QuotaSource::kNone;
   /** Names the request in later outcomes; set with kAsked. */
   std::uint64_t mTag = 0;
   /** With kAsked: what to send to the leader. */
@@ -38,8 +53,8 @@
   std::uint64_t mTag = 0;
   bool mGranted = false;
   Duration mComeBack{ 0 };
-  /** The entry decided by its own part, as the leader did not answer. */
-  bool mByOwnPart = false;
+  /** Of who decided, granted or not. */
+  QuotaSource mSource = QuotaSource::kLeader;
 };
 
 /**
@@ -65,6 +80,8 @@
   void GiveBack(const CustomerName& aCustomer, double aUnits);
   /** The caller of a request that waits has gone. */
   void Forget(std::uint64_t aTag);
+  /** Units granted for requests that no longer waited, since the start. */
+  double LateUnits() const { return mLateUnits; }
 
 private:
   struct Account
@@ -94,6 +111,7 @@
   std::unordered_map<CustomerName, Account> mAccounts;
   std::map<std::uint64_t, Waiting> mWaiting;
   std::uint64_t mLastTag = 0;
+  double mLateUnits = 0.0;
   /** Since when the leader's answers fail to come. */
   std::optional<TimePoint> mSilentSince;
   TimePoint mProbedAt;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/Exchange.h"
 
+#include <boost/describe/enum_to_string.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -152,6 +154,7 @@
       { "route", mRoute == nullptr ? "none" : mRoute->mName },
       { "customer", mCustomer == nullptr ? "none" : mCustomer->mName.Value() },
       { "units", mCustomer == nullptr ? 0.0 : Units() },
+      { "granted_by", boost::describe::enum_to_string(mGrantedBy, "") },
       { "status", aStatus },
       { "reason", aReason },
       { "upstream", mUpstream },
--- a/src/gateway/ExchangeQuota.cpp
+++ b/src/gateway/ExchangeQuota.cpp
@@ -3,6 +3,8 @@
 #include "gateway/Exchange.h"
 #include "peridotspool/gateway/TokenCounts.h"
 
+#include <boost/describe/enum_to_string.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -42,11 +44,10 @@
     mCore.mQuota.Take(*mCustomer, Units(), mCore.mNow());
   switch (answer.mOutcome) {
     case QuotaOutcome::kGranted:
-      mGranted = true;
-      Dispatch();
+      TakeGranted(answer.mSource);
       return;
     case QuotaOutcome::kRefused:
-      RefuseForQuota(answer.mComeBack, true);
+      RefuseForQuota(answer.mComeBack, QuotaSource::kOwnPart);
       return;
     case QuotaOutcome::kAsked:
       mQuotaTag = answer.mTag;
@@ -68,15 +69,36 @@
       mCore.mQuota.GiveBack(mCustomer->mName, Units());
     }
   } else if (aDecided.mGranted) {
-    mGranted = true;
-    Dispatch();
+    TakeGranted(aDecided.mSource);
   } else {
-    RefuseForQuota(aDecided.mComeBack, aDecided.mByOwnPart);
+    RefuseForQuota(aDecided.mComeBack, aDecided.mSource);
+  }
+}
+
+void
+Exchange::TakeGranted(QuotaSource aSource)
+{
+  mGranted = true;
+  mGrantedBy = aSource;
+  const auto units = static_cast<std::uint64_t>(Units());
+  switch (aSource) {
+    case QuotaSource::kNone:
+      break;
+    case QuotaSource::kLeader:
+      mCore.mCounters.Add(CounterId::kLimitUnitsLeader, units);
+      break;
+    case QuotaSource::kStock:
+      mCore.mCounters.Add(CounterId::kLimitUnitsStock, units);
+      break;
+    case QuotaSource::kOwnPart:
+      mCore.mCounters.Add(CounterId::kLimitUnitsOwnPart, units);
+      break;
   }
+  Dispatch();
 }
 
 void
-Exchange::RefuseForQuota(Duration aComeBack, bool aByOwnPart)
+Exchange::RefuseForQuota(Duration aComeBack, QuotaSource aDecidedBy)
 {
   mCore.mCounters.Add(CounterId::kRefusedRateLimit);
   mCore.mLogger.Log(EventId::kRequestRefused,
@@ -87,7 +109,7 @@
                       { "rate", mCustomer->mRatePerSecond },
                       { "burst", mCustomer->mBurst },
                       { "settings", mTable->Version() },
-                      { "decided_by", aByOwnPart ? "own part" : "leader" },
+                      { "decided_by", boost::describe::enum_to_string(aDecidedBy, "") },
                       { "asked_ms", mCore.mNow() - mArrivedAt },
                       { "come_back_ms", aComeBack } });
   AnswerOwn(
--- a/src/gateway/QuotaBank.cpp
+++ b/src/gateway/QuotaBank.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace peridotspool::gateway {
 
@@ -84,6 +85,22 @@
   mFlowPart = 1.0 - std::clamp(own - kEntriesOwn, 0.0, 1.0);
 }
 
+std::vector<QuotaFigures>
+QuotaBank::TakeFigures()
+{
+  std::vector<QuotaFigures> figures;
+  for (auto& [name, account] : mAccounts) {
+    QuotaFigures one = std::exchange(account.mFigures, {});
+    if (one.mRefused > 0) {
+      one.mCustomer = name;
+      one.mBalance = account.mBalance;
+      one.mMost = account.mMost;
+      figures.push_back(std::move(one));
+    }
+  }
+  return figures;
+}
+
 QuotaGrant
 QuotaBank::Ask(const QuotaAsk& aAsk, TimePoint aNow)
 {
@@ -114,8 +131,11 @@
   }
   if (account.mBalance >= needed) {
     account.mBalance -= units;
+    account.mFigures.mGranted += aLine.mUnits;
+    account.mFigures.mStock += aLine.mTag == 0 ? aLine.mUnits : 0;
     return { .mLine = aLine, .mGranted = true };
   }
+  account.mFigures.mRefused += aLine.mTag == 0 ? 0 : aLine.mUnits;
   const double wait = (needed - account.mBalance) / account.mRate;
   return { .mLine = aLine,
            .mGranted = false,
--- a/src/gateway/QuotaGate.cpp
+++ b/src/gateway/QuotaGate.cpp
@@ -70,12 +70,12 @@
   Account& account = Use(aCustomer, aUnits, aNow);
   if (account.mStock >= aUnits) {
     account.mStock -= aUnits;
-    return {};
+    return { .mSource = QuotaSource::kStock };
   }
   const bool probe = mSilentSince && aNow - mProbedAt >= kProbePeriod;
   if (mSilentSince && !probe) {
     return TakeOwn(account, aUnits, aNow)
-             ? QuotaAnswer{}
+             ? QuotaAnswer{ .mSource = QuotaSource::kOwnPart }
              : QuotaAnswer{ .mOutcome = QuotaOutcome::kRefused,
                             .mComeBack = OwnComeBack(account) };
   }
@@ -113,6 +113,9 @@
           .mComeBack = std::chrono::milliseconds(verdict.mComeBackMs) });
     } else if (verdict.mGranted) {
       // Stock, or a request that did not wait until now.
+      mLateUnits += verdict.mLine.mTag == 0
+                      ? 0.0
+                      : static_cast<double>(verdict.mLine.mUnits);
       Account& account = mAccounts[verdict.mLine.mCustomer];
       account.mStock += static_cast<double>(verdict.mLine.mUnits);
       account.mStockAt = aNow;
@@ -138,7 +141,7 @@
     decided.push_back({ .mTag = waiting->first,
                         .mGranted = granted,
                         .mComeBack = OwnComeBack(account),
-                        .mByOwnPart = true });
+                        .mSource = QuotaSource::kOwnPart });
     waiting = mWaiting.erase(waiting);
   }
   return decided;
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -18,6 +18,7 @@
 /** Entries report three times a second. */
 constexpr Duration kSilentAfter = std::chrono::milliseconds(800);
 constexpr Duration kEndedAfter = std::chrono::seconds(30);
+constexpr Duration kLimitLogPeriod = std::chrono::seconds(1);
 constexpr Duration kDutyPeriod = std::chrono::milliseconds(100);
 constexpr std::chrono::milliseconds kCloudTimeout{ 2000 };
 /** This replica's own clock among those of the entries' lives. */
@@ -205,12 +206,36 @@
   if (settings.mRevision == mRevision || !mDialect.mReadDocument) {
     return;
   }
+  const bool begins = mRevision == Revision();
   mRevision = settings.mRevision;
   LastReason reason;
   const auto text = UnpackText(settings.mText);
   mTable = text ? mDialect.mReadDocument(*text, reason) : std::nullopt;
   if (mTable) {
     mBank.Use(mTable->Source().mCustomers, aNow);
+    if (begins) {
+      mLogger.Log(observe::EventId::kLimitAccountsBegun,
+                  { { "term", aNode.CurrentTerm() },
+                    { "customers", mTable->Source().mCustomers.size() } });
+    }
+  }
+}
+
+void
+DutyRunner::LogLimits(TimePoint aNow)
+{
+  if (aNow - mLimitsLoggedAt < kLimitLogPeriod) {
+    return;
+  }
+  mLimitsLoggedAt = aNow;
+  for (const gateway::QuotaFigures& one : mBank.TakeFigures()) {
+    mLogger.Log(observe::EventId::kLimitAccount,
+                { { "customer", one.mCustomer },
+                  { "granted", one.mGranted },
+                  { "stock", one.mStock },
+                  { "refused", one.mRefused },
+                  { "balance", one.mBalance },
+                  { "most", one.mMost } });
   }
 }
 
@@ -228,7 +253,14 @@
     }));
   const std::size_t members =
     aNode.State().mMembership.mCurrent.mMembers.size();
+  const double before = mBank.FlowPart();
   mBank.UseSilent(silent, std::max(members, mHeard.size()) + 3);
+  if (mBank.FlowPart() != before) {
+    mLogger.Log(observe::EventId::kLimitFlow,
+                { { "part", mBank.FlowPart() },
+                  { "entries", members },
+                  { "silent", silent } });
+  }
 }
 
 void
@@ -244,6 +276,7 @@
     mDesk.TakeWall(kOwnClock, ReadWallMicros(), aNow);
     mDirectory.Forget(aNow);
     NoteSilent(aNode, aNow);
+    LogLimits(aNow);
     KeepQuarantine(aNode, aNow);
     KeepRollouts(aNode, aNow);
   } else {
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -93,6 +93,7 @@
                     const control::ControlNode& aNode);
   void LogNotice(const rollout::RolloutNotice& aNotice);
   void LogChange(const routing::QuarantineChange& aChange);
+  void LogLimits(TimePoint aNow);
   void NoteSilent(const control::ControlNode& aNode, TimePoint aNow);
   void UseSettings(const control::ControlNode& aNode, TimePoint aNow);
   std::map<ServiceName, fleet::PoolView> Pools(
@@ -116,6 +117,7 @@
   Revision mRevision;
   bool mLed = false;
   TimePoint mTickedAt;
+  TimePoint mLimitsLoggedAt;
   std::map<Address, Heard> mHeard;
   std::map<std::uint64_t, std::string> mCalls;
   std::unique_ptr<http::HttpClient> mClient;
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -179,6 +179,8 @@
   Step(membership::SessionTickEvent{});
   PullUpstreams(now);
   Decide(mCore->mQuota.Tick(now));
+  mCounters.Set(observe::CounterId::kLimitUnitsLate,
+                static_cast<std::uint64_t>(mCore->mQuota.LateUnits()));
   mCore->mKeeper.Forget(now);
   mCore->WakeStarting();
   mCore->TickGate();
