--- /dev/null
+++ b/test/gateway/QuotaPlayTest.cpp
@@ -0,0 +1,143 @@
+// ctest-labels: unit
+#include "gateway/QuotaPlay.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 6;
+
+/** Plays it at several sizes, and says where a limit was not kept. */
+void
+CheckKept(const std::vector<QuotaIncident>& aIncidents)
+{
+  for (const std::size_t entries : { 3, 9, 70, 300 }) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      for (const double rate : { 36000.0, 200000.0 }) {
+        QuotaPlay play({ .mEntries = entries, .mRate = rate, .mSeed = seed },
+                       aIncidents);
+        const QuotaPlayResult result = play.Run();
+        INFO("entries " << entries << ", rate " << rate << ", seed " << seed
+                        << ": used " << result.mWorst
+                        << " of what is allowed in the window from "
+                        << result.mWorstAtMs << " ms, expected at most 1");
+        CHECK(result.mWorst <= 1.0);
+      }
+    }
+  }
+}
+
+const QuotaIncident kLongFlood{ .mAtMs = 10000,
+                                .mFault = QuotaFault::kFlood,
+                                .mForMs = 20000,
+                                .mTimes = 40.0 };
+
+} // namespace
+
+// Guards against entries that overdraw their own parts while no leader answers.
+TEST_CASE("ALimitIsKeptWhenTheLeaderIsLostUnderAFlood")
+{
+  CheckKept({ kLongFlood,
+              { .mAtMs = 15000,
+                .mFault = QuotaFault::kLeaderLost,
+                .mForMs = 1000 } });
+}
+
+// Guards against a fresh allowance with each new leader.
+TEST_CASE("ALimitIsKeptWhenLeadersAreLostInSeries")
+{
+  CheckKept(
+    { kLongFlood,
+      { .mAtMs = 15000, .mFault = QuotaFault::kLeaderLost, .mForMs = 900 },
+      { .mAtMs = 17500, .mFault = QuotaFault::kLeaderLost, .mForMs = 900 },
+      { .mAtMs = 20000, .mFault = QuotaFault::kLeaderLost, .mForMs = 2500 } });
+}
+
+// Guards against units that are taken from the own part and from a late grant.
+TEST_CASE("ALimitIsKeptWhileTheLeaderAnswersLate")
+{
+  for (const int delay : { 250, 600, 1500 }) {
+    CheckKept({ kLongFlood,
+                { .mAtMs = 12000,
+                  .mFault = QuotaFault::kLeaderSlow,
+                  .mForMs = delay,
+                  .mTimes = 9.0 } });
+  }
+}
+
+// Guards against a fresh allowance with each start of an entry.
+TEST_CASE("ALimitIsKeptWhenEntriesRestartWithoutALeader")
+{
+  CheckKept(
+    { kLongFlood,
+      { .mAtMs = 15000, .mFault = QuotaFault::kLeaderLost, .mForMs = 4000 },
+      { .mAtMs = 15500, .mFault = QuotaFault::kEntriesRestart, .mTimes = 0.6 },
+      { .mAtMs = 17000,
+        .mFault = QuotaFault::kEntriesRestart,
+        .mTimes = 1.0 } });
+}
+
+// Guards against units of requests that did not run being used much later.
+TEST_CASE("ALimitIsKeptWhenGrantedRequestsDoNotRun")
+{
+  CheckKept({ kLongFlood,
+              { .mAtMs = 10000,
+                .mFault = QuotaFault::kUpstreamsDown,
+                .mForMs = 6000 } });
+}
+
+// Guards against the leader giving what entries that are cut off give, too.
+TEST_CASE("ALimitIsKeptWhileEntriesAreCutOff")
+{
+  for (const double share : { 0.2, 0.5, 0.9 }) {
+    CheckKept({ kLongFlood,
+                { .mAtMs = 13000,
+                  .mFault = QuotaFault::kEntriesCut,
+                  .mForMs = 9000,
+                  .mTimes = share },
+                { .mAtMs = 16000,
+                  .mFault = QuotaFault::kLeaderLost,
+                  .mForMs = 1200 } });
+  }
+}
+
+// Guards against a fresh account for a customer that is removed and comes back,
+// or whose limit changes.
+TEST_CASE("ALimitIsKeptWhenTheCustomerComesBackOrItsLimitChanges")
+{
+  CheckKept(
+    { kLongFlood,
+      { .mAtMs = 14000, .mFault = QuotaFault::kCustomerRemoved, .mForMs = 200 },
+      { .mAtMs = 16000, .mFault = QuotaFault::kCustomerRemoved, .mForMs = 200 },
+      { .mAtMs = 18000, .mFault = QuotaFault::kLimitChanged, .mTimes = 0.6 },
+      { .mAtMs = 19000, .mFault = QuotaFault::kLimitChanged, .mTimes = 1.0 },
+      { .mAtMs = 20000,
+        .mFault = QuotaFault::kLeaderLost,
+        .mForMs = 1000 } });
+}
+
+// Guards against keeping a limit by refusing what the customer may have.
+TEST_CASE("ACustomerBelowItsLimitIsServedWhateverIsLost")
+{
+  const std::vector<QuotaIncident> incidents = {
+    { .mAtMs = 12000, .mFault = QuotaFault::kLeaderLost, .mForMs = 800 },
+    { .mAtMs = 20000, .mFault = QuotaFault::kEntriesCut, .mForMs = 0 },
+    { .mAtMs = 25000, .mFault = QuotaFault::kEntriesRestart, .mTimes = 0.5 },
+  };
+  for (const std::size_t entries : { 3, 9, 70, 300 }) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      QuotaPlay play({ .mEntries = entries, .mSeed = seed }, incidents);
+      const QuotaPlayResult result = play.Run();
+      INFO("entries " << entries << ", seed " << seed << ": "
+                      << result.mCalmRefused << " of " << result.mCalm
+                      << " never ran, expected fewer than one in fifty");
+      CHECK(result.mCalmRefused * 50 <= result.mCalm);
+    }
+  }
+}
+
+} // namespace peridotspool::gateway
