--- a/test/control/ControlCluster.h
+++ b/test/control/ControlCluster.h
@@ -84,6 +84,10 @@
   ClusterFaults mFaults;
   void Crash(const std::string& aName);
   void Restart(const std::string& aName);
+  /** Crashes the leader; returns true iff another replica leads in time. */
+  bool ReplaceLeader();
+  /** Restarts all replicas; returns true iff one of them leads in time. */
+  bool RestartControls();
   void LoseDisk(const std::string& aName);
   void Freeze(const std::string& aName);
   void Thaw(const std::string& aName);
--- a/test/control/ControlClusterFaults.cpp
+++ b/test/control/ControlClusterFaults.cpp
@@ -6,6 +6,26 @@
 
 namespace peridotspool::control {
 
+bool
+ControlCluster::ReplaceLeader()
+{
+  const std::string before = Leader();
+  Crash(before);
+  return RunUntil([&] { return !Leader().empty() && Leader() != before; });
+}
+
+bool
+ControlCluster::RestartControls()
+{
+  for (auto& [name, process] : mProcesses) {
+    if (process.mNode) {
+      Crash(name);
+      Restart(name);
+    }
+  }
+  return RunUntil([&] { return !Leader().empty(); });
+}
+
 void
 ControlCluster::Crash(const std::string& aName)
 {
--- a/test/control/QuarantineSurvivesTest.cpp
+++ b/test/control/QuarantineSurvivesTest.cpp
@@ -42,18 +42,11 @@
     cluster.AskLeader(Treat(QuarantineStage::kRefused))));
   SECTION("a new leader")
   {
-    const std::string before = cluster.Leader();
-    cluster.Crash(before);
-    REQUIRE(cluster.RunUntil(
-      [&] { return !cluster.Leader().empty() && cluster.Leader() != before; }));
+    REQUIRE(cluster.ReplaceLeader());
   }
   SECTION("all restarted")
   {
-    for (const char* name : { "control-1", "control-2", "control-3" }) {
-      cluster.Crash(name);
-      cluster.Restart(name);
-    }
-    REQUIRE(cluster.RunUntil([&] { return !cluster.Leader().empty(); }));
+    REQUIRE(cluster.RestartControls());
   }
   const auto listed = Listed(cluster);
   REQUIRE(listed.size() == 1);
