Count repeats over no less than a window

What callers saw: nothing yet; found while looking for the incident's class of fault in the other bounds that entries share. The budget of repeats forgot a slice nine to ten tenths of a window after it, so two bursts 9 s apart fell into one window of 10 s.

Change: one slice more. RepeatBudgetCountsOverNoLessThanAWindow failed before.

--- a/include/peridotspool/gateway/RepeatBudget.h
+++ b/include/peridotspool/gateway/RepeatBudget.h
@@ -41,7 +41,9 @@
   bool TakeRepeat(const ServiceName& aService, TimePoint aNow);
 
 private:
-  static constexpr std::size_t kSlices = 10;
+  static constexpr std::size_t kWindowSlices = 10;
+  /** The present slice has just begun or is nearly over: one more. */
+  static constexpr std::size_t kSlices = kWindowSlices + 1;
   struct Slice
   {
     std::int64_t mNumber = -1;
--- a/src/gateway/RepeatBudget.cpp
+++ b/src/gateway/RepeatBudget.cpp
@@ -25,7 +25,7 @@
 RepeatBudget::Slice&
 RepeatBudget::Current(const ServiceName& aService, TimePoint aNow)
 {
-  const Duration length = mOptions.mWindow / kSlices;
+  const Duration length = mOptions.mWindow / kWindowSlices;
   const std::int64_t number = aNow.time_since_epoch() / length;
   Slice& slice = mSlices[aService][static_cast<std::size_t>(number) % kSlices];
   if (slice.mNumber != number) {
--- a/test/gateway/RepeatBudgetTest.cpp
+++ b/test/gateway/RepeatBudgetTest.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <deque>
+#include <vector>
 
 namespace peridotspool::gateway {
 
@@ -55,6 +57,16 @@
   });
 }
 
+// Guards against two bursts that are less than a window apart.
+TEST_CASE("RepeatBudgetCountsOverNoLessThanAWindow")
+{
+  RepeatBudget budget({ .mRatio = 0.2, .mExtra = 20.0, .mEntries = 2 });
+  const ServiceName service("s");
+  while (budget.TakeRepeat(service, At(950))) {
+  }
+  CHECK_FALSE(budget.TakeRepeat(service, At(10900)));
+}
+
 TEST_CASE("RepeatBudgetGivesAServiceWithoutRequestsItsPartOfTheExtra")
 {
   RepeatBudget budget({ .mRatio = 0.2, .mExtra = 20.0, .mEntries = 2 });
