Bound repeats over an entry's restarts

A process that started anew had its whole part of the extra repeats and of what its requests allow, whatever its predecessor had used within the window.

Evidence: RepeatBudgetHoldsWhenEntriesRestart, 3, 9 and 70 entries, 55 and 100 in 100 restarted after upstreams began to fail: 261 repeats in the window from second 10.2, 260 allowed, at the first of its cases; it stops there.

Change: in its first window a process has no extra and a quarter of what its requests allow. Used parts are 0.8 of the bound: 0.8 before the restart and 0.2 after it stay within it.

What remains: an entry's requests before the restart count for none of its repeats after it, so a restarted entry repeats less than it might for one window.

--- a/include/peridotspool/gateway/RepeatBudget.h
+++ b/include/peridotspool/gateway/RepeatBudget.h
@@ -19,6 +19,8 @@
   Duration mWindow = std::chrono::seconds(10);
   /** Entries that share mExtra; as many as may run at once. */
   std::size_t mEntries = 1;
+  /** When the process started: it doesn't know what it repeated before. */
+  TimePoint mStartedAt;
 };
 
 /**
--- a/src/gateway/RepeatBudget.cpp
+++ b/src/gateway/RepeatBudget.cpp
@@ -8,6 +8,10 @@
 
 /** A part is kept back: windows slide, and slices don't begin with them. */
 constexpr double kUsedPart = 0.8;
+/** A process that has just started may have repeated in an earlier life: it has
+ * this part of what its requests allow, and nothing of the extra, which with
+ * the used part stays within the bound. */
+constexpr double kFreshPart = 0.25;
 
 } // namespace
 
@@ -54,8 +58,11 @@
       repeats += slice.mRepeats;
     }
   }
-  const double extra = mOptions.mExtra / static_cast<double>(mOptions.mEntries);
-  if (repeats + 1.0 > kUsedPart * (mOptions.mRatio * requests + extra)) {
+  const bool isFresh = aNow - mOptions.mStartedAt < mOptions.mWindow;
+  const double extra =
+    isFresh ? 0.0 : mOptions.mExtra / static_cast<double>(mOptions.mEntries);
+  const double ratio = mOptions.mRatio * (isFresh ? kFreshPart : 1.0);
+  if (repeats + 1.0 > kUsedPart * (ratio * requests + extra)) {
     return false;
   }
   ++current.mRepeats;
--- a/test/gateway/RepeatBudgetTest.cpp
+++ b/test/gateway/RepeatBudgetTest.cpp
@@ -57,6 +57,80 @@
   });
 }
 
+namespace {
+
+/** Repeats and requests by tenths of a second, of all entries together. */
+struct RepeatPlay
+{
+  std::vector<int> mRequests = std::vector<int>(400);
+  std::vector<int> mRepeats = std::vector<int>(400);
+};
+
+int
+SumOf(const std::vector<int>& aCounts, int aFrom)
+{
+  int sum = 0;
+  for (int tenth = std::max(0, aFrom); tenth < aFrom + 100; ++tenth) {
+    sum += aCounts[static_cast<std::size_t>(tenth)];
+  }
+  return sum;
+}
+
+/** Upstreams fail from second 12 on; entries restart some time later. */
+RepeatPlay
+PlayRestarts(std::size_t aEntries, int aRestartTenth, double aShare)
+{
+  const RepeatBudgetOptions options{ .mRatio = 0.2,
+                                     .mExtra = 60.0,
+                                     .mEntries = aEntries };
+  std::vector<RepeatBudget> budgets(aEntries, RepeatBudget(options));
+  const ServiceName service("s");
+  RepeatPlay play;
+  for (int ms = 0; ms < 40000; ms += 10) {
+    const auto tenth = static_cast<std::size_t>(ms / 100);
+    if (ms == aRestartTenth * 100) {
+      for (std::size_t i = 0;
+           i < static_cast<std::size_t>(aShare * static_cast<double>(aEntries));
+           ++i) {
+        RepeatBudgetOptions fresh = options;
+        fresh.mStartedAt = At(ms);
+        budgets[i] = RepeatBudget(fresh);
+      }
+    }
+    auto& budget = budgets[static_cast<std::size_t>(ms / 10) * 7919 % aEntries];
+    budget.TakeRequest(service, At(ms));
+    ++play.mRequests[tenth];
+    while (ms >= 12000 && budget.TakeRepeat(service, At(ms))) {
+      ++play.mRepeats[tenth];
+    }
+  }
+  return play;
+}
+
+} // namespace
+
+// Guards against entries that repeat as if they had not before they restarted.
+TEST_CASE("RepeatBudgetHoldsWhenEntriesRestart")
+{
+  for (const std::size_t entries : { 3, 9, 70 }) {
+    for (const double share : { 0.55, 1.0 }) {
+      for (int restart = 125; restart <= 200; restart += 15) {
+        const RepeatPlay play = PlayRestarts(entries, restart, share);
+        for (int from = 100; from <= 300; ++from) {
+          const int requests = std::max({ SumOf(play.mRequests, from),
+                                          SumOf(play.mRequests, from - 50),
+                                          SumOf(play.mRequests, from - 100) });
+          const double allowed = 0.2 * requests + 60.0;
+          INFO("entries " << entries << ", share " << share << ", restart at "
+                          << restart << ", window from " << from
+                          << " tenths: expected at most " << allowed);
+          REQUIRE(SumOf(play.mRepeats, from) <= allowed);
+        }
+      }
+    }
+  }
+}
+
 // Guards against two bursts that are less than a window apart.
 TEST_CASE("RepeatBudgetCountsOverNoLessThanAWindow")
 {
