--- a/include/peridotspool/gateway/QuotaBank.h
+++ b/include/peridotspool/gateway/QuotaBank.h
@@ -69,8 +69,8 @@
   void Use(const std::vector<Customer>& aCustomers, TimePoint aNow);
   /** Takes the members of the newest epoch. */
   void UseEntries(const std::vector<Address>& aEntries, TimePoint aNow);
-  /** Takes the newest committed floors. */
-  void TakeCommitted(const QuotaFloors& aCommitted);
+  /** Takes the newest committed floors; returns true iff they are new. */
+  bool TakeCommitted(const QuotaFloors& aCommitted);
   /** Takes an entry's report; returns its next lease. */
   QuotaLease Renew(const Address& aEntry,
                    const QuotaLease& aHeld,
@@ -126,6 +126,7 @@
   double CommittedFloor(const CustomerName& aCustomer,
                         const Account& aAccount) const;
   void Advance(TimePoint aNow);
+  void AdvanceInSteps(TimePoint aNow);
   void Grow(Account& aAccount, TimePoint aNow) const;
   void Add(Account& aAccount, double aUnits, TimePoint aNow) const;
   void TakeReturn(const QuotaReturn& aReturn, TimePoint aNow);
--- a/src/gateway/QuotaBank.cpp
+++ b/src/gateway/QuotaBank.cpp
@@ -120,11 +120,11 @@
   mLeases.Advance(aNow + kFlowStep);
 }
 
-void
+bool
 QuotaBank::TakeCommitted(const QuotaFloors& aCommitted)
 {
   if (aCommitted.mNumber == mCommitted.mNumber) {
-    return;
+    return false;
   }
   mCommitted = aCommitted;
   const bool settled = mCommitted.mNumber >= mProposed.mNumber;
@@ -132,6 +132,7 @@
     const double floor = CommittedFloor(name, account);
     account.mFloor = settled ? floor : std::max(account.mFloor, floor);
   }
+  return true;
 }
 
 QuotaLease
@@ -158,6 +159,15 @@
   }
 }
 
+/** Walks over all entries only so often; an account may grow a step late. */
+void
+QuotaBank::AdvanceInSteps(TimePoint aNow)
+{
+  if (aNow - mFlowAt >= kFlowStep) {
+    Advance(aNow);
+  }
+}
+
 void
 QuotaBank::Grow(Account& aAccount, TimePoint aNow) const
 {
@@ -192,9 +202,7 @@
 QuotaGrant
 QuotaBank::Ask(const Address& aFrom, const QuotaAsk& aAsk, TimePoint aNow)
 {
-  if (aNow - mFlowAt >= kFlowStep) {
-    Advance(aNow);
-  }
+  AdvanceInSteps(aNow);
   for (const QuotaReturn& one : aAsk.mReturns) {
     TakeReturn(one, aNow);
   }
@@ -242,10 +250,9 @@
   Account& account = found->second;
   Grow(account, aNow);
   const TimePoint grantedAt{ Duration(aReturn.mGrantedAt) };
-  Add(account,
-      static_cast<double>(aReturn.mUnits) -
-        account.mRate * ToSeconds(aNow - grantedAt),
-      aNow);
+  const double gained =
+    account.mRate * ToSeconds(std::max(Duration(0), aNow - grantedAt));
+  Add(account, static_cast<double>(aReturn.mUnits) - gained, aNow);
 }
 
 /** The balance that has to be left, apart from the floor. */
@@ -342,7 +349,7 @@
 std::optional<QuotaFloors>
 QuotaBank::Due(TimePoint aNow)
 {
-  Advance(aNow);
+  AdvanceInSteps(aNow);
   const bool underWay = mCommitted.mNumber < mProposed.mNumber &&
                         aNow - mProposedAt < kCommitTimeout;
   if (underWay || (!mLow && aNow - mScannedAt < kScanPeriod)) {
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -114,7 +114,9 @@
                     const control::ControlNode& aNode,
                     TimePoint aNow)
 {
-  AnswerHeld(aNode, aNow);
+  if (mBank.TakeCommitted(aNode.State().mQuotaFloors)) {
+    AnswerHeld(aNow);
+  }
   gateway::QuotaGrant grant = mBank.Ask(aFrom, aAsk, aNow);
   if (!grant.mVerdicts.empty()) {
     mTell(aFrom, std::move(grant));
@@ -123,9 +125,8 @@
 }
 
 void
-DutyRunner::AnswerHeld(const control::ControlNode& aNode, TimePoint aNow)
+DutyRunner::AnswerHeld(TimePoint aNow)
 {
-  mBank.TakeCommitted(aNode.State().mQuotaFloors);
   for (gateway::QuotaAnswerTo& answer : mBank.TakeAnswered(aNow)) {
     mTell(answer.mTo, std::move(answer.mGrant));
   }
@@ -309,7 +310,8 @@
 void
 DutyRunner::KeepLimits(const control::ControlNode& aNode, TimePoint aNow)
 {
-  AnswerHeld(aNode, aNow);
+  mBank.TakeCommitted(aNode.State().mQuotaFloors);
+  AnswerHeld(aNow);
   ProposeFloors(aNow);
   const std::size_t uncovered = mBank.Leases().Uncovered();
   if (uncovered != mUncovered) {
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -99,7 +99,7 @@
                const gateway::QuotaAsk& aAsk,
                const control::ControlNode& aNode,
                TimePoint aNow);
-  void AnswerHeld(const control::ControlNode& aNode, TimePoint aNow);
+  void AnswerHeld(TimePoint aNow);
   void ProposeFloors(TimePoint aNow);
   void KeepLimits(const control::ControlNode& aNode, TimePoint aNow);
   void ForgetSilent(TimePoint aNow);
