Log and count the rate limits that upstreams state

An upstream got 13 requests in 4 s after it had stated a limit of 1 a second in its answers; no line told whether an entry knew of the limit when it sent. The adapter now names the header field (Server-Limit on the users' platform), and each entry keeps what its upstreams state: UpstreamLimitChanged and UpstreamLimitInvalid, RequestSent with limit and limit_age_ms, counters of the statements and of the upstreams with a limit. Nothing is decided by it yet.

A limit belongs to one incarnation and ends with a genuine answer to a later request that states none; a value that can't be read, or several, change nothing. A 421 comes from another upstream at the address and is passed over.

--- a/include/peridotspool/gateway/HeaderNames.h
+++ b/include/peridotspool/gateway/HeaderNames.h
@@ -25,6 +25,9 @@
   std::string mStamp;
   /** In an upstream's response: "RUNNING,WAITING,SLOTS". */
   std::string mLoad;
+  /** In an upstream's response: the requests per second that it accepts from
+   * all entries together, as long as responses state it. */
+  std::string mRateLimit;
   /** "PROMPT,ANSWER": prompt tokens and the maximum of generated tokens. */
   std::string mTokenCounts;
   /** Parts of the prompt in order, each as ID:TOKENS. */
--- a/include/peridotspool/gateway/RequestHead.h
+++ b/include/peridotspool/gateway/RequestHead.h
@@ -17,6 +17,10 @@
 std::string_view
 FieldOf(const FieldList& aFields, std::string_view aName);
 
+/** Returns all values of a field, in order. */
+std::vector<std::string_view>
+FieldsOf(const FieldList& aFields, std::string_view aName);
+
 /** Returns true iff both texts are equal without regard to case. */
 bool
 EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -124,6 +124,7 @@
 void
 Exchange::LogSent(const UpstreamChoice& aChoice)
 {
+  const limits::KnownLimit* limit = mCore.mUpstreamLimits.Find(mUpstream);
   mCore.mLogger.Log(
     EventId::kRequestSent,
     { { "request", mId },
@@ -145,6 +146,10 @@
         aChoice.mReportAge ? *aChoice.mReportAge : Duration(-1000) },
       { "ask_ms", mLoadQueryTook },
       { "heard", aChoice.mLoadKnown },
+      { "limit", limit == nullptr ? 0.0 : limit->mPerSecond },
+      { "limit_age_ms",
+        limit == nullptr ? Duration(-1000)
+                         : Duration(mCore.mNow() - limit->mStatedAt) },
       { "runs", mRuns },
       { "refusals", mRefusals },
       { "prefix",
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -75,6 +75,7 @@
   void ReportPrefillDone();
   bool TellEnded(SendResult aResult);
   void RecordLoad();
+  void RecordStatedLimit();
   bool IsNotRun() const;
   std::optional<unsigned> EnginePriority() const;
   void EndAttempt(SendResult aResult);
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -75,6 +75,7 @@
   }
   mHead = std::move(aHead);
   RecordLoad();
+  RecordStatedLimit();
   mIsStream = mRoute->mKind == RequestKind::kStreaming &&
               IsSuccess(mHead.mStatus) &&
               !FieldOf(mHead.mFields, mCore.mNames.mStamp).empty();
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -14,6 +14,7 @@
 #include "peridotspool/gateway/StartupPolicy.h"
 #include "peridotspool/gateway/UpstreamSelector.h"
 #include "peridotspool/gateway/UsageCounter.h"
+#include "peridotspool/limits/UpstreamLimits.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/rollout/RolloutGate.h"
@@ -95,6 +96,7 @@
   /** Quarantined contents refused since the last report to the leader. */
   std::set<ContentId> mResubmittedContents;
   rollout::RolloutGate mRollouts;
+  limits::UpstreamLimits mUpstreamLimits;
 
   /** Applies a load coordinator's response and resumes the exchange that
    * waited for it, once it was the last one due. */
--- a/src/gateway/HeaderRules.cpp
+++ b/src/gateway/HeaderRules.cpp
@@ -108,6 +108,18 @@
   return {};
 }
 
+std::vector<std::string_view>
+FieldsOf(const FieldList& aFields, std::string_view aName)
+{
+  std::vector<std::string_view> values;
+  for (const auto& [name, value] : aFields) {
+    if (EqualsIgnoreCase(name, aName)) {
+      values.push_back(value);
+    }
+  }
+  return values;
+}
+
 bool
 IsHopByHop(std::string_view aName, std::string_view aConnection)
 {
--- a/src/runtime/UpstreamFeed.cpp
+++ b/src/runtime/UpstreamFeed.cpp
@@ -37,6 +37,9 @@
   if (!ready || restarted) {
     mCore.mPool.Remove(aName);
   }
+  if (restarted) {
+    mCore.mUpstreamLimits.Remove(aName);
+  }
   for (const auto& ended : mCore.mCrashWitness.Announced(
          { .mName = aName, .mIncarnation = known->mReport.mIncarnation },
          known->mReport.mAddress,
@@ -51,6 +54,7 @@
   mCore.mCrashWitness.Forget(aNow);
   for (const UpstreamName& name : mDirectory.Forget(aNow)) {
     mCore.mSelector.Update(name, nullptr, aNow);
+    mCore.mUpstreamLimits.Remove(name);
   }
 }
 
--- a/test/gateway/TestNames.h
+++ b/test/gateway/TestNames.h
@@ -16,6 +16,7 @@
            .mNotRun = "X-Not-Run",
            .mStamp = "X-Stamp",
            .mLoad = "X-Load",
+           .mRateLimit = "X-Rate-Limit",
            .mTokenCounts = "X-Tokens",
            .mPrefix = "X-Prefix",
            .mPriority = "X-Priority",
