--- a/include/peridotspool/gateway/LoadMessage.h
+++ b/include/peridotspool/gateway/LoadMessage.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/gateway/PromptPart.h"
+#include "peridotspool/limits/PermitMessage.h"
 
 #include <boost/describe/class.hpp>
 #include <compare>
@@ -50,10 +51,12 @@
 {
   std::uint64_t mTag = 0;
   std::vector<UpstreamLoad> mLoads;
+  /** The limits of those upstreams that have one. */
+  std::vector<limits::LimitState> mLimits;
 
   auto operator<=>(const LoadResponse&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadResponse, (), (mTag, mLoads))
+BOOST_DESCRIBE_STRUCT(LoadResponse, (), (mTag, mLoads, mLimits))
 
 /** To a coordinator: a request was sent to this upstream. */
 struct SendStartedReport
@@ -67,13 +70,20 @@
   std::vector<PromptPart> mParts;
   /** Capacity of the engine's memory in tokens; 0 if unknown. */
   std::uint64_t mCacheTokens = 0;
+  /** The send was permitted by the upstream's coordinator. */
+  bool mHasPermit = false;
 
   auto operator<=>(const SendStartedReport&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(
-  SendStartedReport,
-  (),
-  (mUpstream, mIncarnation, mSendId, mPrefillUs, mParts, mCacheTokens))
+BOOST_DESCRIBE_STRUCT(SendStartedReport,
+                      (),
+                      (mUpstream,
+                       mIncarnation,
+                       mSendId,
+                       mPrefillUs,
+                       mParts,
+                       mCacheTokens,
+                       mHasPermit))
 
 /** To a coordinator: the prefill of this send has just finished. */
 struct PrefillDoneReport
--- a/include/peridotspool/gateway/PeerMessage.h
+++ b/include/peridotspool/gateway/PeerMessage.h
@@ -3,6 +3,7 @@
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/gateway/LoadMessage.h"
 #include "peridotspool/gateway/QuotaMessage.h"
+#include "peridotspool/limits/PermitMessage.h"
 #include "peridotspool/rollout/RolloutMessage.h"
 #include "peridotspool/routing/CrashReport.h"
 #include "peridotspool/routing/Quarantine.h"
@@ -86,6 +87,10 @@
                                  routing::QuarantineUpdate,
                                  rollout::RolloutReport,
                                  rollout::RolloutUpdate,
-                                 QuotaLease>;
+                                 QuotaLease,
+                                 limits::LimitReport,
+                                 limits::SendPermitRequest,
+                                 limits::SendPermitResponse,
+                                 limits::SendPermitReturn>;
 
 } // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/UpstreamSelector.h
+++ b/include/peridotspool/gateway/UpstreamSelector.h
@@ -89,6 +89,10 @@
    */
   std::map<UpstreamName, std::uint64_t> mCachedTokens;
   rollout::VersionFilter mVersions;
+  /** Limited upstreams that granted this request no permit. */
+  std::set<UpstreamName> mWithoutPermit;
+  /** Excludes all limited upstreams. */
+  bool mAvoidLimited = false;
 };
 
 /** The chosen upstream and the estimates behind the choice. */
@@ -105,6 +109,8 @@
    * free slot in its batch.
    */
   Duration mWait{ 0 };
+  /** The part of mWait until a permit is expected; zero without a limit. */
+  Duration mPermitWait{ 0 };
   /** Tokens that it is expected to prefill for this request. */
   std::uint64_t mPrefillTokens = 0;
   /** Time until the first event of a prompt sent now. */
@@ -153,6 +159,13 @@
    */
   void ApplyCoordinatorLoad(const UpstreamLoad& aLoad, TimePoint aNow);
 
+  /**
+   * Sets when the next permit of a limited upstream is expected; empty if the
+   * upstream has no limit.
+   */
+  void SetPermitTime(const UpstreamName& aName,
+                     std::optional<TimePoint> aPermitAt);
+
   /**
    * Returns the first few upstreams in the request's order, whose coordinators
    * are to be queried before the choice; empty if there are fewer than two
@@ -192,6 +205,8 @@
   std::map<ServiceName, std::uint64_t> Running() const;
   /** Counts this entry's sends in flight to an upstream. */
   std::uint32_t InFlight(const UpstreamName& aName) const;
+  /** Returns the upstream's current incarnation; empty if it is unknown. */
+  std::optional<Incarnation> IncarnationOf(const UpstreamName& aName) const;
   /** Returns true iff the upstream accepts new work, whether ejected or not. */
   bool IsReady(const UpstreamName& aName) const;
 
@@ -214,6 +229,8 @@
      * response.
      */
     std::uint32_t mFailurePercent = 0;
+    /** When the next permit is expected; set iff the upstream is limited. */
+    std::optional<TimePoint> mPermitAt;
   };
 
   /** Estimated load of an upstream. */
@@ -226,6 +243,7 @@
   static bool AcceptsWork(const TrackedUpstream& aUpstream);
   static bool HasPrompt(const SelectionQuery& aQuery);
   double FullnessOf(const TrackedUpstream& aUpstream, TimePoint aNow) const;
+  static Duration PermitWait(const TrackedUpstream& aUpstream, TimePoint aNow);
   static double FailureFraction(const TrackedUpstream& aUpstream);
   bool Eject(TrackedUpstream& aUpstream, TimePoint aNow);
   std::vector<const TrackedUpstream*> Candidates(const SelectionQuery& aQuery,
--- a/include/peridotspool/limits/UpstreamLimits.h
+++ b/include/peridotspool/limits/UpstreamLimits.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/base/Time.h"
+#include "peridotspool/limits/PermitMessage.h"
 #include "peridotspool/limits/RateStatement.h"
 
 #include <cstddef>
@@ -24,7 +25,7 @@
 {
   Incarnation mIncarnation;
   double mPerSecond = 0.0;
-  /** When a response last stated it. */
+  /** When a response to any entry last stated it, as far as is known. */
   TimePoint mStatedAt;
 };
 
@@ -40,9 +41,9 @@
 
 /**
  * The rate limits that upstreams state in their responses, as known to one
- * entry. A limit lasts until a genuine response to a later request states none,
- * and belongs to one incarnation of its upstream. An unreadable limit changes
- * nothing.
+ * entry from its own responses and from coordinators. A limit lasts until a
+ * genuine response to a later request states none, and belongs to one
+ * incarnation of its upstream. An unreadable limit changes nothing.
  *
  * Does no I/O and reads no clock. Not thread-safe.
  */
@@ -52,6 +53,13 @@
   LimitChange RecordResponse(const StatedBy& aBy,
                              const RateStatement& aStatement,
                              TimePoint aNow);
+  /** Applies the limit that the upstream's coordinator knows. */
+  LimitChange ApplyCoordinatorState(const LimitState& aState, TimePoint aNow);
+  /**
+   * Ends a limit because the upstream's coordinator knows that it has ended,
+   * unless it was stated after aAskedAt.
+   */
+  LimitChange End(const UpstreamName& aUpstream, TimePoint aAskedAt);
   /** Returns null if no limit of the upstream is known. */
   const KnownLimit* Find(const UpstreamName& aUpstream) const;
   /** Forgets an upstream that is gone or has restarted. */
--- a/include/peridotspool/membership/ControlSession.h
+++ b/include/peridotspool/membership/ControlSession.h
@@ -58,6 +58,15 @@
    */
   bool LeaseHolds(TimePoint aNow) const;
 
+  /**
+   * When the last heartbeat was sent for which the leader confirmed that this
+   * member knew the newest epoch; empty if there is none.
+   */
+  std::optional<TimePoint> EpochConfirmedAt() const
+  {
+    return mEpochConfirmedAt;
+  }
+
   /** The control replicas last listed by the leader, or the initial list. */
   const std::vector<Address>& Controls() const { return mControls; }
   /** The voting control replicas, or all replicas if that is unknown. */
@@ -132,6 +141,7 @@
    * entry's settings were the newest.
    */
   std::optional<TimePoint> mLastConfirmedAt;
+  std::optional<TimePoint> mEpochConfirmedAt;
   TimePoint mLeaseEnd;
 };
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -80,7 +80,7 @@
   if (choice) {
     const auto retryAfter = LoadSheddingRetryAfter(*choice);
     if (!retryAfter) {
-      SendTo(*choice);
+      SendIfPermitted(*choice);
     } else if (mSelectionQuery.mUseLongShortlist) {
       RefuseAsLate(*choice, *retryAfter);
     } else {
@@ -89,13 +89,16 @@
     }
     return;
   }
-  if (mRuns == 0 && mRefusals == 0 && WaitForStartup()) {
+  const bool isLimited = mPermitRetryAfter.has_value();
+  if (mRuns == 0 && mRefusals == 0 && !isLimited && WaitForStartup()) {
     return;
   }
   if (mBegun) {
     AbortResponse("no upstream left");
   } else if (mRuns > 0) {
     SendLocalResponse(kBadGateway, "no upstream left");
+  } else if (isLimited) {
+    RefuseForUpstreamLimit();
   } else {
     mCore.mCounters.Add(CounterId::kRefusedNoUpstream);
     SendLocalResponse(kUnavailable, "no upstream", kShortRetryAfterSeconds);
@@ -107,6 +110,7 @@
 {
   mUpstream = aChoice.mName;
   mUpstreamAddress = aChoice.mAddress;
+  mUpstreamDomain = aChoice.mDomain;
   if (mRuns == 0 && mRefusals == 0) {
     mCore.mRollouts.RecordSent(mService);
   }
@@ -150,6 +154,7 @@
       { "limit_age_ms",
         limit == nullptr ? Duration(-1000)
                          : Duration(mCore.mNow() - limit->mStatedAt) },
+      { "permit", mSendPermit.has_value() },
       { "runs", mRuns },
       { "refusals", mRefusals },
       { "prefix",
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace peridotspool::gateway {
 
@@ -76,6 +78,17 @@
   bool TellEnded(SendResult aResult);
   void RecordLoad();
   void RecordStatedLimit();
+  void LogInvalidLimit(const std::vector<std::string_view>& aValues);
+  void ReportLimit(double aPerSecond);
+  Duration MaxPermitWait(const UpstreamChoice& aChoice) const;
+  void SendIfPermitted(const UpstreamChoice& aChoice);
+  void OnPermitDecision(const limits::PermitDecision& aDecision);
+  void ChooseOther(const UpstreamName& aDenied, Duration aRetryAfter);
+  void RefuseForUpstreamLimit();
+  void LogPermitDecision(const UpstreamChoice& aChoice,
+                         const char* aOutcome,
+                         Duration aRetryAfter);
+  void CancelPermit();
   bool IsNotRun() const;
   std::optional<unsigned> EnginePriority() const;
   void EndAttempt(SendResult aResult);
@@ -122,6 +135,7 @@
   std::shared_ptr<UpstreamConnection> mConnection;
   UpstreamName mUpstream;
   Address mUpstreamAddress;
+  FailureDomain mUpstreamDomain;
   VersionName mVersion;
   /** Why these versions of the service were chosen; for the log. */
   const char* mVersionReason = "";
@@ -143,6 +157,16 @@
   /** The load coordinator of the upstream that runs the request. */
   std::optional<Address> mCoordinator;
   std::uint64_t mLoadSendId = 0;
+  /** Tag of the pending permit request; 0 for none. */
+  std::uint64_t mPermitTag = 0;
+  Address mPermitCoordinator;
+  TimePoint mPermitRequestedAt;
+  /** The choice that waits for a permit. */
+  UpstreamChoice mPermitChoice;
+  /** The permit of the current send; empty without one. */
+  std::optional<limits::PermitReceipt> mSendPermit;
+  /** The shortest time after which a limited upstream can take the request. */
+  std::optional<Duration> mPermitRetryAfter;
   /** The request has been counted against its customer's limit. */
   bool mQuotaGranted = false;
   QuotaReceipt mReceipt;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -145,6 +145,7 @@
   mDeadlineTimer.cancel();
   mWaitTimer.cancel();
   CancelLoadQuery();
+  CancelPermit();
   const Duration took = mCore.mNow() - mArrivedAt;
   if (aStatus >= 200 && aStatus < kFirstRefusal) {
     mCore.mCounters.Add(CounterId::kAnswered);
--- a/src/gateway/ExchangeLimit.cpp
+++ b/src/gateway/ExchangeLimit.cpp
@@ -1,19 +1,31 @@
-// Rate limits that upstreams state in their responses.
+// Rate limits that upstreams state, and permits for sends to such upstreams.
 
 #include "gateway/Exchange.h"
+#include "peridotspool/limits/PermitTiming.h"
+
+#include <boost/describe/enum_to_string.hpp>
+
+#include <algorithm>
+#include <utility>
 
 namespace peridotspool::gateway {
 
 namespace {
 
 using limits::LimitChange;
+using limits::PermitOutcome;
 using limits::RateStatement;
 using observe::CounterId;
 using observe::EventId;
 
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
 /** Bounds the text of an unreadable limit in the log. */
 constexpr std::size_t kMaxLoggedBytes = 64;
+/** After so many denials a request is sent to unlimited upstreams only. */
+constexpr std::size_t kMaxPermitDenials = 4;
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+constexpr std::uint64_t kSpreadSteps = 1024;
 
 } // namespace
 
@@ -27,40 +39,222 @@
   }
   const auto values = FieldsOf(mHead.mFields, mCore.mNames.mRateLimit);
   const RateStatement statement = limits::ParseRateStatement(values);
-  if (statement.mKind != RateStatement::Kind::kNone) {
-    mCore.mCounters.Add(statement.mKind == RateStatement::Kind::kLimit
-                          ? CounterId::kLimitStated
-                          : CounterId::kLimitInvalid);
+  const bool isGenuine = !FieldOf(mHead.mFields, mCore.mNames.mStamp).empty();
+  const LimitChange change =
+    mCore.mUpstreamLimits.RecordResponse({ .mUpstream = mUpstream,
+                                           .mIncarnation = mSent.mIncarnation,
+                                           .mSentAt = mSent.mSentAt,
+                                           .mIsGenuine = isGenuine },
+                                         statement,
+                                         mCore.mNow());
+  if (change == LimitChange::kInvalid) {
+    LogInvalidLimit(values);
+  } else if (change != LimitChange::kNone) {
+    mCore.OnLimitChanged(mUpstream, "response");
+  }
+  switch (statement.mKind) {
+    case RateStatement::Kind::kInvalid:
+      mCore.mCounters.Add(CounterId::kLimitInvalid);
+      return;
+    case RateStatement::Kind::kLimit:
+      mCore.mCounters.Add(CounterId::kLimitStated);
+      ReportLimit(statement.mPerSecond);
+      return;
+    case RateStatement::Kind::kNone:
+      if (isGenuine && mSendPermit) {
+        ReportLimit(0.0);
+      }
+      return;
+  }
+}
+
+void
+Exchange::LogInvalidLimit(const std::vector<std::string_view>& aValues)
+{
+  mCore.mLogger.Log(
+    EventId::kUpstreamLimitInvalid,
+    { { "upstream", mUpstream },
+      { "request", mId },
+      { "fields", aValues.size() },
+      { "value", std::string(aValues.front().substr(0, kMaxLoggedBytes)) } });
+}
+
+void
+Exchange::ReportLimit(double aPerSecond)
+{
+  if (mCoordinator) {
+    mCore.mSendToEntry(*mCoordinator,
+                       limits::LimitReport{ .mUpstream = mUpstream,
+                                            .mIncarnation = mSent.mIncarnation,
+                                            .mDomain = mUpstreamDomain,
+                                            .mPerSecond = aPerSecond,
+                                            .mReceipt = mSendPermit.value_or(
+                                              limits::PermitReceipt{}) });
+  }
+}
+
+// A request waits for a permit only as long as its response can still meet the
+// objective.
+Duration
+Exchange::MaxPermitWait(const UpstreamChoice& aChoice) const
+{
+  Duration left = TimeLeft() / 2;
+  if (mRoute->mTargetLatency > Duration(0)) {
+    const Duration afterWait = aChoice.mExpectedFirstEvent - aChoice.mWait;
+    left = std::min(
+      left, mArrivedAt + mRoute->mTargetLatency - mCore.mNow() - afterWait);
+  }
+  return std::clamp(left, Duration(0), Duration(limits::kMaxPermitWait));
+}
+
+// Sends the request, or asks for the permit that a limited upstream requires.
+void
+Exchange::SendIfPermitted(const UpstreamChoice& aChoice)
+{
+  const limits::KnownLimit* limit = mCore.mUpstreamLimits.Find(aChoice.mName);
+  if (limit == nullptr || limit->mIncarnation != aChoice.mIncarnation) {
+    mSendPermit.reset();
+    SendTo(aChoice);
+    return;
+  }
+  const Duration maxWait = MaxPermitWait(aChoice);
+  const auto coordinator =
+    mCore.mCoordinators.CoordinatorOf(aChoice.mName, aChoice.mDomain);
+  if (!coordinator || aChoice.mPermitWait > maxWait) {
+    mCore.mCounters.Add(CounterId::kPermitNotAsked);
+    LogPermitDecision(aChoice, "not asked", aChoice.mPermitWait);
+    ChooseOther(aChoice.mName, std::max(kMinRetryAfter, aChoice.mPermitWait));
+    return;
   }
-  const LimitChange change = mCore.mUpstreamLimits.RecordResponse(
-    { .mUpstream = mUpstream,
-      .mIncarnation = mSent.mIncarnation,
-      .mSentAt = mSent.mSentAt,
-      .mIsGenuine = !FieldOf(mHead.mFields, mCore.mNames.mStamp).empty() },
-    statement,
+  const limits::SendPermitRequest request = mCore.mPermitClient.Request(
+    { .mUpstream = aChoice.mName,
+      .mIncarnation = aChoice.mIncarnation,
+      .mDomain = aChoice.mDomain,
+      .mPriority = mCustomer != nullptr && mCustomer->mPriority
+                     ? *mCustomer->mPriority
+                     : mRoute->mPriority,
+      .mMaxWait = maxWait },
+    *limit,
     mCore.mNow());
-  if (change == LimitChange::kNone) {
+  mPermitTag = request.mTag;
+  mPermitCoordinator = *coordinator;
+  mPermitRequestedAt = mCore.mNow();
+  mPermitChoice = aChoice;
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  mCore.mPermitWaiters[mPermitTag] =
+    [weak](const limits::PermitDecision& aDecision) {
+      if (const auto self = weak.lock();
+          self && self->mPermitTag == aDecision.mTag) {
+        self->OnPermitDecision(aDecision);
+      }
+    };
+  mCore.mSendToEntry(*coordinator, request);
+}
+
+void
+Exchange::OnPermitDecision(const limits::PermitDecision& aDecision)
+{
+  mPermitTag = 0;
+  const UpstreamChoice choice = mPermitChoice;
+  LogPermitDecision(choice,
+                    aDecision.mOutcome
+                      ? boost::describe::enum_to_string(*aDecision.mOutcome, "")
+                      : "no response",
+                    aDecision.mRetryAfter);
+  const bool isUsable = mCore.mSelector.IsReady(choice.mName);
+  if (aDecision.mOutcome == PermitOutcome::kGranted && isUsable) {
+    mCore.mCounters.Add(CounterId::kPermitGranted);
+    mSendPermit = aDecision.mReceipt;
+    SendTo(choice);
     return;
   }
-  if (change == LimitChange::kInvalid) {
-    mCore.mLogger.Log(
-      EventId::kUpstreamLimitInvalid,
-      { { "upstream", mUpstream },
-        { "request", mId },
-        { "fields", values.size() },
-        { "value", std::string(values.front().substr(0, kMaxLoggedBytes)) } });
+  if (aDecision.mOutcome == PermitOutcome::kUnlimited && isUsable) {
+    mSendPermit.reset();
+    SendTo(choice);
     return;
   }
-  mCore.mCounters.Set(CounterId::kUpstreamsLimited,
-                      mCore.mUpstreamLimits.Count());
-  mCore.mLogger.Log(EventId::kUpstreamLimitChanged,
-                    { { "upstream", mUpstream },
-                      { "incarnation", mSent.mIncarnation },
-                      { "per_second", statement.mPerSecond },
-                      { "ended", change == LimitChange::kEnded },
-                      { "source", "response" },
-                      { "request", mId },
-                      { "status", mHead.mStatus } });
+  if (aDecision.mOutcome == PermitOutcome::kGranted) {
+    mCore.mSendToEntry(mPermitCoordinator,
+                       limits::SendPermitReturn{ .mUpstream = choice.mName,
+                                                 .mTag = aDecision.mTag });
+  }
+  mCore.mCounters.Add(aDecision.mOutcome ? CounterId::kPermitDenied
+                                         : CounterId::kPermitUnanswered);
+  mCore.mSelector.SetPermitTime(choice.mName,
+                                mCore.mNow() + aDecision.mRetryAfter);
+  ChooseOther(choice.mName, aDecision.mRetryAfter);
+}
+
+void
+Exchange::ChooseOther(const UpstreamName& aDenied, Duration aRetryAfter)
+{
+  mPermitRetryAfter =
+    std::min(mPermitRetryAfter.value_or(aRetryAfter), aRetryAfter);
+  mSelectionQuery.mWithoutPermit.insert(aDenied);
+  mSelectionQuery.mAvoidLimited =
+    mSelectionQuery.mWithoutPermit.size() >= kMaxPermitDenials;
+  ChooseAndSend();
+}
+
+// Returns are spread over the expected wait, so that the refused requests don't
+// all ask for the next permit at the same time.
+void
+Exchange::RefuseForUpstreamLimit()
+{
+  const double spread =
+    1.0 + static_cast<double>(mSelectionQuery.mSeed % kSpreadSteps) /
+            static_cast<double>(kSpreadSteps);
+  const double retryAfter =
+    spread *
+    std::chrono::duration<double>(std::max(kMinRetryAfter, *mPermitRetryAfter))
+      .count();
+  mCore.mCounters.Add(CounterId::kRefusedUpstreamLimit);
+  mCore.mLogger.Log(
+    EventId::kRequestRefused,
+    { { "request", mId },
+      { "reason", "upstream_limit" },
+      { "service", mService },
+      { "denied_by", mSelectionQuery.mWithoutPermit.size() },
+      { "asked_ms", mCore.mNow() - mArrivedAt },
+      { "come_back_ms", static_cast<std::int64_t>(retryAfter * 1e3) } });
+  SendLocalResponse(kUnavailable, "upstreams are at their limits", retryAfter);
+}
+
+void
+Exchange::LogPermitDecision(const UpstreamChoice& aChoice,
+                            const char* aOutcome,
+                            Duration aRetryAfter)
+{
+  const limits::KnownLimit* limit = mCore.mUpstreamLimits.Find(aChoice.mName);
+  const TimePoint now = mCore.mNow();
+  mCore.mLogger.Log(
+    EventId::kSendPermitDecided,
+    { { "request", mId },
+      { "upstream", aChoice.mName },
+      { "limit", limit == nullptr ? 0.0 : limit->mPerSecond },
+      { "limit_age_ms",
+        limit == nullptr ? Duration(-1000) : Duration(now - limit->mStatedAt) },
+      { "outcome", aOutcome },
+      { "coordinator", ToText(mPermitCoordinator) },
+      { "expected_ms", aChoice.mPermitWait },
+      { "waited_ms",
+        mPermitRequestedAt == TimePoint()
+          ? Duration(0)
+          : Duration(now - mPermitRequestedAt) },
+      { "retry_after_ms", aRetryAfter } });
+}
+
+void
+Exchange::CancelPermit()
+{
+  if (mPermitTag == 0) {
+    return;
+  }
+  mCore.mPermitWaiters.erase(mPermitTag);
+  if (const auto cancelled =
+        mCore.mPermitClient.Cancel(std::exchange(mPermitTag, 0))) {
+    mCore.mSendToEntry(mPermitCoordinator, *cancelled);
+  }
 }
 
 } // namespace peridotspool::gateway
--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -121,7 +121,8 @@
                        .mSendId = mLoadSendId,
                        .mPrefillUs = ToMicroseconds(mSent.mPrefillTime),
                        .mParts = mSelectionQuery.mPrompt.mParts,
-                       .mCacheTokens = EngineCacheTokens() });
+                       .mCacheTokens = EngineCacheTokens(),
+                       .mHasPermit = mSendPermit.has_value() });
 }
 
 // Returns empty if the request is to be sent, which includes requests that may
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -4,6 +4,7 @@
 #include "http/BeastTypes.h"
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/CoordinatorMap.h"
+#include "peridotspool/gateway/CoordinatorTenure.h"
 #include "peridotspool/gateway/HeaderNames.h"
 #include "peridotspool/gateway/LoadCoordinator.h"
 #include "peridotspool/gateway/PendingLoadQueries.h"
@@ -14,6 +15,8 @@
 #include "peridotspool/gateway/StartupPolicy.h"
 #include "peridotspool/gateway/UpstreamSelector.h"
 #include "peridotspool/gateway/UsageCounter.h"
+#include "peridotspool/limits/PermitAllocator.h"
+#include "peridotspool/limits/PermitClient.h"
 #include "peridotspool/limits/UpstreamLimits.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
@@ -97,12 +100,23 @@
   std::set<ContentId> mResubmittedContents;
   rollout::RolloutGate mRollouts;
   limits::UpstreamLimits mUpstreamLimits;
+  limits::PermitClient mPermitClient;
+  /** Grants permits for the limited upstreams that this entry coordinates. */
+  limits::PermitAllocator mPermitAllocator{ 0 };
+  CoordinatorTenure mTenure;
+  /** Exchanges that wait for a permit, by its tag. */
+  std::unordered_map<std::uint64_t,
+                     std::function<void(const limits::PermitDecision&)>>
+    mPermitWaiters;
 
   /** Applies a load coordinator's response and resumes the exchange that
    * waited for it, once it was the last one due. */
   void HandleLoadResponse(const LoadResponse& aTold)
   {
     const auto waiter = mLoadWaiters.find(aTold.mTag);
+    for (const limits::LimitState& state : aTold.mLimits) {
+      ApplyLimitState(state);
+    }
     for (const UpstreamLoad& line : aTold.mLoads) {
       mSelector.ApplyCoordinatorLoad(line, mNow());
       if (waiter != mLoadWaiters.end()) {
@@ -116,6 +130,25 @@
     }
   }
 
+  /** Responds to a load query, as the coordinator of the upstreams. */
+  void HandleLoadQuery(const Address& aFrom, const LoadQuery& aQuery);
+  void HandleSendStarted(const SendStartedReport& aReport);
+  void HandleLimitReport(const limits::LimitReport& aReport);
+  void HandleSendPermitRequest(const Address& aFrom,
+                               const limits::SendPermitRequest& aRequest);
+  void HandleSendPermitResponse(const Address& aFrom,
+                                const limits::SendPermitResponse& aResponse);
+  void HandleSendPermitReturn(const Address& aFrom,
+                              const limits::SendPermitReturn& aReturn);
+  /** Grants queued permits and decides overdue ones; called every 50 ms. */
+  void TickPermits();
+  void ApplyLimitState(const limits::LimitState& aState);
+  /** Logs a limit that has changed, and updates what depends on it. */
+  void OnLimitChanged(const UpstreamName& aUpstream, const char* aSource);
+  void SendPermits(const std::vector<limits::AddressedPermit>& aPermits);
+  void DecidePermit(const limits::PermitDecision& aDecision);
+  limits::PermitAllocator::Coordinates MakeCoordinates();
+
   /** A connection to the address of an upstream's incarnation was refused. */
   void OnConnectionRefused(const routing::UpstreamIncarnation& aLife);
   /** Logs and reports the end of an upstream's incarnation. */
--- a/src/gateway/LoadCoordinator.cpp
+++ b/src/gateway/LoadCoordinator.cpp
@@ -104,7 +104,7 @@
 LoadResponse
 LoadCoordinator::HandleQuery(const LoadQuery& aQuery, TimePoint aNow) const
 {
-  LoadResponse response{ .mTag = aQuery.mTag, .mLoads = {} };
+  LoadResponse response{ .mTag = aQuery.mTag, .mLoads = {}, .mLimits = {} };
   for (const UpstreamName& name : aQuery.mUpstreams) {
     if (response.mLoads.size() == kMaxQueriedUpstreams) {
       break;
--- a/src/gateway/UpstreamSelector.cpp
+++ b/src/gateway/UpstreamSelector.cpp
@@ -92,6 +92,24 @@
   upstream.mReportedAt = aNow;
 }
 
+void
+UpstreamSelector::SetPermitTime(const UpstreamName& aName,
+                                std::optional<TimePoint> aPermitAt)
+{
+  const auto found = mTrackedUpstreams.find(aName);
+  if (found != mTrackedUpstreams.end()) {
+    found->second.mPermitAt = aPermitAt;
+  }
+}
+
+Duration
+UpstreamSelector::PermitWait(const TrackedUpstream& aUpstream, TimePoint aNow)
+{
+  return aUpstream.mPermitAt
+           ? std::max(Duration(0), *aUpstream.mPermitAt - aNow)
+           : Duration(0);
+}
+
 PrefillRate
 UpstreamSelector::RateOf(const ServiceName& aService) const
 {
@@ -321,6 +339,15 @@
   return found == mTrackedUpstreams.end() ? 0 : found->second.mInFlight;
 }
 
+std::optional<Incarnation>
+UpstreamSelector::IncarnationOf(const UpstreamName& aName) const
+{
+  const auto found = mTrackedUpstreams.find(aName);
+  return found == mTrackedUpstreams.end()
+           ? std::nullopt
+           : std::optional(found->second.mReport.mIncarnation);
+}
+
 bool
 UpstreamSelector::IsReady(const UpstreamName& aName) const
 {
--- a/src/gateway/UpstreamSelectorChoice.cpp
+++ b/src/gateway/UpstreamSelectorChoice.cpp
@@ -28,6 +28,8 @@
  */
 constexpr Duration kFailedTime = std::chrono::seconds(3);
 constexpr double kFailedCost = 3.0;
+/** Cost of waiting a second for a permit, in units of fullness. */
+constexpr double kPermitWaitCost = 4.0;
 /** Lower failure percentages are as likely at any other upstream. */
 constexpr std::uint32_t kMinFailurePercent = 20;
 /**
@@ -84,7 +86,9 @@
            AcceptsWork(aUpstream) &&
            aQuery.mVersions.Allows(aUpstream.mReport.mVersion) &&
            (aEjectedToo || aUpstream.mEjectedUntil <= aNow) &&
-           !aQuery.mTried.contains(aUpstream.mReport.mName);
+           !aQuery.mTried.contains(aUpstream.mReport.mName) &&
+           !(aQuery.mAvoidLimited && aUpstream.mPermitAt) &&
+           !aQuery.mWithoutPermit.contains(aUpstream.mReport.mName);
   };
   std::vector<const TrackedUpstream*> candidates;
   for (const UpstreamName& name : aQuery.mShortlist) {
@@ -107,7 +111,12 @@
     candidates = Ordered(std::move(candidates), kVersionSampleSeed);
     candidates.resize(most);
   }
-  return Ordered(std::move(candidates), OrderSeed(aQuery));
+  candidates = Ordered(std::move(candidates), OrderSeed(aQuery));
+  std::stable_partition(
+    candidates.begin(), candidates.end(), [&](const TrackedUpstream* aOne) {
+      return PermitWait(*aOne, aNow) == Duration(0);
+    });
+  return candidates;
 }
 
 std::vector<const UpstreamSelector::TrackedUpstream*>
@@ -256,8 +265,9 @@
                          TimePoint aNow) const
 {
   const double fullness = FullnessOf(aUpstream, aNow);
-  const Load own{ .mWait = std::max(aUpstream.mPrefillQueue.Wait(aNow),
-                                    WaitForSlot(aUpstream, fullness)),
+  const Load own{ .mWait = std::max({ aUpstream.mPrefillQueue.Wait(aNow),
+                                      WaitForSlot(aUpstream, fullness),
+                                      PermitWait(aUpstream, aNow) }),
                   .mFullness = fullness };
   if (aQuery.mCachedTokens.contains(aUpstream.mReport.mName)) {
     return own;
@@ -312,9 +322,12 @@
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const TrackedUpstream& upstream = *aCandidates[i];
     const bool near = upstream.mReport.mDomain == mOptions.mDomain;
-    const double cost = LoadOf(upstream, fallback, aQuery, aNow).mFullness +
-                        (near ? 0.0 : kOtherDomainCost) +
-                        FailureFraction(upstream) * kFailedCost;
+    const double cost =
+      LoadOf(upstream, fallback, aQuery, aNow).mFullness +
+      (near ? 0.0 : kOtherDomainCost) +
+      FailureFraction(upstream) * kFailedCost +
+      kPermitWaitCost *
+        std::chrono::duration<double>(PermitWait(upstream, aNow)).count();
     if (i == 0 || cost < bestCost) {
       best = i;
       bestCost = cost;
@@ -387,6 +400,7 @@
     .mVersion = upstream.mReport.mVersion,
     .mFullness = load.mFullness,
     .mWait = load.mWait,
+    .mPermitWait = PermitWait(upstream, aNow),
     .mPrefillTokens = prefillTokens,
     .mExpectedFirstEvent =
       load.mWait + rate.PrefillTime(prefillTokens) + rate.FirstEventOverhead(),
--- /dev/null
+++ b/src/limits/PermitAllocator.cpp
@@ -0,0 +1,362 @@
+#include "peridotspool/limits/PermitAllocator.h"
+
+#include "peridotspool/limits/PermitTiming.h"
+
+#include <algorithm>
+
+namespace peridotspool::limits {
+
+namespace {
+
+/** Bounds on the memory that messages of other processes can allocate here. */
+constexpr std::size_t kMaxRecords = 4096;
+constexpr std::size_t kMaxQueued = 256;
+/** By then a permit was used, returned, or has expired. */
+constexpr Duration kGrantRetention = 2 * kPermitLifetime;
+/** Records that were not used for this long are dropped. */
+constexpr Duration kMaxIdleAge = std::chrono::minutes(5);
+/** A coordinator is likely to be known or confirmed by then. */
+constexpr Duration kNotCoordinatorRetry = std::chrono::milliseconds(300);
+/** Bounds the times in messages. */
+constexpr Duration kMaxDuration = std::chrono::hours(24);
+
+std::uint32_t
+ToMilliseconds(Duration aDuration)
+{
+  return static_cast<std::uint32_t>(
+    std::chrono::ceil<std::chrono::milliseconds>(
+      std::clamp(aDuration, Duration(0), kMaxDuration))
+      .count());
+}
+
+} // namespace
+
+PermitAllocator::PermitAllocator(std::uint64_t aAllocatorId)
+  : mAllocatorId(aAllocatorId)
+{
+}
+
+// Returns null for an earlier incarnation, or if there is no room.
+PermitAllocator::Record*
+PermitAllocator::FindOrAdd(const UpstreamName& aUpstream,
+                           Incarnation aIncarnation,
+                           double aPerSecond,
+                           TimePoint aNow)
+{
+  auto found = mRecords.find(aUpstream);
+  if (found != mRecords.end() && aIncarnation < found->second.mIncarnation) {
+    return nullptr;
+  }
+  if (found != mRecords.end() && aIncarnation > found->second.mIncarnation) {
+    mRecords.erase(found);
+    found = mRecords.end();
+  }
+  if (found == mRecords.end()) {
+    if (mRecords.size() >= kMaxRecords) {
+      return nullptr;
+    }
+    found = mRecords.try_emplace(aUpstream, aPerSecond, aNow).first;
+    found->second.mIncarnation = aIncarnation;
+  }
+  found->second.mUsedAt = aNow;
+  return &found->second;
+}
+
+// Entries learn of a change at different times; the newest statement counts.
+bool
+PermitAllocator::ApplyLimit(Record& aRecord,
+                            double aPerSecond,
+                            TimePoint aStatedAt,
+                            TimePoint aNow)
+{
+  if (aStatedAt <= aRecord.mEndedAt.value_or(TimePoint::min()) ||
+      aStatedAt < aRecord.mStatedAt) {
+    return false;
+  }
+  const bool changed = aRecord.mEndedAt ||
+                       aRecord.mStatedAt == TimePoint::min() ||
+                       aRecord.mBucket.PerSecond() != aPerSecond;
+  aRecord.mStatedAt = aStatedAt;
+  if (aRecord.mEndedAt) {
+    aRecord.mEndedAt.reset();
+    aRecord.mBucket = PermitBucket(aPerSecond, aNow);
+  }
+  aRecord.mBucket.SetRate(aPerSecond, aNow);
+  return changed;
+}
+
+bool
+PermitAllocator::HandleReport(const LimitReport& aReport, TimePoint aNow)
+{
+  if (aReport.mPerSecond <= 0.0) {
+    return ApplyEnd(aReport, aNow);
+  }
+  Record* const record = FindOrAdd(
+    aReport.mUpstream, aReport.mIncarnation, aReport.mPerSecond, aNow);
+  if (record == nullptr) {
+    return false;
+  }
+  record->mDomain = aReport.mDomain;
+  return ApplyLimit(*record, aReport.mPerSecond, aNow, aNow);
+}
+
+// Only a response to a request that was sent after the last statement shows
+// that the limit has ended. The grant of the request's permit proves the order.
+bool
+PermitAllocator::ApplyEnd(const LimitReport& aReport, TimePoint aNow)
+{
+  const auto found = mRecords.find(aReport.mUpstream);
+  if (found == mRecords.end() || found->second.mEndedAt ||
+      found->second.mIncarnation != aReport.mIncarnation ||
+      aReport.mReceipt.mAllocatorId != mAllocatorId) {
+    return false;
+  }
+  Record& record = found->second;
+  const TimePoint grantedAt{ Duration(aReport.mReceipt.mGrantedAt) };
+  if (grantedAt <= record.mStatedAt) {
+    return false;
+  }
+  record.mEndedAt = aNow;
+  return true;
+}
+
+void
+PermitAllocator::RecordUnpermitted(const UpstreamName& aUpstream,
+                                   TimePoint aNow)
+{
+  const auto found = mRecords.find(aUpstream);
+  if (found != mRecords.end() && !found->second.mEndedAt) {
+    found->second.mBucket.Charge(aNow);
+  }
+}
+
+SendPermitResponse
+PermitAllocator::Respond(const UpstreamName& aUpstream,
+                         std::uint64_t aTag,
+                         PermitOutcome aOutcome,
+                         Duration aRetryAfter) const
+{
+  return { .mUpstream = aUpstream,
+           .mTag = aTag,
+           .mOutcome = aOutcome,
+           .mRetryAfterMs = ToMilliseconds(aRetryAfter),
+           .mReceipt = {} };
+}
+
+std::vector<AddressedPermit>
+PermitAllocator::HandleRequest(const Address& aFrom,
+                               const SendPermitRequest& aRequest,
+                               bool aCoordinates,
+                               TimePoint aNow)
+{
+  std::vector<AddressedPermit> responses;
+  Record* const record = aRequest.mClaim.mPerSecond > 0.0
+                           ? FindOrAdd(aRequest.mUpstream,
+                                       aRequest.mIncarnation,
+                                       aRequest.mClaim.mPerSecond,
+                                       aNow)
+                           : nullptr;
+  if (record == nullptr) {
+    responses.push_back({ aFrom,
+                          Respond(aRequest.mUpstream,
+                                  aRequest.mTag,
+                                  PermitOutcome::kNotCoordinator,
+                                  kNotCoordinatorRetry) });
+    return responses;
+  }
+  record->mDomain = aRequest.mDomain;
+  ApplyLimit(*record,
+             aRequest.mClaim.mPerSecond,
+             aNow - std::chrono::milliseconds(aRequest.mClaim.mAgeMs),
+             aNow);
+  if (!aCoordinates) {
+    DenyAll(
+      aRequest.mUpstream, *record, PermitOutcome::kNotCoordinator, responses);
+    responses.push_back({ aFrom,
+                          Respond(aRequest.mUpstream,
+                                  aRequest.mTag,
+                                  PermitOutcome::kNotCoordinator,
+                                  kNotCoordinatorRetry) });
+    return responses;
+  }
+  GrantQueued(aRequest.mUpstream, *record, aNow, responses);
+  responses.push_back({ aFrom, Evaluate(*record, aFrom, aRequest, aNow) });
+  return responses;
+}
+
+SendPermitResponse
+PermitAllocator::Evaluate(Record& aRecord,
+                          const Address& aFrom,
+                          const SendPermitRequest& aRequest,
+                          TimePoint aNow)
+{
+  if (aRecord.mEndedAt) {
+    return Respond(aRequest.mUpstream,
+                   aRequest.mTag,
+                   PermitOutcome::kUnlimited,
+                   Duration(0));
+  }
+  const RequestKey key{ .mFrom = aFrom, .mTag = aRequest.mTag };
+  const auto place = std::find_if(
+    aRecord.mQueue.begin(), aRecord.mQueue.end(), [&](const Waiting& aOne) {
+      return aOne.mPriority > aRequest.mPriority;
+    });
+  if (place == aRecord.mQueue.begin() && aRecord.mBucket.TryTake(aNow)) {
+    return Grant(aRecord, aRequest.mUpstream, key, aNow);
+  }
+  const auto ahead = static_cast<std::size_t>(place - aRecord.mQueue.begin());
+  const Duration wait = aRecord.mBucket.Wait(ahead, aNow);
+  const Duration maxWait = std::min(
+    kMaxPermitWait, Duration(std::chrono::milliseconds(aRequest.mMaxWaitMs)));
+  if (wait > maxWait || aRecord.mQueue.size() >= kMaxQueued) {
+    return Respond(
+      aRequest.mUpstream, aRequest.mTag, PermitOutcome::kDenied, wait);
+  }
+  aRecord.mQueue.insert(place,
+                        { .mKey = key,
+                          .mPriority = aRequest.mPriority,
+                          .mDeadline = aNow + maxWait });
+  return Respond(
+    aRequest.mUpstream, aRequest.mTag, PermitOutcome::kQueued, wait);
+}
+
+SendPermitResponse
+PermitAllocator::Grant(Record& aRecord,
+                       const UpstreamName& aUpstream,
+                       const RequestKey& aKey,
+                       TimePoint aNow) const
+{
+  std::erase_if(aRecord.mGranted, [&](const auto& aPair) {
+    return aNow - aPair.second >= kGrantRetention;
+  });
+  aRecord.mGranted[aKey] = aNow;
+  SendPermitResponse response =
+    Respond(aUpstream, aKey.mTag, PermitOutcome::kGranted, Duration(0));
+  response.mReceipt = { .mAllocatorId = mAllocatorId,
+                        .mGrantedAt = aNow.time_since_epoch().count() };
+  return response;
+}
+
+void
+PermitAllocator::GrantQueued(const UpstreamName& aUpstream,
+                             Record& aRecord,
+                             TimePoint aNow,
+                             std::vector<AddressedPermit>& aResponses) const
+{
+  DenyOverdue(aUpstream, aRecord, aNow, aResponses);
+  auto next = aRecord.mQueue.begin();
+  while (next != aRecord.mQueue.end() && aRecord.mBucket.TryTake(aNow)) {
+    aResponses.push_back(
+      { next->mKey.mFrom, Grant(aRecord, aUpstream, next->mKey, aNow) });
+    ++next;
+  }
+  aRecord.mQueue.erase(aRecord.mQueue.begin(), next);
+}
+
+// More urgent requests may have arrived since the request was queued.
+void
+PermitAllocator::DenyOverdue(const UpstreamName& aUpstream,
+                             Record& aRecord,
+                             TimePoint aNow,
+                             std::vector<AddressedPermit>& aResponses) const
+{
+  const Duration wait = aRecord.mBucket.Wait(aRecord.mQueue.size(), aNow);
+  std::erase_if(aRecord.mQueue, [&](const Waiting& aOne) {
+    if (aNow < aOne.mDeadline) {
+      return false;
+    }
+    aResponses.push_back(
+      { aOne.mKey.mFrom,
+        Respond(aUpstream, aOne.mKey.mTag, PermitOutcome::kDenied, wait) });
+    return true;
+  });
+}
+
+void
+PermitAllocator::DenyAll(const UpstreamName& aUpstream,
+                         Record& aRecord,
+                         PermitOutcome aOutcome,
+                         std::vector<AddressedPermit>& aResponses) const
+{
+  for (const Waiting& waiting : aRecord.mQueue) {
+    aResponses.push_back(
+      { waiting.mKey.mFrom,
+        Respond(
+          aUpstream, waiting.mKey.mTag, aOutcome, kNotCoordinatorRetry) });
+  }
+  aRecord.mQueue.clear();
+}
+
+// A return may arrive twice; only the first puts the permit back.
+void
+PermitAllocator::HandleReturn(const Address& aFrom,
+                              const SendPermitReturn& aReturn,
+                              TimePoint aNow)
+{
+  const auto found = mRecords.find(aReturn.mUpstream);
+  if (found == mRecords.end()) {
+    return;
+  }
+  Record& record = found->second;
+  const RequestKey key{ .mFrom = aFrom, .mTag = aReturn.mTag };
+  std::erase_if(record.mQueue,
+                [&](const Waiting& aOne) { return aOne.mKey == key; });
+  const auto granted = record.mGranted.find(key);
+  if (granted == record.mGranted.end()) {
+    return;
+  }
+  record.mBucket.PutBack(granted->second, aNow);
+  record.mGranted.erase(granted);
+}
+
+std::vector<AddressedPermit>
+PermitAllocator::Tick(const Coordinates& aCoordinates, TimePoint aNow)
+{
+  std::vector<AddressedPermit> responses;
+  for (auto& [upstream, record] : mRecords) {
+    if (record.mQueue.empty()) {
+      continue;
+    }
+    if (!aCoordinates(upstream, record.mDomain)) {
+      DenyAll(upstream, record, PermitOutcome::kNotCoordinator, responses);
+    } else if (record.mEndedAt) {
+      DenyAll(upstream, record, PermitOutcome::kUnlimited, responses);
+    } else {
+      GrantQueued(upstream, record, aNow, responses);
+    }
+  }
+  return responses;
+}
+
+std::optional<LimitState>
+PermitAllocator::StateOf(const UpstreamName& aUpstream,
+                         const Coordinates& aCoordinates,
+                         TimePoint aNow) const
+{
+  const auto found = mRecords.find(aUpstream);
+  if (found == mRecords.end() || found->second.mEndedAt) {
+    return std::nullopt;
+  }
+  const Record& record = found->second;
+  const Duration wait = aCoordinates(aUpstream, record.mDomain)
+                          ? record.mBucket.Wait(record.mQueue.size(), aNow)
+                          : kNotCoordinatorRetry;
+  return LimitState{
+    .mUpstream = aUpstream,
+    .mIncarnation = record.mIncarnation,
+    .mClaim = { .mPerSecond = record.mBucket.PerSecond(),
+                .mAgeMs = ToMilliseconds(aNow - record.mStatedAt) },
+    .mWaitMs = ToMilliseconds(wait),
+  };
+}
+
+void
+PermitAllocator::RemoveExpired(TimePoint aNow)
+{
+  std::erase_if(mRecords, [&](const auto& aPair) {
+    return aPair.second.mQueue.empty() &&
+           aNow - aPair.second.mUsedAt >= kMaxIdleAge;
+  });
+}
+
+} // namespace peridotspool::limits
--- a/src/limits/UpstreamLimits.cpp
+++ b/src/limits/UpstreamLimits.cpp
@@ -54,6 +54,36 @@
   return isNew ? LimitChange::kInvalid : LimitChange::kNone;
 }
 
+LimitChange
+UpstreamLimits::ApplyCoordinatorState(const LimitState& aState, TimePoint aNow)
+{
+  const TimePoint statedAt =
+    aNow - std::chrono::milliseconds(aState.mClaim.mAgeMs);
+  const auto [place, added] =
+    mLimits.try_emplace(aState.mUpstream, KnownLimit{});
+  KnownLimit& limit = place->second;
+  if (!added && (aState.mIncarnation < limit.mIncarnation ||
+                 statedAt <= limit.mStatedAt)) {
+    return LimitChange::kNone;
+  }
+  const bool changed = added || limit.mPerSecond != aState.mClaim.mPerSecond;
+  limit = { .mIncarnation = aState.mIncarnation,
+            .mPerSecond = aState.mClaim.mPerSecond,
+            .mStatedAt = statedAt };
+  return changed ? LimitChange::kSet : LimitChange::kNone;
+}
+
+LimitChange
+UpstreamLimits::End(const UpstreamName& aUpstream, TimePoint aAskedAt)
+{
+  const auto known = mLimits.find(aUpstream);
+  if (known == mLimits.end() || known->second.mStatedAt > aAskedAt) {
+    return LimitChange::kNone;
+  }
+  mLimits.erase(known);
+  return LimitChange::kEnded;
+}
+
 const KnownLimit*
 UpstreamLimits::Find(const UpstreamName& aUpstream) const
 {
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -271,6 +271,10 @@
     mLastConfirmedAt =
       std::max(mLastConfirmedAt.value_or(sent->mSentAt), sent->mSentAt);
   }
+  if (aResponse.mMember.IsSet() && aResponse.mEpoch <= mEpoch.mEpoch) {
+    mEpochConfirmedAt =
+      std::max(mEpochConfirmedAt.value_or(sent->mSentAt), sent->mSentAt);
+  }
   if (aResponse.mMember.IsSet()) {
     mLeaseEnd = std::max(mLeaseEnd, sent->mSentAt + aResponse.mLease);
   }
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -144,7 +144,9 @@
     .mStartupPolicy =
       gateway::StartupPolicy({ .mStartupPeriod = kStartsFor }, ReadClock()),
     .mStartupWaiters = {},
-    .mTable = nullptr });
+    .mTable = nullptr,
+    .mPermitAllocator = limits::PermitAllocator(RandomNumber()) });
+  mCore->mTenure.SetSelf(mSettings.mListen.mPeer);
   mFeed.emplace(*mCore);
   mGateway = std::make_unique<gateway::Gateway>(
     *mCore, gateway::GatewayOptions{ .mListen = *mSettings.mListen.mCallers });
@@ -189,6 +191,7 @@
   mCore->mCoordinator.RemoveExpired(now);
   mCore->ResumeStartupWaiters();
   mCore->TickQuarantine();
+  mCore->TickPermits();
   ReportUsage(now);
   mTraffic.Tick(*mLogger, mCounters, now);
   NoteLostLeader(now);
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -143,8 +143,7 @@
                            mCore->mUsage.SetMedianTime(aTime.mMicros, now);
                          },
                          [&](const gateway::LoadQuery& aAsk) {
-                           TellEntry(
-                             aFrom, mCore->mCoordinator.HandleQuery(aAsk, now));
+                           mCore->HandleLoadQuery(aFrom, aAsk);
                          },
                          [&](const gateway::LoadResponse& aTold) {
                            mCore->HandleLoadResponse(aTold);
@@ -162,7 +161,19 @@
                            mCore->HandleRolloutUpdate(aUpdate);
                          },
                          [&](const gateway::SendStartedReport& aOne) {
-                           mCore->mCoordinator.Handle(aOne, now);
+                           mCore->HandleSendStarted(aOne);
+                         },
+                         [&](const limits::LimitReport& aReport) {
+                           mCore->HandleLimitReport(aReport);
+                         },
+                         [&](const limits::SendPermitRequest& aRequest) {
+                           mCore->HandleSendPermitRequest(aFrom, aRequest);
+                         },
+                         [&](const limits::SendPermitResponse& aResponse) {
+                           mCore->HandleSendPermitResponse(aFrom, aResponse);
+                         },
+                         [&](const limits::SendPermitReturn& aReturn) {
+                           mCore->HandleSendPermitReturn(aFrom, aReturn);
                          },
                          [&](const gateway::PrefillDoneReport& aOne) {
                            mCore->mCoordinator.Handle(aOne, now);
@@ -210,6 +221,7 @@
   for (const auto& effect : mSession->Step(aEvent, ReadClock())) {
     std::visit([this](const auto& aAny) { Carry(aAny); }, effect);
   }
+  mCore->mTenure.SetConfirmedAt(mSession->EpochConfirmedAt());
 }
 
 void
@@ -280,6 +292,8 @@
     }
   }
   mCore->mCoordinators.Set(std::move(keepers));
+  mCore->mTenure.ApplyEpoch(
+    aEffect.mMap.mEpoch, mCore->mCoordinators, ReadClock());
   mCore->mRetryBudget.SetEntryCount(members + kUnknownEntries);
   mCounters.Set(observe::CounterId::kMembersKnown, members);
   mLogger->Log(EventId::kEpochChanged,
--- a/src/runtime/PeerTally.cpp
+++ b/src/runtime/PeerTally.cpp
@@ -20,7 +20,7 @@
 PurposeCounters
 CountersOf(const gateway::PeerMessage& aMessage)
 {
-  const PurposeCounters limits{ CounterId::kSentBytesLimits,
+  const PurposeCounters shared{ CounterId::kSentBytesLimits,
                                 CounterId::kSentMessagesLimits };
   const PurposeCounters usage{ CounterId::kSentBytesUsage,
                                CounterId::kSentMessagesUsage };
@@ -31,9 +31,9 @@
   const PurposeCounters rollout{ CounterId::kSentBytesRollout,
                                  CounterId::kSentMessagesRollout };
   return std::visit(
-    Overloaded{ [&](const gateway::QuotaRequest&) { return limits; },
-                [&](const gateway::QuotaResponse&) { return limits; },
-                [&](const gateway::QuotaLease&) { return limits; },
+    Overloaded{ [&](const gateway::QuotaRequest&) { return shared; },
+                [&](const gateway::QuotaResponse&) { return shared; },
+                [&](const gateway::QuotaLease&) { return shared; },
                 [&](const gateway::UsageReport&) { return usage; },
                 [&](const gateway::MedianTime&) { return usage; },
                 [&](const routing::CrashReport&) { return quarantine; },
@@ -44,6 +44,10 @@
                 [&](const routing::QuarantineUpdate&) { return quarantine; },
                 [&](const rollout::RolloutReport&) { return rollout; },
                 [&](const rollout::RolloutUpdate&) { return rollout; },
+                [&](const limits::LimitReport&) { return shared; },
+                [&](const limits::SendPermitRequest&) { return shared; },
+                [&](const limits::SendPermitResponse&) { return shared; },
+                [&](const limits::SendPermitReturn&) { return shared; },
                 [&](const auto&) { return load; } },
     aMessage);
 }
--- a/test/gateway/EntryGroup.cpp
+++ b/test/gateway/EntryGroup.cpp
@@ -1,6 +1,7 @@
 #include "gateway/EntryGroup.h"
 
 #include "peridotspool/base/Overloaded.h"
+#include "peridotspool/limits/PermitTiming.h"
 
 #include <boost/asio/post.hpp>
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::uint16_t kPeerPort = 7000;
+constexpr std::chrono::milliseconds kTick{ 50 };
 
 Address
 PeerAddress(std::size_t aIndex)
@@ -31,6 +33,11 @@
     mEntries[i]->OnRelay([&] {
       GatewayCore& core = mEntries[i]->Core();
       core.mCoordinators.Set(members);
+      core.mTenure.SetSelf(PeerAddress(i));
+      core.mTenure.ApplyEpoch(EpochNumber(1),
+                              core.mCoordinators,
+                              core.mNow() - limits::kTakeoverDelay);
+      core.mPermitAllocator = limits::PermitAllocator(i + 1);
       core.mLastSendId = i << 32U;
       core.mSendToEntry = [this, from = PeerAddress(i)](
                             const Address& aTo, const PeerMessage& aMessage) {
@@ -38,11 +45,14 @@
       };
     });
   }
+  mTicking = std::thread([this] { Tick(); });
 }
 
 // No entry may post to one that is destroyed already.
 EntryGroup::~EntryGroup()
 {
+  mStopping = true;
+  mTicking.join();
   for (const auto& entry : mEntries) {
     entry->OnRelay([&] {
       entry->Core().mSendToEntry = [](const Address&, const PeerMessage&) {};
@@ -80,14 +90,13 @@
   GatewayCore& core = mEntries[aIndex]->Core();
   const TimePoint now = core.mNow();
   std::visit(Overloaded{ [&](const LoadQuery& aQuery) {
-                          core.mSendToEntry(
-                            aFrom, core.mCoordinator.HandleQuery(aQuery, now));
+                          core.HandleLoadQuery(aFrom, aQuery);
                         },
                          [&](const LoadResponse& aResponse) {
                            core.HandleLoadResponse(aResponse);
                          },
                          [&](const SendStartedReport& aReport) {
-                           core.mCoordinator.Handle(aReport, now);
+                           core.HandleSendStarted(aReport);
                          },
                          [&](const PrefillDoneReport& aReport) {
                            core.mCoordinator.Handle(aReport, now);
@@ -95,8 +104,35 @@
                          [&](const SendEndedReport& aReport) {
                            core.mCoordinator.Handle(aReport, now);
                          },
+                         [&](const limits::LimitReport& aReport) {
+                           core.HandleLimitReport(aReport);
+                         },
+                         [&](const limits::SendPermitRequest& aRequest) {
+                           core.HandleSendPermitRequest(aFrom, aRequest);
+                         },
+                         [&](const limits::SendPermitResponse& aResponse) {
+                           core.HandleSendPermitResponse(aFrom, aResponse);
+                         },
+                         [&](const limits::SendPermitReturn& aReturn) {
+                           core.HandleSendPermitReturn(aFrom, aReturn);
+                         },
                          [](const auto&) {} },
              aMessage);
 }
 
+// Stands in for the control leader, which confirms each entry's epoch.
+void
+EntryGroup::Tick()
+{
+  while (!mStopping) {
+    for (const auto& entry : mEntries) {
+      entry->OnRelay([&] {
+        entry->Core().mTenure.SetConfirmedAt(entry->Core().mNow());
+        entry->Core().TickPermits();
+      });
+    }
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
 } // namespace peridotspool::gateway
--- a/test/gateway/EntryGroup.h
+++ b/test/gateway/EntryGroup.h
@@ -2,8 +2,10 @@
 
 #include "gateway/GatewayFixture.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace peridotspool::gateway {
@@ -33,7 +35,11 @@
               const Address& aFrom,
               const PeerMessage& aMessage);
 
+  void Tick();
+
   std::vector<std::unique_ptr<GatewayFixture>> mEntries;
+  std::atomic<bool> mStopping{ false };
+  std::thread mTicking;
 };
 
 } // namespace peridotspool::gateway
