Return no permit that was used, and accumulate none beside a coordinator

- a grant that arrived twice was used and then returned, so that its permit was granted again; an entry now remembers what it has used;
- a bucket went on filling at an entry that wasn't the coordinator at the time, so that it began its turn with a burst of its own; it is emptied until then.

--- a/include/peridotspool/limits/PermitAllocator.h
+++ b/include/peridotspool/limits/PermitAllocator.h
@@ -132,6 +132,10 @@
                    Record& aRecord,
                    TimePoint aNow,
                    std::vector<AddressedPermit>& aResponses) const;
+  void StopCoordinating(const UpstreamName& aUpstream,
+                        Record& aRecord,
+                        TimePoint aNow,
+                        std::vector<AddressedPermit>& aResponses) const;
   void DenyAll(const UpstreamName& aUpstream,
                Record& aRecord,
                PermitOutcome aOutcome,
--- a/include/peridotspool/limits/PermitBucket.h
+++ b/include/peridotspool/limits/PermitBucket.h
@@ -20,6 +20,8 @@
   /** Returns the most permits that can accumulate at a rate; at least one. */
   static double Burst(double aPerSecond);
 
+  /** Drops all accumulated permits. */
+  void Clear(TimePoint aNow);
   /** Accumulated permits are kept up to the new burst. */
   void SetRate(double aPerSecond, TimePoint aNow);
   /** Returns false iff there is no permit. */
--- a/include/peridotspool/limits/PermitClient.h
+++ b/include/peridotspool/limits/PermitClient.h
@@ -53,6 +53,12 @@
 class PermitClient
 {
 public:
+  /** @param aLastTag random; keeps tags of an earlier process from matching */
+  explicit PermitClient(std::uint64_t aLastTag)
+    : mLastTag(aLastTag)
+  {
+  }
+
   /** Returns the message to the coordinator. */
   SendPermitRequest Request(const PermitDemand& aDemand,
                             const KnownLimit& aLimit,
@@ -75,7 +81,9 @@
   };
 
   std::map<std::uint64_t, Pending> mPending;
-  std::uint64_t mLastTag = 0;
+  /** Permits that were used recently, with the time of their use. */
+  std::map<std::uint64_t, TimePoint> mUsed;
+  std::uint64_t mLastTag;
 };
 
 } // namespace peridotspool::limits
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -100,7 +100,7 @@
   std::set<ContentId> mResubmittedContents;
   rollout::RolloutGate mRollouts;
   limits::UpstreamLimits mUpstreamLimits;
-  limits::PermitClient mPermitClient;
+  limits::PermitClient mPermitClient{ 0 };
   /** Grants permits for the limited upstreams that this entry coordinates. */
   limits::PermitAllocator mPermitAllocator{ 0 };
   CoordinatorTenure mTenure;
--- a/src/limits/PermitAllocator.cpp
+++ b/src/limits/PermitAllocator.cpp
@@ -170,8 +170,7 @@
              aNow - std::chrono::milliseconds(aRequest.mClaim.mAgeMs),
              aNow);
   if (!aCoordinates) {
-    DenyAll(
-      aRequest.mUpstream, *record, PermitOutcome::kNotCoordinator, responses);
+    StopCoordinating(aRequest.mUpstream, *record, aNow, responses);
     responses.push_back({ aFrom,
                           Respond(aRequest.mUpstream,
                                   aRequest.mTag,
@@ -272,6 +271,19 @@
   });
 }
 
+// Another coordinator may grant permits meanwhile. Those that accumulated here
+// would add to its own.
+void
+PermitAllocator::StopCoordinating(
+  const UpstreamName& aUpstream,
+  Record& aRecord,
+  TimePoint aNow,
+  std::vector<AddressedPermit>& aResponses) const
+{
+  aRecord.mBucket.Clear(aNow);
+  DenyAll(aUpstream, aRecord, PermitOutcome::kNotCoordinator, aResponses);
+}
+
 void
 PermitAllocator::DenyAll(const UpstreamName& aUpstream,
                          Record& aRecord,
@@ -314,11 +326,8 @@
 {
   std::vector<AddressedPermit> responses;
   for (auto& [upstream, record] : mRecords) {
-    if (record.mQueue.empty()) {
-      continue;
-    }
     if (!aCoordinates(upstream, record.mDomain)) {
-      DenyAll(upstream, record, PermitOutcome::kNotCoordinator, responses);
+      StopCoordinating(upstream, record, aNow, responses);
     } else if (record.mEndedAt) {
       DenyAll(upstream, record, PermitOutcome::kUnlimited, responses);
     } else {
--- a/src/limits/PermitBucket.cpp
+++ b/src/limits/PermitBucket.cpp
@@ -44,6 +44,13 @@
   mAdvancedAt = std::max(mAdvancedAt, aNow);
 }
 
+void
+PermitBucket::Clear(TimePoint aNow)
+{
+  Advance(aNow);
+  mPermits = std::min(mPermits, 0.0);
+}
+
 void
 PermitBucket::SetRate(double aPerSecond, TimePoint aNow)
 {
--- a/src/limits/PermitClient.cpp
+++ b/src/limits/PermitClient.cpp
@@ -10,6 +10,9 @@
 
 /** A coordinator responds at once, if only that the request is queued. */
 constexpr Duration kResponseTimeout = std::chrono::milliseconds(100);
+/** By then a doubled response has arrived, or its permit can't be returned any
+ * more. */
+constexpr Duration kUsedRetention = 4 * kPermitLifetime;
 /** A silent coordinator is asked again after this long. */
 constexpr Duration kSilentRetry = std::chrono::milliseconds(300);
 
@@ -50,7 +53,9 @@
   const bool granted = aResponse.mOutcome == PermitOutcome::kGranted;
   const auto found = mPending.find(aResponse.mTag);
   if (found == mPending.end()) {
-    return { .mReturn = granted ? std::optional(unused) : std::nullopt };
+    // A response may arrive twice; a permit that was used isn't returned.
+    const bool isUnused = granted && !mUsed.contains(aResponse.mTag);
+    return { .mReturn = isUnused ? std::optional(unused) : std::nullopt };
   }
   if (aResponse.mOutcome == PermitOutcome::kQueued) {
     found->second.mIsQueued = true;
@@ -65,6 +70,9 @@
                            .mRetryAfter =
                              std::chrono::milliseconds(aResponse.mRetryAfterMs),
                            .mReceipt = aResponse.mReceipt };
+  if (granted && aNow - requestedAt < kPermitLifetime) {
+    mUsed[aResponse.mTag] = aNow;
+  }
   if (!granted || aNow - requestedAt < kPermitLifetime) {
     return { .mDecision = std::move(decision) };
   }
@@ -77,6 +85,9 @@
 PermitClient::Tick(TimePoint aNow)
 {
   std::vector<PermitDecision> decisions;
+  std::erase_if(mUsed, [&](const auto& aPair) {
+    return aNow - aPair.second >= kUsedRetention;
+  });
   std::erase_if(mPending, [&](const auto& aPair) {
     const Pending& pending = aPair.second;
     const Duration timeout =
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -145,6 +145,7 @@
       gateway::StartupPolicy({ .mStartupPeriod = kStartsFor }, ReadClock()),
     .mStartupWaiters = {},
     .mTable = nullptr,
+    .mPermitClient = limits::PermitClient(RandomNumber()),
     .mPermitAllocator = limits::PermitAllocator(RandomNumber()) });
   mCore->mTenure.SetSelf(mSettings.mListen.mPeer);
   mFeed.emplace(*mCore);
