Grant one permit at a time by a limit that is not confirmed

- a new coordinator learned the limit from an entry that knew an old one, before anybody who knew the new one asked: it now grants one permit at a time until a response has stated the limit to it;
- an older, higher statement that was reported last replaced a newer one: a rise is applied only a second after the last lower statement.

--- a/include/peridotspool/limits/PermitAllocator.h
+++ b/include/peridotspool/limits/PermitAllocator.h
@@ -28,7 +28,9 @@
  * at once.
  *
  * The state is in memory only. A coordinator that has just taken over starts
- * without permits and learns the limits from the requests of entries.
+ * without permits and learns the limits from the requests of entries. As these
+ * may know an old one, it grants one permit at a time until a response to one
+ * has stated the limit.
  *
  * Does no I/O and reads no clock. Not thread-safe.
  */
@@ -96,6 +98,9 @@
     /** When the upstream last stated the limit, as far as is known. */
     TimePoint mStatedAt = TimePoint::min();
     std::optional<TimePoint> mEndedAt;
+    /** The upstream has stated the limit since this entry coordinates it. */
+    bool mIsConfirmed = false;
+    std::optional<TimePoint> mLastGrantAt;
     TimePoint mUsedAt;
     /** Most urgent first; in order of arrival among equals. */
     std::vector<Waiting> mQueue;
@@ -112,6 +117,11 @@
                          TimePoint aStatedAt,
                          TimePoint aNow);
   bool ApplyEnd(const LimitReport& aReport, TimePoint aNow);
+  static bool IsHeldBack(const Record& aRecord, TimePoint aNow);
+  static bool TryTake(Record& aRecord, TimePoint aNow);
+  static Duration WaitOf(const Record& aRecord,
+                         std::size_t aAhead,
+                         TimePoint aNow);
   SendPermitResponse Respond(const UpstreamName& aUpstream,
                              std::uint64_t aTag,
                              PermitOutcome aOutcome,
--- a/src/limits/PermitAllocator.cpp
+++ b/src/limits/PermitAllocator.cpp
@@ -15,6 +15,12 @@
 constexpr Duration kGrantRetention = 2 * kPermitLifetime;
 /** Records that were not used for this long are dropped. */
 constexpr Duration kMaxIdleAge = std::chrono::minutes(5);
+/** By then a statement has reached the coordinator. */
+constexpr Duration kMaxReordering = std::chrono::seconds(1);
+/** A permit that led to no statement of the limit by then is lost. */
+constexpr Duration kConfirmationTimeout = std::chrono::seconds(2);
+/** Most responses have arrived by then. */
+constexpr Duration kExpectedConfirmation = std::chrono::milliseconds(300);
 /** A coordinator is likely to be known or confirmed by then. */
 constexpr Duration kNotCoordinatorRetry = std::chrono::milliseconds(300);
 /** Bounds the times in messages. */
@@ -63,6 +69,8 @@
 }
 
 // Entries learn of a change at different times; the newest statement counts.
+// Statements overtake each other, so a higher one is applied only if it is
+// certainly newer.
 bool
 PermitAllocator::ApplyLimit(Record& aRecord,
                             double aPerSecond,
@@ -73,6 +81,12 @@
       aStatedAt < aRecord.mStatedAt) {
     return false;
   }
+  const bool isRise = !aRecord.mEndedAt &&
+                      aPerSecond > aRecord.mBucket.PerSecond() &&
+                      aRecord.mStatedAt != TimePoint::min();
+  if (isRise && aStatedAt - aRecord.mStatedAt < kMaxReordering) {
+    return false;
+  }
   const bool changed = aRecord.mEndedAt ||
                        aRecord.mStatedAt == TimePoint::min() ||
                        aRecord.mBucket.PerSecond() != aPerSecond;
@@ -97,6 +111,7 @@
     return false;
   }
   record->mDomain = aReport.mDomain;
+  record->mIsConfirmed = true;
   return ApplyLimit(*record, aReport.mPerSecond, aNow, aNow);
 }
 
@@ -130,6 +145,33 @@
   }
 }
 
+bool
+PermitAllocator::IsHeldBack(const Record& aRecord, TimePoint aNow)
+{
+  return !aRecord.mIsConfirmed && aRecord.mLastGrantAt &&
+         aNow - *aRecord.mLastGrantAt < kConfirmationTimeout;
+}
+
+bool
+PermitAllocator::TryTake(Record& aRecord, TimePoint aNow)
+{
+  if (IsHeldBack(aRecord, aNow) || !aRecord.mBucket.TryTake(aNow)) {
+    return false;
+  }
+  aRecord.mLastGrantAt = aNow;
+  return true;
+}
+
+Duration
+PermitAllocator::WaitOf(const Record& aRecord,
+                        std::size_t aAhead,
+                        TimePoint aNow)
+{
+  return std::max(aRecord.mBucket.Wait(aAhead, aNow),
+                  IsHeldBack(aRecord, aNow) ? kExpectedConfirmation
+                                            : Duration(0));
+}
+
 SendPermitResponse
 PermitAllocator::Respond(const UpstreamName& aUpstream,
                          std::uint64_t aTag,
@@ -200,11 +242,11 @@
     aRecord.mQueue.begin(), aRecord.mQueue.end(), [&](const Waiting& aOne) {
       return aOne.mPriority > aRequest.mPriority;
     });
-  if (place == aRecord.mQueue.begin() && aRecord.mBucket.TryTake(aNow)) {
+  if (place == aRecord.mQueue.begin() && TryTake(aRecord, aNow)) {
     return Grant(aRecord, aRequest.mUpstream, key, aNow);
   }
   const auto ahead = static_cast<std::size_t>(place - aRecord.mQueue.begin());
-  const Duration wait = aRecord.mBucket.Wait(ahead, aNow);
+  const Duration wait = WaitOf(aRecord, ahead, aNow);
   const Duration maxWait = std::min(
     kMaxPermitWait, Duration(std::chrono::milliseconds(aRequest.mMaxWaitMs)));
   if (wait > maxWait || aRecord.mQueue.size() >= kMaxQueued) {
@@ -244,7 +286,7 @@
 {
   DenyOverdue(aUpstream, aRecord, aNow, aResponses);
   auto next = aRecord.mQueue.begin();
-  while (next != aRecord.mQueue.end() && aRecord.mBucket.TryTake(aNow)) {
+  while (next != aRecord.mQueue.end() && TryTake(aRecord, aNow)) {
     aResponses.push_back(
       { next->mKey.mFrom, Grant(aRecord, aUpstream, next->mKey, aNow) });
     ++next;
@@ -259,7 +301,7 @@
                              TimePoint aNow,
                              std::vector<AddressedPermit>& aResponses) const
 {
-  const Duration wait = aRecord.mBucket.Wait(aRecord.mQueue.size(), aNow);
+  const Duration wait = WaitOf(aRecord, aRecord.mQueue.size(), aNow);
   std::erase_if(aRecord.mQueue, [&](const Waiting& aOne) {
     if (aNow < aOne.mDeadline) {
       return false;
@@ -281,6 +323,7 @@
   std::vector<AddressedPermit>& aResponses) const
 {
   aRecord.mBucket.Clear(aNow);
+  aRecord.mIsConfirmed = false;
   DenyAll(aUpstream, aRecord, PermitOutcome::kNotCoordinator, aResponses);
 }
 
@@ -348,7 +391,7 @@
   }
   const Record& record = found->second;
   const Duration wait = aCoordinates(aUpstream, record.mDomain)
-                          ? record.mBucket.Wait(record.mQueue.size(), aNow)
+                          ? WaitOf(record, record.mQueue.size(), aNow)
                           : kNotCoordinatorRetry;
   return LimitState{
     .mUpstream = aUpstream,
--- a/test/limits/PermitAllocatorTest.cpp
+++ b/test/limits/PermitAllocatorTest.cpp
@@ -145,6 +145,31 @@
         PermitOutcome::kGranted);
 }
 
+// Guards against a new coordinator that grants by a limit that has fallen
+// since.
+TEST_CASE("ANewCoordinatorGrantsOnePermitUntilTheLimitIsStated")
+{
+  PermitAllocator allocator(kAllocator);
+  Request(allocator, Ask(1), At(0));
+  REQUIRE(Request(allocator, Ask(2), At(500)).mOutcome ==
+          PermitOutcome::kGranted);
+  CHECK(Request(allocator, Ask(3), At(1500)).mOutcome ==
+        PermitOutcome::kDenied);
+  allocator.HandleReport(Report(0.5), At(1600));
+  CHECK(Request(allocator, Ask(4), At(1600)).mOutcome ==
+        PermitOutcome::kGranted);
+  CHECK(Request(allocator, Ask(5), At(1600)).mRetryAfterMs == 2000);
+}
+
+TEST_CASE("ACoordinatorGoesOnIfAPermitLedToNoStatement")
+{
+  PermitAllocator allocator(kAllocator);
+  Request(allocator, Ask(1), At(0));
+  Request(allocator, Ask(2), At(500));
+  CHECK(Request(allocator, Ask(3), At(2500)).mOutcome ==
+        PermitOutcome::kGranted);
+}
+
 // Guards against an entry with an old limit that raises a newer one.
 TEST_CASE("TheNewestStatementOfALimitCounts")
 {
@@ -156,6 +181,16 @@
   CHECK(state->mClaim.mPerSecond == 0.5);
 }
 
+// Guards against a limit that rises because an older statement arrives last.
+TEST_CASE("AHigherLimitIsAppliedOnlyIfItIsCertainlyNewer")
+{
+  PermitAllocator allocator(kAllocator);
+  allocator.HandleReport(Report(0.5), At(0));
+  CHECK_FALSE(allocator.HandleReport(Report(4.0), At(999)));
+  CHECK(allocator.HandleReport(Report(4.0), At(1000)));
+  CHECK(allocator.HandleReport(Report(0.5), At(1001)));
+}
+
 TEST_CASE("AReturnedPermitIsGrantedAgainOnlyOnce")
 {
   PermitAllocator allocator(kAllocator);
--- a/test/limits/PermitSimulation.h
+++ b/test/limits/PermitSimulation.h
@@ -182,6 +182,7 @@
   Entry& CoordinatorEntry();
   double LimitAt(Duration aAt) const;
   double HighestLimit(Duration aFrom, Duration aTo) const;
+  double HighestStated(Duration aFrom, Duration aTo) const;
   void EvaluateGrants(PermitSimulationResult& aResult) const;
   PermitSimulationResult Evaluate() const;
 
@@ -206,6 +207,8 @@
   std::map<Duration, double> mLimitFrom;
   std::vector<Arrival> mArrivals;
   std::vector<Duration> mUnpermitted;
+  /** The limit in each response, by when an entry received it. */
+  std::multimap<Duration, double> mStated;
   /** When a permit was granted, by the entry that asked and its tag. */
   std::map<std::pair<std::size_t, std::uint64_t>, Duration> mGrantedAt;
   /** When the permits that were used were granted. */
--- a/test/soak/SoakRecord.h
+++ b/test/soak/SoakRecord.h
@@ -47,6 +47,14 @@
   Time mAt;
 };
 
+/** A request reached an upstream that stated a limit, whether it ran or not. */
+struct SeenLimited
+{
+  std::string mUpstream;
+  double mPerSecond = 0.0;
+  Time mAt;
+};
+
 /** An upstream answered with a failure of its own. */
 struct SeenFailure
 {
@@ -113,6 +121,7 @@
 {
   std::vector<SeenRequest> mRequests;
   std::vector<SeenRun> mRuns;
+  std::vector<SeenLimited> mLimited;
   std::vector<SeenFailure> mFailures;
   std::vector<SeenEnd> mEnds;
   std::vector<SeenChange> mChanges;
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -66,6 +66,9 @@
   const std::string& Service() const { return mService; }
   /** kMute, kLoseAnswers, kReject, kFail or kGarble; empty: works well. */
   void Misbehave(std::optional<FaultKind> aHow);
+  /** States this limit in its answers, as written; empty: states none. */
+  void StateLimit(const std::string& aValue);
+  std::string Name() const { return mName; }
   /** From now on it dies of each request with this target that it begins. */
   void DieOf(const std::string& aTarget) { mDeadly = aTarget; }
   /** Returns true iff a request has ended this life; Start begins the next. */
@@ -95,6 +98,8 @@
   /** Sends the head of an answer, and is gone before its first event. */
   void DieAnswering(Wire& aWire, const std::string& aId);
   std::string Head(const std::string& aId) const;
+  std::string LimitField() const;
+  void NoteLimited();
   bool Misbehaves(FaultKind aHow);
   bool Sleeps(Ms aFor) const;
 
@@ -112,6 +117,8 @@
   std::atomic<unsigned> mCounted{ 0 };
   std::atomic<int> mBusy{ 0 };
   std::string mDeadly;
+  mutable std::mutex mLimitMutex;
+  std::string mLimit;
   std::atomic<bool> mDied{ false };
   int mListening = -1;
   std::mutex mMutex;
