Plan pools without taking limited upstreams for idle ones

A limited upstream runs only what its limit lets through. The planner divides what runs by what an upstream is to run, so a pool of which all upstreams are limited looked oversized and was shrunk, which left even less to callers. Coordinators now report how many limited upstreams they have by service and what runs there; each counts as one that is wanted, and only the rest of the load is divided. Test: UpstreamsWithARateLimitAreNotTakenForIdle (3 of 10 wanted before, 10 after; unchanged where limited upstreams run as much as others).

--- a/include/peridotspool/fleet/LeaderTaskManager.h
+++ b/include/peridotspool/fleet/LeaderTaskManager.h
@@ -85,6 +85,9 @@
    * to the entries' reports.
    */
   double Running(const ServiceName& aService, TimePoint aNow) const;
+  /** Returns the upstreams of the service that have a rate limit. */
+  gateway::LimitedUpstreams Limited(const ServiceName& aService,
+                                    TimePoint aNow) const;
   /** Returns the time of day that most processes agree on, in microseconds. */
   std::optional<std::int64_t> CommonMicros(TimePoint aNow) const
   {
@@ -122,6 +125,7 @@
   struct Load
   {
     std::map<ServiceName, std::uint64_t> mRunning;
+    std::map<ServiceName, gateway::LimitedUpstreams> mLimited;
     TimePoint mAt;
   };
 
--- a/include/peridotspool/fleet/PoolPlanner.h
+++ b/include/peridotspool/fleet/PoolPlanner.h
@@ -66,6 +66,10 @@
   std::map<PoolKey, std::uint32_t> mReady;
   /** Requests running at all upstreams of the service. */
   double mRunning = 0.0;
+  /** Upstreams that accept requests only at a limited rate. */
+  std::uint32_t mLimited = 0;
+  /** The part of mRunning that runs at these. */
+  double mRunningAtLimited = 0.0;
 };
 
 /**
@@ -108,6 +112,7 @@
   };
 
   bool IsObserving(TimePoint aNow) const;
+  double UpstreamsForLoad(const PoolView& aView) const;
   std::uint32_t TotalWanted(const gateway::ServiceProfile& aService,
                             const PoolView& aView,
                             TimePoint aNow);
--- a/include/peridotspool/gateway/LoadCoordinator.h
+++ b/include/peridotspool/gateway/LoadCoordinator.h
@@ -27,6 +27,8 @@
   void Handle(const PrefillDoneReport& aReport, TimePoint aNow);
   void Handle(const SendEndedReport& aReport, TimePoint aNow);
   LoadResponse HandleQuery(const LoadQuery& aQuery, TimePoint aNow) const;
+  /** Returns the requests of all entries in flight at an upstream. */
+  std::size_t Running(const UpstreamName& aUpstream) const;
   /**
    * Removes sends whose end was never reported, and idle records without sends.
    */
--- a/include/peridotspool/gateway/PeerMessage.h
+++ b/include/peridotspool/gateway/PeerMessage.h
@@ -28,6 +28,17 @@
 };
 BOOST_DESCRIBE_STRUCT(UsageWindow, (), (mNumber, mCounts))
 
+/** Upstreams with a rate limit that one entry coordinates, by service. */
+struct LimitedUpstreams
+{
+  std::uint64_t mCount = 0;
+  /** Requests of all entries in flight at them. */
+  std::uint64_t mRunning = 0;
+
+  auto operator<=>(const LimitedUpstreams&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(LimitedUpstreams, (), (mCount, mRunning))
+
 /** An entry's status and recent counts; replaces its previous report. */
 struct UsageReport
 {
@@ -46,6 +57,7 @@
   std::uint64_t mRollouts = 0;
   /** The newest lease that the entry holds. */
   QuotaLease mQuotaLease;
+  std::map<ServiceName, LimitedUpstreams> mLimited;
 
   auto operator<=>(const UsageReport&) const = default;
 };
@@ -58,7 +70,8 @@
                        mQuarantine,
                        mResubmittedContents,
                        mRollouts,
-                       mQuotaLease))
+                       mQuotaLease,
+                       mLimited))
 
 /** The median of the processes' wall clocks when the leader sent this. */
 struct MedianTime
--- a/include/peridotspool/gateway/UpstreamSelector.h
+++ b/include/peridotspool/gateway/UpstreamSelector.h
@@ -207,6 +207,8 @@
   std::uint32_t InFlight(const UpstreamName& aName) const;
   /** Returns the upstream's current incarnation; empty if it is unknown. */
   std::optional<Incarnation> IncarnationOf(const UpstreamName& aName) const;
+  /** Returns the service of an upstream that accepts new work. */
+  std::optional<ServiceName> ReadyService(const UpstreamName& aName) const;
   /** Returns true iff the upstream accepts new work, whether ejected or not. */
   bool IsReady(const UpstreamName& aName) const;
 
--- a/include/peridotspool/limits/PermitAllocator.h
+++ b/include/peridotspool/limits/PermitAllocator.h
@@ -67,6 +67,8 @@
   std::optional<LimitState> StateOf(const UpstreamName& aUpstream,
                                     const Coordinates& aCoordinates,
                                     TimePoint aNow) const;
+  /** Returns the limited upstreams that this entry coordinates. */
+  std::vector<UpstreamName> Coordinated(const Coordinates& aCoordinates) const;
   /** Drops the records of upstreams that nobody asks for any more. */
   void RemoveExpired(TimePoint aNow);
 
--- a/src/fleet/LeaderTaskManager.cpp
+++ b/src/fleet/LeaderTaskManager.cpp
@@ -30,6 +30,7 @@
   mClock.RecordReading(aReport.mEntryIncarnation, aReport.mWallMicros, aNow);
   mUsage.AddReport(aReport, mClock.Micros(aNow).value_or(aReport.mWallMicros));
   mLoads[aReport.mEntryIncarnation] = { .mRunning = aReport.mRunning,
+                                        .mLimited = aReport.mLimited,
                                         .mAt = aNow };
   std::erase_if(mLoads, [&](const auto& aPair) {
     return aNow - aPair.second.mAt > kMaxLoadAge;
@@ -49,6 +50,20 @@
   return static_cast<double>(running);
 }
 
+gateway::LimitedUpstreams
+LeaderTaskManager::Limited(const ServiceName& aService, TimePoint aNow) const
+{
+  gateway::LimitedUpstreams sum;
+  for (const auto& [life, load] : mLoads) {
+    const auto found = load.mLimited.find(aService);
+    if (found != load.mLimited.end() && aNow - load.mAt <= kMaxLoadAge) {
+      sum.mCount += found->second.mCount;
+      sum.mRunning += found->second.mRunning;
+    }
+  }
+  return sum;
+}
+
 void
 LeaderTaskManager::UpdateLeadership(const LeaderTaskView& aView, TimePoint aNow)
 {
--- a/src/fleet/PoolPlanner.cpp
+++ b/src/fleet/PoolPlanner.cpp
@@ -80,6 +80,18 @@
   }
 }
 
+// A limited upstream runs what its limit lets through, and doesn't take its
+// share of the rest.
+double
+PoolPlanner::UpstreamsForLoad(const PoolView& aView) const
+{
+  const double rest = std::max(0.0, aView.mRunning - aView.mRunningAtLimited);
+  const double withLimited =
+    aView.mLimited + std::ceil(rest / mOptions.mTargetConcurrency);
+  return std::max(std::ceil(aView.mRunning / mOptions.mTargetConcurrency),
+                  withLimited);
+}
+
 std::uint32_t
 PoolPlanner::TotalWanted(const gateway::ServiceProfile& aService,
                          const PoolView& aView,
@@ -87,7 +99,7 @@
 {
   const auto maxTotal = static_cast<std::uint32_t>(
     aService.mScaling->mMax * aService.mScaling->mPrices.size());
-  const double byLoad = std::ceil(aView.mRunning / mOptions.mTargetConcurrency);
+  const double byLoad = UpstreamsForLoad(aView);
   auto wanted =
     std::max(mOptions.mMinUpstreams,
              static_cast<std::uint32_t>(std::min<double>(maxTotal, byLoad)));
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -27,6 +27,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -148,6 +149,8 @@
   void SendPermits(const std::vector<limits::AddressedPermit>& aPermits);
   void DecidePermit(const limits::PermitDecision& aDecision);
   limits::PermitAllocator::Coordinates MakeCoordinates();
+  /** Returns the limited upstreams that this entry coordinates, by service. */
+  std::map<ServiceName, LimitedUpstreams> LimitedByService();
 
   /** A connection to the address of an upstream's incarnation was refused. */
   void OnConnectionRefused(const routing::UpstreamIncarnation& aLife);
--- a/src/gateway/GatewayCoreLimits.cpp
+++ b/src/gateway/GatewayCoreLimits.cpp
@@ -128,6 +128,21 @@
   mPermitAllocator.RemoveExpired(now);
 }
 
+std::map<ServiceName, LimitedUpstreams>
+GatewayCore::LimitedByService()
+{
+  std::map<ServiceName, LimitedUpstreams> limited;
+  for (const UpstreamName& upstream :
+       mPermitAllocator.Coordinated(MakeCoordinates())) {
+    if (const auto service = mSelector.ReadyService(upstream)) {
+      LimitedUpstreams& sum = limited[*service];
+      ++sum.mCount;
+      sum.mRunning += mCoordinator.Running(upstream);
+    }
+  }
+  return limited;
+}
+
 // A coordinator may still know the limit of an earlier incarnation.
 void
 GatewayCore::ApplyLimitState(const limits::LimitState& aState)
--- a/src/gateway/LoadCoordinator.cpp
+++ b/src/gateway/LoadCoordinator.cpp
@@ -124,6 +124,13 @@
   return response;
 }
 
+std::size_t
+LoadCoordinator::Running(const UpstreamName& aUpstream) const
+{
+  const auto record = mRecords.find(aUpstream);
+  return record == mRecords.end() ? 0 : record->second.mSends.size();
+}
+
 void
 LoadCoordinator::RemoveExpired(TimePoint aNow)
 {
--- a/src/gateway/UpstreamSelector.cpp
+++ b/src/gateway/UpstreamSelector.cpp
@@ -348,6 +348,15 @@
            : std::optional(found->second.mReport.mIncarnation);
 }
 
+std::optional<ServiceName>
+UpstreamSelector::ReadyService(const UpstreamName& aName) const
+{
+  const auto found = mTrackedUpstreams.find(aName);
+  return found != mTrackedUpstreams.end() && AcceptsWork(found->second)
+           ? std::optional(found->second.mReport.mService)
+           : std::nullopt;
+}
+
 bool
 UpstreamSelector::IsReady(const UpstreamName& aName) const
 {
--- a/src/limits/PermitAllocator.cpp
+++ b/src/limits/PermitAllocator.cpp
@@ -402,6 +402,18 @@
   };
 }
 
+std::vector<UpstreamName>
+PermitAllocator::Coordinated(const Coordinates& aCoordinates) const
+{
+  std::vector<UpstreamName> upstreams;
+  for (const auto& [upstream, record] : mRecords) {
+    if (!record.mEndedAt && aCoordinates(upstream, record.mDomain)) {
+      upstreams.push_back(upstream);
+    }
+  }
+  return upstreams;
+}
+
 void
 PermitAllocator::RemoveExpired(TimePoint aNow)
 {
--- a/src/runtime/DutyRollouts.cpp
+++ b/src/runtime/DutyRollouts.cpp
@@ -151,6 +151,9 @@
   }
   for (auto& [service, pool] : pools) {
     pool.mRunning = mTasks.Running(service, aNow);
+    const gateway::LimitedUpstreams limited = mTasks.Limited(service, aNow);
+    pool.mLimited = static_cast<std::uint32_t>(limited.mCount);
+    pool.mRunningAtLimited = static_cast<double>(limited.mRunning);
   }
   return pools;
 }
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -243,6 +243,7 @@
   report.mQuarantine = mCore->mQuarantineGate.KnownNumber();
   report.mRollouts = mCore->mRollouts.Number();
   report.mQuotaLease = mCore->mQuota.Lease();
+  report.mLimited = mCore->LimitedByService();
   const auto again = std::exchange(mCore->mResubmittedContents, {});
   report.mResubmittedContents.assign(again.begin(), again.end());
   for (const Address& control : mSession->Voters()) {
--- a/test/fleet/PoolPlannerTest.cpp
+++ b/test/fleet/PoolPlannerTest.cpp
@@ -319,6 +319,30 @@
   CHECK(plan(1200, true) == 8);
 }
 
+// Guards against a pool that shrinks because rate limits of its upstreams keep
+// requests away from them.
+TEST_CASE("UpstreamsWithARateLimitAreNotTakenForIdle")
+{
+  const auto wanted = [](std::uint32_t aLimited, double aRunningAtLimited) {
+    PoolPlanner planner({ .mMinUpstreams = 2,
+                          .mTargetConcurrency = 4.0,
+                          .mShrinkAfter = std::chrono::seconds(1) });
+    Cloud cloud;
+    cloud.mView.mReady = { { Key("a", false), 10 } };
+    cloud.mView.mRunning = 12.0;
+    cloud.mView.mLimited = aLimited;
+    cloud.mView.mRunningAtLimited = aRunningAtLimited;
+    for (int ms = 0; ms < 30000; ms += 100) {
+      cloud.Run(planner, ms);
+    }
+    return planner.Wanted();
+  };
+  CHECK(wanted(0, 0.0) == 3);
+  CHECK(wanted(8, 4.0) == 10);
+  // They run as much as others.
+  CHECK(wanted(2, 8.0) == 3);
+}
+
 TEST_CASE("AnOversizedPoolShrinksEventuallyDuringACapacityShortage")
 {
   PoolPlanner planner({ .mMinUpstreams = 2, .mTargetConcurrency = 1.0 });
