Let a request that is sent again wait for a permit within its deadline

A resumed stream, or a call that is sent again, is past its objective as a rule, so it never waited for a permit and was ended instead.

--- a/include/peridotspool/limits/PermitAllocator.h
+++ b/include/peridotspool/limits/PermitAllocator.h
@@ -38,7 +38,7 @@
 {
 public:
   /** Returns true iff this entry coordinates the upstream at present. */
-  using Coordinates =
+  using CoordinationCheck =
     std::function<bool(const UpstreamName&, const FailureDomain&)>;
 
   /** @param aAllocatorId random; identifies this process */
@@ -51,24 +51,25 @@
   /**
    * Returns the response to the request, and those to others that are due.
    *
-   * @param aCoordinates this entry coordinates the upstream at present
+   * @param aIsCoordinator this entry coordinates the upstream at present
    */
   std::vector<AddressedPermit> HandleRequest(const Address& aFrom,
                                              const SendPermitRequest& aRequest,
-                                             bool aCoordinates,
+                                             bool aIsCoordinator,
                                              TimePoint aNow);
   void HandleReturn(const Address& aFrom,
                     const SendPermitReturn& aReturn,
                     TimePoint aNow);
   /** Returns responses to queued requests; call at least every 50 ms. */
-  std::vector<AddressedPermit> Tick(const Coordinates& aCoordinates,
+  std::vector<AddressedPermit> Tick(const CoordinationCheck& aIsCoordinator,
                                     TimePoint aNow);
   /** Returns empty if the upstream has no known limit. */
   std::optional<LimitState> StateOf(const UpstreamName& aUpstream,
-                                    const Coordinates& aCoordinates,
+                                    const CoordinationCheck& aIsCoordinator,
                                     TimePoint aNow) const;
   /** Returns the limited upstreams that this entry coordinates. */
-  std::vector<UpstreamName> Coordinated(const Coordinates& aCoordinates) const;
+  std::vector<UpstreamName> Coordinated(
+    const CoordinationCheck& aIsCoordinator) const;
   /** Drops the records of upstreams that nobody asks for any more. */
   void RemoveExpired(TimePoint aNow);
 
--- a/src/gateway/ExchangeLimit.cpp
+++ b/src/gateway/ExchangeLimit.cpp
@@ -94,12 +94,12 @@
 }
 
 // A request waits for a permit only as long as its response can still meet the
-// objective.
+// objective, or can still be completed if it is sent again.
 Duration
 Exchange::MaxPermitWait(const UpstreamChoice& aChoice) const
 {
   Duration left = TimeLeft() / 2;
-  if (mRoute->mTargetLatency > Duration(0)) {
+  if (mRuns == 0 && mRoute->mTargetLatency > Duration(0)) {
     const Duration afterWait = aChoice.mExpectedFirstEvent - aChoice.mWait;
     left = std::min(
       left, mArrivedAt + mRoute->mTargetLatency - mCore.mNow() - afterWait);
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -148,7 +148,7 @@
   void OnLimitChanged(const UpstreamName& aUpstream, const char* aSource);
   void SendPermits(const std::vector<limits::AddressedPermit>& aPermits);
   void DecidePermit(const limits::PermitDecision& aDecision);
-  limits::PermitAllocator::Coordinates MakeCoordinates();
+  limits::PermitAllocator::CoordinationCheck MakeCoordinationCheck();
   /** Returns the limited upstreams that this entry coordinates, by service. */
   std::map<ServiceName, LimitedUpstreams> LimitedByService();
 
--- a/src/gateway/GatewayCoreLimits.cpp
+++ b/src/gateway/GatewayCoreLimits.cpp
@@ -10,8 +10,8 @@
 using observe::CounterId;
 using observe::EventId;
 
-limits::PermitAllocator::Coordinates
-GatewayCore::MakeCoordinates()
+limits::PermitAllocator::CoordinationCheck
+GatewayCore::MakeCoordinationCheck()
 {
   return [this, now = mNow()](const UpstreamName& aUpstream,
                               const FailureDomain& aDomain) {
@@ -24,10 +24,10 @@
 {
   const TimePoint now = mNow();
   LoadResponse response = mCoordinator.HandleQuery(aQuery, now);
-  const auto coordinates = MakeCoordinates();
+  const auto isCoordinator = MakeCoordinationCheck();
   for (const UpstreamLoad& load : response.mLoads) {
     if (auto state =
-          mPermitAllocator.StateOf(load.mUpstream, coordinates, now)) {
+          mPermitAllocator.StateOf(load.mUpstream, isCoordinator, now)) {
       response.mLimits.push_back(std::move(*state));
     }
   }
@@ -121,7 +121,7 @@
 GatewayCore::TickPermits()
 {
   const TimePoint now = mNow();
-  SendPermits(mPermitAllocator.Tick(MakeCoordinates(), now));
+  SendPermits(mPermitAllocator.Tick(MakeCoordinationCheck(), now));
   for (const limits::PermitDecision& decision : mPermitClient.Tick(now)) {
     DecidePermit(decision);
   }
@@ -133,7 +133,7 @@
 {
   std::map<ServiceName, LimitedUpstreams> limited;
   for (const UpstreamName& upstream :
-       mPermitAllocator.Coordinated(MakeCoordinates())) {
+       mPermitAllocator.Coordinated(MakeCoordinationCheck())) {
     if (const auto service = mSelector.ReadyService(upstream)) {
       LimitedUpstreams& sum = limited[*service];
       ++sum.mCount;
--- a/src/limits/PermitAllocator.cpp
+++ b/src/limits/PermitAllocator.cpp
@@ -188,7 +188,7 @@
 std::vector<AddressedPermit>
 PermitAllocator::HandleRequest(const Address& aFrom,
                                const SendPermitRequest& aRequest,
-                               bool aCoordinates,
+                               bool aIsCoordinator,
                                TimePoint aNow)
 {
   std::vector<AddressedPermit> responses;
@@ -211,7 +211,7 @@
              aRequest.mClaim.mPerSecond,
              aNow - std::chrono::milliseconds(aRequest.mClaim.mAgeMs),
              aNow);
-  if (!aCoordinates) {
+  if (!aIsCoordinator) {
     StopCoordinating(aRequest.mUpstream, *record, aNow, responses);
     responses.push_back({ aFrom,
                           Respond(aRequest.mUpstream,
@@ -365,11 +365,11 @@
 }
 
 std::vector<AddressedPermit>
-PermitAllocator::Tick(const Coordinates& aCoordinates, TimePoint aNow)
+PermitAllocator::Tick(const CoordinationCheck& aIsCoordinator, TimePoint aNow)
 {
   std::vector<AddressedPermit> responses;
   for (auto& [upstream, record] : mRecords) {
-    if (!aCoordinates(upstream, record.mDomain)) {
+    if (!aIsCoordinator(upstream, record.mDomain)) {
       StopCoordinating(upstream, record, aNow, responses);
     } else if (record.mEndedAt) {
       DenyAll(upstream, record, PermitOutcome::kUnlimited, responses);
@@ -382,7 +382,7 @@
 
 std::optional<LimitState>
 PermitAllocator::StateOf(const UpstreamName& aUpstream,
-                         const Coordinates& aCoordinates,
+                         const CoordinationCheck& aIsCoordinator,
                          TimePoint aNow) const
 {
   const auto found = mRecords.find(aUpstream);
@@ -390,7 +390,7 @@
     return std::nullopt;
   }
   const Record& record = found->second;
-  const Duration wait = aCoordinates(aUpstream, record.mDomain)
+  const Duration wait = aIsCoordinator(aUpstream, record.mDomain)
                           ? WaitOf(record, record.mQueue.size(), aNow)
                           : kNotCoordinatorRetry;
   return LimitState{
@@ -403,11 +403,11 @@
 }
 
 std::vector<UpstreamName>
-PermitAllocator::Coordinated(const Coordinates& aCoordinates) const
+PermitAllocator::Coordinated(const CoordinationCheck& aIsCoordinator) const
 {
   std::vector<UpstreamName> upstreams;
   for (const auto& [upstream, record] : mRecords) {
-    if (!record.mEndedAt && aCoordinates(upstream, record.mDomain)) {
+    if (!record.mEndedAt && aIsCoordinator(upstream, record.mDomain)) {
       upstreams.push_back(upstream);
     }
   }
--- a/test/gateway/UpstreamSelectorTest.cpp
+++ b/test/gateway/UpstreamSelectorTest.cpp
@@ -320,4 +320,36 @@
         UpstreamName("u-b"));
 }
 
+// Guards against a limited upstream that is chosen because it looks idle.
+TEST_CASE("AnUpstreamWhosePermitComesLaterIsNotChosenBeforeOthers")
+{
+  UpstreamSelector selector = MakeSelector(4);
+  const SelectionQuery prompt{ .mService = kService,
+                               .mPrompt = { .mAffinity = 5 } };
+  const auto first = *selector.Choose(prompt, At(0));
+  selector.SetPermitTime(first.mName, At(800));
+  const auto other = *selector.Choose(prompt, At(0));
+  CHECK(other.mName != first.mName);
+  CHECK(other.mPermitWait == Duration(0));
+  CHECK(selector.Choose(prompt, At(800))->mName == first.mName);
+  for (std::uint64_t seed = 1; seed < 50; ++seed) {
+    const SelectionQuery call{ .mService = kService, .mSeed = seed };
+    CHECK(selector.Choose(call, At(0))->mName != first.mName);
+  }
+}
+
+TEST_CASE("ARequestWithoutAPermitGoesToAnotherUpstream")
+{
+  UpstreamSelector selector = MakeSelector(2);
+  selector.SetPermitTime(UpstreamName("u0"), At(0));
+  SelectionQuery query{ .mService = kService, .mSeed = 1 };
+  query.mWithoutPermit = { UpstreamName("u0") };
+  CHECK(selector.Choose(query, At(0))->mName == UpstreamName("u1"));
+  selector.SetPermitTime(UpstreamName("u1"), At(0));
+  query.mAvoidLimited = true;
+  CHECK_FALSE(selector.Choose(query, At(0)));
+  selector.SetPermitTime(UpstreamName("u1"), std::nullopt);
+  CHECK(selector.Choose(query, At(0)));
+}
+
 } // namespace peridotspool::gateway
--- a/test/limits/PermitAllocatorTest.cpp
+++ b/test/limits/PermitAllocatorTest.cpp
@@ -57,9 +57,9 @@
 Request(PermitAllocator& aAllocator,
         const SendPermitRequest& aRequest,
         TimePoint aNow,
-        bool aCoordinates = true)
+        bool aIsCoordinator = true)
 {
-  return aAllocator.HandleRequest(kFirst, aRequest, aCoordinates, aNow)
+  return aAllocator.HandleRequest(kFirst, aRequest, aIsCoordinator, aNow)
     .back()
     .mResponse;
 }
--- a/test/limits/UpstreamLimitsTest.cpp
+++ b/test/limits/UpstreamLimitsTest.cpp
@@ -90,4 +90,26 @@
   CHECK(limits.Count() == 0);
 }
 
+TEST_CASE("TheNewestOfOwnAndCoordinatorsStatementsCounts")
+{
+  UpstreamLimits limits;
+  const LimitState state{ .mUpstream = kUpstream,
+                          .mIncarnation = Incarnation(1),
+                          .mClaim = { .mPerSecond = 4.0, .mAgeMs = 100 } };
+  CHECK(limits.ApplyCoordinatorState(state, At(1000)) == LimitChange::kSet);
+  CHECK(limits.Find(kUpstream)->mStatedAt == At(900));
+  limits.RecordResponse(SentAt(900), Limit(2), At(950));
+  CHECK(limits.ApplyCoordinatorState(state, At(1010)) == LimitChange::kNone);
+  CHECK(limits.Find(kUpstream)->mPerSecond == 2.0);
+}
+
+TEST_CASE("ACoordinatorEndsALimitThatWasNotStatedSince")
+{
+  UpstreamLimits limits;
+  limits.RecordResponse(SentAt(0), Limit(2), At(100));
+  CHECK(limits.End(kUpstream, At(50)) == LimitChange::kNone);
+  CHECK(limits.End(kUpstream, At(100)) == LimitChange::kEnded);
+  CHECK(limits.End(kUpstream, At(100)) == LimitChange::kNone);
+}
+
 } // namespace peridotspool::limits
--- a/test/membership/ControlSessionTest.cpp
+++ b/test/membership/ControlSessionTest.cpp
@@ -230,4 +230,25 @@
   CHECK(heartbeats <= 3);
 }
 
+// Guards against a member that acts by an epoch that another one has replaced.
+TEST_CASE("AnEpochIsConfirmedOnlyIfTheLeaderKnowsNoNewerOne")
+{
+  ControlSession session(Options());
+  const TimePoint first = kStart + std::chrono::seconds(1);
+  const auto sequence = SendHeartbeat(session, first);
+  session.Step(FromControlEvent{ LeaderResponse(sequence, 0) }, first);
+  CHECK_FALSE(session.EpochConfirmedAt());
+  session.Step(FromControlEvent{ FirstEpoch() }, first);
+  const TimePoint second = kStart + std::chrono::seconds(2);
+  const auto later = SendHeartbeat(session, second);
+  session.Step(FromControlEvent{ LeaderResponse(later, 0) },
+               second + std::chrono::milliseconds(40));
+  CHECK(session.EpochConfirmedAt() == second);
+  const TimePoint third = kStart + std::chrono::seconds(3);
+  HeartbeatResponse newer = LeaderResponse(SendHeartbeat(session, third), 0);
+  newer.mEpoch = EpochNumber(2);
+  session.Step(FromControlEvent{ newer }, third);
+  CHECK(session.EpochConfirmedAt() == second);
+}
+
 } // namespace peridotspool::membership
