Bound the wait of a request for permits of all upstreams together

A request that was denied after it had waited could wait again at the next upstream, four times half a second without an objective, though what can't be served is to be refused at once. The wait is now counted from the first request for a permit until the request is sent. Read off the code; no run had shown it.

The soak's callers of two tests are one class, and the test with limits takes its turn with the other tests of whole systems.

--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -44,7 +44,9 @@
       ${test_name}
       PROPERTIES LABELS "${labels}" TIMEOUT 240 ENVIRONMENT
                  "RC_PARAMS=seed=20261202")
-    if(folder_name STREQUAL "process" OR unit STREQUAL "SoakTest")
+    if(folder_name STREQUAL "process"
+       OR unit STREQUAL "SoakTest"
+       OR test_name STREQUAL "soak/UpstreamLimitTest")
       # Each starts a whole system of ten processes and more; one at a time, so
       # that they do not take the processor from each other's leases.
       set_tests_properties(${test_name} PROPERTIES RESOURCE_LOCK system)
--- a/src/gateway/ExchangeLimit.cpp
+++ b/src/gateway/ExchangeLimit.cpp
@@ -93,18 +93,25 @@
   }
 }
 
-// A request waits for a permit only as long as its response can still meet the
-// objective, or can still be completed if it is sent again.
+// A request waits for permits of all upstreams together only as long as its
+// response can still meet the objective, or can still be completed if it is
+// sent again.
 Duration
 Exchange::MaxPermitWait(const UpstreamChoice& aChoice) const
 {
+  const TimePoint now = mCore.mNow();
   Duration left = TimeLeft() / 2;
   if (mRuns == 0 && mRoute->mTargetLatency > Duration(0)) {
     const Duration afterWait = aChoice.mExpectedFirstEvent - aChoice.mWait;
-    left = std::min(
-      left, mArrivedAt + mRoute->mTargetLatency - mCore.mNow() - afterWait);
+    left =
+      std::min(left, mArrivedAt + mRoute->mTargetLatency - now - afterWait);
   }
-  return std::clamp(left, Duration(0), Duration(limits::kMaxPermitWait));
+  const Duration waited = mPermitRequestedAt == TimePoint()
+                            ? Duration(0)
+                            : Duration(now - mPermitRequestedAt);
+  return std::clamp(std::min(left, limits::kMaxPermitWait - waited),
+                    Duration(0),
+                    Duration(limits::kMaxPermitWait));
 }
 
 // Sends the request, or asks for the permit that a limited upstream requires.
@@ -114,6 +121,7 @@
   const limits::KnownLimit* limit = mCore.mUpstreamLimits.Find(aChoice.mName);
   if (limit == nullptr || limit->mIncarnation != aChoice.mIncarnation) {
     mSendPermit.reset();
+    mPermitRequestedAt = TimePoint();
     SendTo(aChoice);
     return;
   }
@@ -138,7 +146,9 @@
     mCore.mNow());
   mPermitTag = request.mTag;
   mPermitCoordinator = *coordinator;
-  mPermitRequestedAt = mCore.mNow();
+  if (mPermitRequestedAt == TimePoint()) {
+    mPermitRequestedAt = mCore.mNow();
+  }
   mPermitChoice = aChoice;
   const std::weak_ptr<Exchange> weak = weak_from_this();
   mCore.mPermitWaiters[mPermitTag] =
@@ -165,11 +175,13 @@
   if (aDecision.mOutcome == PermitOutcome::kGranted && isUsable) {
     mCore.mCounters.Add(CounterId::kPermitGranted);
     mSendPermit = aDecision.mReceipt;
+    mPermitRequestedAt = TimePoint();
     SendTo(choice);
     return;
   }
   if (aDecision.mOutcome == PermitOutcome::kUnlimited && isUsable) {
     mSendPermit.reset();
+    mPermitRequestedAt = TimePoint();
     SendTo(choice);
     return;
   }
--- a/test/soak/RolloutTest.cpp
+++ b/test/soak/RolloutTest.cpp
@@ -1,14 +1,13 @@
 // ctest-labels: soak promise-rollout
 #include "soak/SoakSystem.h"
 #include "soak/SoakUpstream.h"
+#include "soak/SteadyCallers.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,9 +19,6 @@
 constexpr int kUpstreamsEach = 4;
 constexpr int kCallers = 9;
 constexpr Ms kUntilReady{ 2500 };
-/** Between two requests of a caller. */
-constexpr Ms kCallerPause{ 80 };
-constexpr Ms kPatience{ 5000 };
 constexpr Ms kReadEach{ 200 };
 constexpr Ms kDuration{ 12000 };
 constexpr Ms kRollBackWithin{ 5000 };
@@ -62,13 +58,6 @@
       }
     }
   }
-  ~RolloutSystem()
-  {
-    mSending = false;
-    for (std::thread& caller : mCallers) {
-      caller.join();
-    }
-  }
   RolloutSystem(const RolloutSystem&) = delete;
   RolloutSystem& operator=(const RolloutSystem&) = delete;
 
@@ -79,9 +68,8 @@
       return false;
     }
     std::this_thread::sleep_for(kUntilReady);
-    for (int number = 0; number < kCallers; ++number) {
-      mCallers.emplace_back([this, number] { Repeat(number); });
-    }
+    mCallers =
+      std::make_unique<SteadyCallers>(mSystem.Where(), mService, kCallers);
     std::this_thread::sleep_for(Ms(1000));
     return true;
   }
@@ -162,14 +150,7 @@
     });
   }
   /** Requests that got no whole 200, sent after a moment. */
-  std::size_t Unserved(Time aFrom)
-  {
-    const std::lock_guard lock(mMutex);
-    return static_cast<std::size_t>(
-      std::count_if(mUnserved.begin(), mUnserved.end(), [&](Time aAt) {
-        return aAt > aFrom;
-      }));
-  }
+  std::size_t Unserved(Time aFrom) { return mCallers->Unserved(aFrom); }
 
 private:
   std::size_t Runs(Time aFrom, Time aTo, const std::string& aVersion)
@@ -183,39 +164,12 @@
     });
   }
 
-  void Repeat(int aCaller)
-  {
-    std::mt19937_64 random(static_cast<std::uint64_t>(aCaller));
-    for (int sent = 0; mSending; ++sent) {
-      const int entry = 1 + static_cast<int>(random() % kMachines);
-      const Time at = Clock::now();
-      const auto answer = CallOnce(
-        mSystem.Where().Own(entry),
-        kCallerPort,
-        RequestText("GET",
-                    "/" + mService + "/x",
-                    "Peridotspool-Request-Id: r" + std::to_string(aCaller) +
-                      "-" + std::to_string(sent) +
-                      "\r\nPeridotspool-Deadline-Ms: 2000\r\n",
-                    ""),
-        kPatience);
-      if (!answer || answer->mStatus != 200) {
-        const std::lock_guard lock(mMutex);
-        mUnserved.push_back(at);
-      }
-      std::this_thread::sleep_for(kCallerPause);
-    }
-  }
-
   SoakSystem mSystem;
   const std::string mService;
   std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
   Time mOrderedAt;
   Time mEndedAt;
-  std::mutex mMutex;
-  std::vector<Time> mUnserved;
-  std::atomic<bool> mSending{ true };
-  std::vector<std::thread> mCallers;
+  std::unique_ptr<SteadyCallers> mCallers;
 };
 
 void
--- a/test/soak/UpstreamLimitTest.cpp
+++ b/test/soak/UpstreamLimitTest.cpp
@@ -1,14 +1,13 @@
 // ctest-labels: soak limits
 #include "soak/SoakSystem.h"
 #include "soak/SoakUpstream.h"
+#include "soak/SteadyCallers.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <csignal>
 #include <memory>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,9 +20,6 @@
 constexpr int kLimited = 2;
 constexpr int kCallers = 10;
 constexpr Ms kUntilReady{ 2500 };
-/** Between two requests of a caller. */
-constexpr Ms kCallerPause{ 80 };
-constexpr Ms kPatience{ 5000 };
 /** The users' rule. */
 constexpr Ms kGrace{ 3000 };
 constexpr Ms kWindow{ 4000 };
@@ -43,13 +39,6 @@
         mSystem.Where(), number, mService, mSystem.Seen()));
     }
   }
-  ~LimitedSystem()
-  {
-    mSending = false;
-    for (std::thread& caller : mCallers) {
-      caller.join();
-    }
-  }
   LimitedSystem(const LimitedSystem&) = delete;
   LimitedSystem& operator=(const LimitedSystem&) = delete;
 
@@ -62,9 +51,8 @@
       return false;
     }
     std::this_thread::sleep_for(kUntilReady);
-    for (int number = 0; number < kCallers; ++number) {
-      mCallers.emplace_back([this, number] { Repeat(number); });
-    }
+    mCallers =
+      std::make_unique<SteadyCallers>(mSystem.Where(), mService, kCallers);
     std::this_thread::sleep_for(Ms(1000));
     return true;
   }
@@ -101,22 +89,6 @@
         }));
     });
   }
-  /** Requests sent in a span that got no 200. */
-  std::size_t Unserved(Time aFrom, Time aTo = Time::max())
-  {
-    const std::lock_guard lock(mMutex);
-    return static_cast<std::size_t>(
-      std::count_if(mUnserved.begin(), mUnserved.end(), [&](Time aAt) {
-        return aAt >= aFrom && aAt < aTo;
-      }));
-  }
-  /** Requests that a 503 ended later than this after they were sent. */
-  std::size_t RefusedLate()
-  {
-    const std::lock_guard lock(mMutex);
-    return mRefusedLate;
-  }
-
   /** Checks the users' bound on each limited upstream. */
   void CheckBound(double aPerSecond, Time aFrom, int aUpstreams = kLimited)
   {
@@ -154,45 +126,14 @@
     }
   }
 
+  const SteadyCallers& Callers() const { return *mCallers; }
   SoakSystem& Processes() { return mSystem; }
 
 private:
-  void Repeat(int aCaller)
-  {
-    constexpr Ms kAtOnce{ 600 };
-    std::mt19937_64 random(static_cast<std::uint64_t>(aCaller));
-    for (int sent = 0; mSending; ++sent) {
-      const int entry = 1 + static_cast<int>(random() % kMachines);
-      const Time at = Clock::now();
-      const auto answer = CallOnce(
-        mSystem.Where().Own(entry),
-        kCallerPort,
-        RequestText("GET",
-                    "/" + mService + "/x",
-                    "Peridotspool-Request-Id: r" + std::to_string(aCaller) +
-                      "-" + std::to_string(sent) +
-                      "\r\nPeridotspool-Deadline-Ms: 2000\r\n",
-                    ""),
-        kPatience);
-      if (!answer || answer->mStatus != 200) {
-        const std::lock_guard lock(mMutex);
-        mUnserved.push_back(at);
-        mRefusedLate +=
-          answer && answer->mStatus == 503 && Clock::now() - at > kAtOnce ? 1
-                                                                          : 0;
-      }
-      std::this_thread::sleep_for(kCallerPause);
-    }
-  }
-
   SoakSystem mSystem;
   const std::string mService;
   std::vector<std::unique_ptr<SoakUpstream>> mUpstreams;
-  std::mutex mMutex;
-  std::vector<Time> mUnserved;
-  std::size_t mRefusedLate = 0;
-  std::atomic<bool> mSending{ true };
-  std::vector<std::thread> mCallers;
+  std::unique_ptr<SteadyCallers> mCallers;
 };
 
 } // namespace
@@ -208,7 +149,7 @@
   std::this_thread::sleep_for(kGrace + Ms(9000));
   system.CheckBound(1.0, start);
   system.CheckUse(1.0, start);
-  CHECK(system.Unserved(start) == 0);
+  CHECK(system.Callers().Unserved(start) == 0);
   system.StateLimit("");
   std::this_thread::sleep_for(Ms(3000));
   const Time ended = Clock::now();
@@ -270,8 +211,8 @@
   std::this_thread::sleep_for(kGrace + Ms(8000));
   system.CheckBound(2.0, start, kUpstreams);
   system.CheckUse(2.0, start, kUpstreams);
-  CHECK(system.Unserved(start + kGrace) > 0);
-  CHECK(system.RefusedLate() == 0);
+  CHECK(system.Callers().Unserved(start + kGrace) > 0);
+  CHECK(system.Callers().RefusedLate() == 0);
   system.Processes().DropLogs();
 }
 
@@ -288,7 +229,7 @@
   for (int upstream = 0; upstream < kLimited; ++upstream) {
     CHECK(system.Runs(upstream, start) >= 10);
   }
-  CHECK(system.Unserved(start) == 0);
+  CHECK(system.Callers().Unserved(start) == 0);
   system.Processes().DropLogs();
 }
 
