--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -147,7 +147,6 @@
     .mTable = nullptr,
     .mPermitClient = limits::PermitClient(RandomNumber()),
     .mPermitAllocator = limits::PermitAllocator(RandomNumber()) });
-  mCore->mTenure.SetSelf(mSettings.mListen.mPeer);
   mFeed.emplace(*mCore);
   mGateway = std::make_unique<gateway::Gateway>(
     *mCore, gateway::GatewayOptions{ .mListen = *mSettings.mListen.mCallers });
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -34,6 +34,7 @@
 void
 GatewayRelay::StartSession()
 {
+  mCore->mTenure.SetSelf(mSettings.mListen.mPeer);
   mSession.emplace(membership::ControlSessionOptions{
     .mNonce = membership::EntryNonce(RandomNumber()),
     .mProfile = { .mName = mSettings.mName,
