Log what shows whether an entry reaches upstreams at all

The incident's logs named one upstream after the other that can't be reached, and nothing told whether any could be. RequestSent says whether the connection was open or is new; a failed connection says how long ago the last one was established and the last bytes came, and how many upstreams failed since; the outcomes of new connections are counted. Nothing is decided by it.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -126,7 +126,7 @@
 }
 
 void
-Exchange::LogSent(const UpstreamChoice& aChoice)
+Exchange::LogSent(const UpstreamChoice& aChoice, bool aOnOpenConnection)
 {
   const limits::KnownLimit* limit = mCore.mUpstreamLimits.Find(mUpstream);
   mCore.mLogger.Log(
@@ -155,6 +155,7 @@
         limit == nullptr ? Duration(-1000)
                          : Duration(mCore.mNow() - limit->mStatedAt) },
       { "permit", mSendPermit.has_value() },
+      { "connection", aOnOpenConnection ? "open" : "new" },
       { "runs", mRuns },
       { "refusals", mRefusals },
       { "prefix",
@@ -169,7 +170,6 @@
   RecordChoice(aChoice);
   mSent = mCore.mSelector.RecordSent(aChoice, now);
   ReportSent(aChoice);
-  LogSent(aChoice);
   std::string bytes = WriteUpstreamRequest(
     mRequest,
     mCore.mNames,
@@ -183,6 +183,7 @@
       .mFetchFrom = aChoice.mPrefixSource,
       .mLastEvent = mEvents.LastId() });
   mConnection = mCore.mPool.Acquire(mUpstream, now);
+  LogSent(aChoice, mConnection != nullptr);
   if (mConnection) {
     mConnection->Send(std::move(bytes), this);
     return;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -37,6 +37,7 @@
   /** Called when the caller has disconnected. */
   void Cancel();
 
+  void OnConnected() override;
   bool OnHead(ResponseHead aHead) override;
   void OnBody(std::string aBytes) override;
   void OnEnd() override;
@@ -71,7 +72,7 @@
   void RefuseAsLate(const UpstreamChoice& aChoice, Duration aRetryAfter);
   void SendTo(const UpstreamChoice& aChoice);
   void RecordChoice(const UpstreamChoice& aChoice);
-  void LogSent(const UpstreamChoice& aChoice);
+  void LogSent(const UpstreamChoice& aChoice, bool aOnOpenConnection);
   void ReportSent(const UpstreamChoice& aChoice);
   std::uint64_t EngineCacheTokens() const;
   void ReportPrefillDone();
@@ -98,6 +99,7 @@
                      observe::CounterId aRetry);
   void ApplyBackpressure();
   void RelayEvents(std::string_view aEvents);
+  void LogConnectionFailure(const ConnectionFailure& aFailure);
   void RecordConnectionLoss(const ConnectionFailure& aFailure);
   bool RequestPermit();
   void OnGateOutcome(std::uint64_t aTag, routing::GateOutcome aOutcome);
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -57,6 +57,13 @@
          !FieldOf(mHead.mFields, mCore.mNames.mNotRun).empty();
 }
 
+void
+Exchange::OnConnected()
+{
+  mCore.mUpstreamPath.RecordConnected(mCore.mNow());
+  mCore.mCounters.Add(CounterId::kUpstreamConnected);
+}
+
 // Upstreams echo the request's id, which identifies a late response on a
 // connection that already carries the next request. Without this check one
 // caller would get another caller's response.
@@ -74,6 +81,7 @@
     return false;
   }
   mHead = std::move(aHead);
+  mCore.mUpstreamPath.RecordReceived(mCore.mNow());
   RecordLoad();
   RecordStatedLimit();
   mIsStream = mRoute->mKind == RequestKind::kStreaming &&
@@ -107,6 +115,7 @@
     return;
   }
   const TimePoint now = mCore.mNow();
+  mCore.mUpstreamPath.RecordReceived(now);
   ReportPrefillDone();
   if (!mBegun) {
     mBegun = true;
@@ -230,6 +239,11 @@
 {
   const routing::UpstreamIncarnation life{ .mName = mUpstream,
                                            .mIncarnation = mSent.mIncarnation };
+  if (!aFailure.mMayHaveBeenSent) {
+    mCore.mUpstreamPath.RecordConnectFailed(mUpstream);
+    mCore.mCounters.Add(aFailure.mRefused ? CounterId::kUpstreamRefused
+                                          : CounterId::kUpstreamUnreachable);
+  }
   if (aFailure.mRefused) {
     mCore.OnConnectionRefused(life);
     return;
@@ -251,19 +265,32 @@
   }
 }
 
+void
+Exchange::LogConnectionFailure(const ConnectionFailure& aFailure)
+{
+  const routing::UpstreamPathFacts path =
+    mCore.mUpstreamPath.Facts(mCore.mNow());
+  constexpr Duration kNever = std::chrono::milliseconds(-1);
+  mCore.mLogger.Log(
+    EventId::kRequestRetried,
+    { { "request", mId },
+      { "content", ToText(mContent) },
+      { "upstream", mUpstream },
+      { "cause", aFailure.mReason },
+      { "may_have_run", aFailure.mMayHaveBeenSent },
+      { "reused", aFailure.mReused },
+      { "begun", mBegun },
+      { "last_connected_ms", path.mSinceConnected.value_or(kNever) },
+      { "last_received_ms", path.mSinceReceived.value_or(kNever) },
+      { "unreachable", path.mFailedUpstreams } });
+}
+
 void
 Exchange::OnConnectionFailed(const ConnectionFailure& aFailure)
 {
   RecordConnectionLoss(aFailure);
   EndAttempt(SendResult::kBroken);
-  mCore.mLogger.Log(EventId::kRequestRetried,
-                    { { "request", mId },
-                      { "content", ToText(mContent) },
-                      { "upstream", mUpstream },
-                      { "cause", aFailure.mReason },
-                      { "may_have_run", aFailure.mMayHaveBeenSent },
-                      { "reused", aFailure.mReused },
-                      { "begun", mBegun } });
+  LogConnectionFailure(aFailure);
   if (!aFailure.mMayHaveBeenSent) {
     ++mRefusals;
     ApplyNextStep(AfterNotExecuted(CurrentState()),
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -24,6 +24,7 @@
 #include "peridotspool/routing/CrashDetector.h"
 #include "peridotspool/routing/CrashReporter.h"
 #include "peridotspool/routing/QuarantineGate.h"
+#include "peridotspool/routing/UpstreamPathMonitor.h"
 
 #include <cstdint>
 #include <functional>
@@ -105,6 +106,7 @@
   /** Grants permits for the limited upstreams that this entry coordinates. */
   limits::PermitAllocator mPermitAllocator{ 0 };
   CoordinatorTenure mTenure;
+  routing::UpstreamPathMonitor mUpstreamPath;
   /** Exchanges that wait for a permit, by its tag. */
   std::unordered_map<std::uint64_t,
                      std::function<void(const limits::PermitDecision&)>>
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -88,6 +88,7 @@
     return;
   }
   SetSocketOptions(mSocket);
+  mListener->OnConnected();
   StartParser();
   WriteRequest();
   Read();
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -31,6 +31,8 @@
 {
 public:
   virtual ~UpstreamListener() = default;
+  /** A new connection has been established. */
+  virtual void OnConnected() = 0;
   /** Returns false iff the response belongs to another request and is to be
    * skipped. */
   virtual bool OnHead(ResponseHead aHead) = 0;
