Offer brittle upstreams no more than they have room for

Upstreams may state in their answers (Server-Brittle) that they fall over if they have to reject more than N requests in a second. Nobody read it: each entry offered a request to up to four full upstreams in turn.

An entry that knows of the statement, from its own answers or with the load that it asks for before each choice, sends to such an upstream only with a permit of the upstream's coordinator, which counts the requests of all entries there and the permits on their way, and grants none beyond nine tenths of the slots, nor for a while after a rejection. What finds no room is refused at once with a time to come back.

Tried first: to choose by the load that coordinators report, without permits.

--- a/include/peridotspool/gateway/HeaderNames.h
+++ b/include/peridotspool/gateway/HeaderNames.h
@@ -28,6 +28,9 @@
   /** In an upstream's response: the requests per second that it accepts from
    * all entries together, as long as responses state it. */
   std::string mRateLimit;
+  /** In an upstream's response: the rejections in a second that it survives, as
+   * long as it is brittle. */
+  std::string mBrittle;
   /** "PROMPT,ANSWER": prompt tokens and the maximum of generated tokens. */
   std::string mTokenCounts;
   /** Parts of the prompt in order, each as ID:TOKENS. */
--- a/include/peridotspool/gateway/LoadMessage.h
+++ b/include/peridotspool/gateway/LoadMessage.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/gateway/PromptPart.h"
+#include "peridotspool/limits/BrittleMessage.h"
 #include "peridotspool/limits/PermitMessage.h"
 
 #include <boost/describe/class.hpp>
@@ -53,10 +54,12 @@
   std::vector<UpstreamLoad> mLoads;
   /** The limits of those upstreams that have one. */
   std::vector<limits::LimitState> mLimits;
+  /** Those upstreams that are brittle. */
+  std::vector<limits::BrittleState> mBrittle;
 
   auto operator<=>(const LoadResponse&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadResponse, (), (mTag, mLoads, mLimits))
+BOOST_DESCRIBE_STRUCT(LoadResponse, (), (mTag, mLoads, mLimits, mBrittle))
 
 /** To a coordinator: a request was sent to this upstream. */
 struct SendStartedReport
@@ -104,11 +107,13 @@
   bool mPrefillDone = false;
   /** The upstream failed the request, or the connection broke. */
   bool mFailed = false;
+  /** The upstream rejected the request for want of room. */
+  bool mRejected = false;
 
   auto operator<=>(const SendEndedReport&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(SendEndedReport,
                       (),
-                      (mUpstream, mSendId, mPrefillDone, mFailed))
+                      (mUpstream, mSendId, mPrefillDone, mFailed, mRejected))
 
 } // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/PeerMessage.h
+++ b/include/peridotspool/gateway/PeerMessage.h
@@ -104,6 +104,7 @@
                                  limits::LimitReport,
                                  limits::SendPermitRequest,
                                  limits::SendPermitResponse,
-                                 limits::SendPermitReturn>;
+                                 limits::SendPermitReturn,
+                                 limits::BrittleState>;
 
 } // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/UpstreamSelector.h
+++ b/include/peridotspool/gateway/UpstreamSelector.h
@@ -112,6 +112,8 @@
    * free slot in its batch.
    */
   Duration mWait{ 0 };
+  /** The upstream is to get no more requests than it has slots. */
+  bool mBrittle = false;
   /** The part of mWait until a permit is expected; zero without a limit. */
   Duration mPermitWait{ 0 };
   /** Tokens that it is expected to prefill for this request. */
@@ -169,6 +171,14 @@
   void SetPermitTime(const UpstreamName& aName,
                      std::optional<TimePoint> aPermitAt);
 
+  /**
+   * Sets until when an upstream is brittle, and until when it gets nothing.
+   * While it is brittle it gets no more requests than it has slots.
+   */
+  void SetBrittle(const UpstreamName& aName,
+                  TimePoint aUntil,
+                  TimePoint aClosedUntil);
+
   /**
    * Returns the first few upstreams in the request's order, whose coordinators
    * are to be queried before the choice; empty if there are fewer than two
@@ -176,6 +186,9 @@
    */
   std::vector<ShortlistedUpstream> Shortlist(const SelectionQuery& aQuery,
                                              TimePoint aNow) const;
+  /** Returns true iff upstreams may be tried, but all of them are brittle and
+   * have no room. */
+  bool AreAllBrittleAndFull(const SelectionQuery& aQuery, TimePoint aNow) const;
   /** Returns empty iff no upstream may be tried. */
   std::optional<UpstreamChoice> Choose(const SelectionQuery& aQuery,
                                        TimePoint aNow) const;
@@ -222,6 +235,8 @@
   std::optional<Incarnation> IncarnationOf(const UpstreamName& aName) const;
   /** Returns the service of an upstream that accepts new work. */
   std::optional<ServiceName> ReadyService(const UpstreamName& aName) const;
+  /** Returns the number of requests that an upstream runs at once. */
+  std::uint32_t Slots(const UpstreamName& aName) const;
   /** Returns the address of an incarnation that accepts new work. */
   std::optional<Address> ReadyAddress(const UpstreamName& aName,
                                       Incarnation aIncarnation) const;
@@ -247,6 +262,9 @@
      * response.
      */
     std::uint32_t mFailurePercent = 0;
+    /** The upstream can't bear rejections until then. */
+    TimePoint mBrittleUntil;
+    TimePoint mClosedUntil;
     /** When the next permit is expected; set iff the upstream is limited. */
     std::optional<TimePoint> mPermitAt;
   };
@@ -261,6 +279,7 @@
   static bool AcceptsWork(const TrackedUpstream& aUpstream);
   static bool HasPrompt(const SelectionQuery& aQuery);
   double FullnessOf(const TrackedUpstream& aUpstream, TimePoint aNow) const;
+  bool IsBrittleAndFull(const TrackedUpstream& aUpstream, TimePoint aNow) const;
   static Duration PermitWait(const TrackedUpstream& aUpstream, TimePoint aNow);
   static double FailureFraction(const TrackedUpstream& aUpstream);
   bool Eject(TrackedUpstream& aUpstream, TimePoint aNow);
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -89,14 +89,24 @@
     }
     return;
   }
+  const bool isFull =
+    mCore.mSelector.AreAllBrittleAndFull(mSelectionQuery, now);
+  if (isFull && !mSelectionQuery.mUseLongShortlist) {
+    mSelectionQuery.mUseLongShortlist = true;
+    Dispatch();
+    return;
+  }
   const bool isLimited = mPermitRetryAfter.has_value();
-  if (mRuns == 0 && mRefusals == 0 && !isLimited && WaitForStartup()) {
+  if (mRuns == 0 && mRefusals == 0 && !isLimited && !isFull &&
+      WaitForStartup()) {
     return;
   }
   if (mBegun) {
     AbortResponse("no upstream left");
   } else if (mRuns > 0) {
     SendLocalResponse(kBadGateway, "no upstream left");
+  } else if (isFull) {
+    RefuseForBrittleUpstreams();
   } else if (isLimited) {
     RefuseForUpstreamLimit();
   } else {
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -81,6 +81,7 @@
   bool TellEnded(SendResult aResult);
   void RecordLoad();
   void RecordStatedLimit();
+  void RecordBrittleness();
   void LogInvalidLimit(const std::vector<std::string_view>& aValues);
   void ReportLimit(double aPerSecond);
   Duration MaxPermitWait(const UpstreamChoice& aChoice) const;
@@ -88,6 +89,9 @@
   void OnPermitDecision(const limits::PermitDecision& aDecision);
   void ChooseOther(const UpstreamName& aDenied, Duration aRetryAfter);
   void RefuseForUpstreamLimit();
+  void RefuseForBrittleUpstreams();
+  /** Returns one to two times the wait, in seconds. */
+  double SpreadRetryAfter(Duration aWait) const;
   void LogPermitDecision(const UpstreamChoice& aChoice,
                          const char* aOutcome,
                          Duration aRetryAfter);
--- a/src/gateway/ExchangeLimit.cpp
+++ b/src/gateway/ExchangeLimit.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t kMaxPermitDenials = 4;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
 constexpr std::uint64_t kSpreadSteps = 1024;
+/** A coordinator is told again that an upstream is brittle when what is known
+ * of it is this old. */
+constexpr Duration kBrittleReportAge = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -61,13 +64,35 @@
       ReportLimit(statement.mPerSecond);
       return;
     case RateStatement::Kind::kNone:
-      if (isGenuine && mSendPermit) {
+      if (isGenuine && mSendPermit && mSendPermit->mAllocatorId != 0) {
         ReportLimit(0.0);
       }
       return;
   }
 }
 
+void
+Exchange::RecordBrittleness()
+{
+  if (mHead.mStatus == kMisdirected) {
+    return;
+  }
+  const auto maxRejections =
+    limits::ParseMaxRejections(FieldsOf(mHead.mFields, mCore.mNames.mBrittle));
+  if (!maxRejections) {
+    return;
+  }
+  const limits::BrittleState state{ .mUpstream = mUpstream,
+                                    .mIncarnation = mSent.mIncarnation,
+                                    .mMaxRejections = *maxRejections };
+  const auto known = mCore.mBrittleUpstreams.StateOf(mUpstream, mCore.mNow());
+  const bool isStale =
+    !known || std::chrono::milliseconds(known->mAgeMs) >= kBrittleReportAge;
+  if ((mCore.ApplyBrittleState(state) || isStale) && mCoordinator) {
+    mCore.mSendToEntry(*mCoordinator, state);
+  }
+}
+
 void
 Exchange::LogInvalidLimit(const std::vector<std::string_view>& aValues)
 {
@@ -119,7 +144,13 @@
 Exchange::SendIfPermitted(const UpstreamChoice& aChoice)
 {
   const limits::KnownLimit* limit = mCore.mUpstreamLimits.Find(aChoice.mName);
-  if (limit == nullptr || limit->mIncarnation != aChoice.mIncarnation) {
+  const bool isLimited =
+    limit != nullptr && limit->mIncarnation == aChoice.mIncarnation;
+  const limits::KnownLimit unlimited{ .mIncarnation = aChoice.mIncarnation,
+                                      .mStatedAt = mCore.mNow() };
+  if (!isLimited && aChoice.mBrittle) {
+    limit = &unlimited;
+  } else if (!isLimited) {
     mSendPermit.reset();
     mPermitRequestedAt = TimePoint();
     SendTo(aChoice);
@@ -209,17 +240,36 @@
 }
 
 // Returns are spread over the expected wait, so that the refused requests don't
-// all ask for the next permit at the same time.
-void
-Exchange::RefuseForUpstreamLimit()
+// all come back at the same time.
+double
+Exchange::SpreadRetryAfter(Duration aWait) const
 {
   const double spread =
     1.0 + static_cast<double>(mSelectionQuery.mSeed % kSpreadSteps) /
             static_cast<double>(kSpreadSteps);
+  return spread * std::chrono::duration<double>(aWait).count();
+}
+
+void
+Exchange::RefuseForBrittleUpstreams()
+{
+  const double retryAfter = SpreadRetryAfter(kMinRetryAfter);
+  mCore.mCounters.Add(CounterId::kRefusedBrittle);
+  mCore.mLogger.Log(
+    EventId::kRequestRefused,
+    { { "request", mId },
+      { "reason", "brittle_upstreams" },
+      { "service", mService },
+      { "asked_ms", mCore.mNow() - mArrivedAt },
+      { "come_back_ms", static_cast<std::int64_t>(retryAfter * 1e3) } });
+  SendLocalResponse(kUnavailable, "upstreams are full", retryAfter);
+}
+
+void
+Exchange::RefuseForUpstreamLimit()
+{
   const double retryAfter =
-    spread *
-    std::chrono::duration<double>(std::max(kMinRetryAfter, *mPermitRetryAfter))
-      .count();
+    SpreadRetryAfter(std::max(kMinRetryAfter, *mPermitRetryAfter));
   mCore.mCounters.Add(CounterId::kRefusedUpstreamLimit);
   mCore.mLogger.Log(
     EventId::kRequestRefused,
--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -190,11 +190,13 @@
 Exchange::TellEnded(SendResult aResult)
 {
   if (const auto coordinator = std::exchange(mCoordinator, std::nullopt)) {
-    mCore.mSendToEntry(*coordinator,
-                       SendEndedReport{ .mUpstream = mUpstream,
-                                        .mSendId = mLoadSendId,
-                                        .mPrefillDone = !mSent.IsPrefilling(),
-                                        .mFailed = IsFailure(aResult) });
+    mCore.mSendToEntry(
+      *coordinator,
+      SendEndedReport{ .mUpstream = mUpstream,
+                       .mSendId = mLoadSendId,
+                       .mPrefillDone = !mSent.IsPrefilling(),
+                       .mFailed = IsFailure(aResult),
+                       .mRejected = aResult == SendResult::kFull });
   }
   return mCore.mSelector.RecordEnd(mSent, aResult, mCore.mNow());
 }
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -76,6 +76,7 @@
   mHead = std::move(aHead);
   RecordLoad();
   RecordStatedLimit();
+  RecordBrittleness();
   mIsStream = mRoute->mKind == RequestKind::kStreaming &&
               IsSuccess(mHead.mStatus) &&
               !FieldOf(mHead.mFields, mCore.mNames.mStamp).empty();
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -17,6 +17,7 @@
 #include "peridotspool/gateway/TunnelPeers.h"
 #include "peridotspool/gateway/UpstreamSelector.h"
 #include "peridotspool/gateway/UsageCounter.h"
+#include "peridotspool/limits/BrittleUpstreams.h"
 #include "peridotspool/limits/PermitAllocator.h"
 #include "peridotspool/limits/PermitClient.h"
 #include "peridotspool/limits/UpstreamLimits.h"
@@ -108,6 +109,11 @@
   /** Grants permits for the limited upstreams that this entry coordinates. */
   limits::PermitAllocator mPermitAllocator{ 0 };
   CoordinatorTenure mTenure;
+  /** Brittle upstreams as known to this entry. */
+  limits::BrittleUpstreams mBrittleUpstreams;
+  /** The same for the upstreams that this entry coordinates, with the
+   * rejections that all entries report. */
+  limits::BrittleUpstreams mCoordinatedBrittle;
   routing::UpstreamPathMonitor mUpstreamPath;
   /** Entries that can relay connections to upstreams. */
   std::shared_ptr<TunnelPeers> mTunnelPeers = std::make_shared<TunnelPeers>(0);
@@ -132,6 +138,9 @@
     for (const limits::LimitState& state : aTold.mLimits) {
       ApplyLimitState(state);
     }
+    for (const limits::BrittleState& state : aTold.mBrittle) {
+      ApplyBrittleState(state);
+    }
     for (const UpstreamLoad& line : aTold.mLoads) {
       mSelector.ApplyCoordinatorLoad(line, mNow());
       if (waiter != mLoadWaiters.end()) {
@@ -148,7 +157,10 @@
   /** Responds to a load query, as the coordinator of the upstreams. */
   void HandleLoadQuery(const Address& aFrom, const LoadQuery& aQuery);
   void HandleSendStarted(const SendStartedReport& aReport);
+  void HandleSendEnded(const SendEndedReport& aReport);
   void HandleLimitReport(const limits::LimitReport& aReport);
+  /** Handles an entry's report that an upstream has stated to be brittle. */
+  void HandleBrittleReport(const limits::BrittleState& aState);
   void HandleSendPermitRequest(const Address& aFrom,
                                const limits::SendPermitRequest& aRequest);
   void HandleSendPermitResponse(const Address& aFrom,
@@ -158,8 +170,14 @@
   /** Grants queued permits and decides overdue ones; called every 50 ms. */
   void TickPermits();
   void ApplyLimitState(const limits::LimitState& aState);
+  /** Applies that an upstream is brittle, as it or its coordinator states.
+   * Returns true iff that was not known. */
+  bool ApplyBrittleState(const limits::BrittleState& aState);
   /** Logs a limit that has changed, and updates what depends on it. */
   void OnLimitChanged(const UpstreamName& aUpstream, const char* aSource);
+  /** Decides on a send to a brittle upstream, as its coordinator. */
+  limits::SendPermitResponse PermitBrittle(
+    const limits::SendPermitRequest& aRequest);
   void SendPermits(const std::vector<limits::AddressedPermit>& aPermits);
   void DecidePermit(const limits::PermitDecision& aDecision);
   limits::PermitAllocator::CoordinationCheck MakeCoordinationCheck();
--- a/src/gateway/GatewayCoreLimits.cpp
+++ b/src/gateway/GatewayCoreLimits.cpp
@@ -6,6 +6,14 @@
 
 namespace peridotspool::gateway {
 
+namespace {
+
+/** A request that runs at a brittle upstream is likely to have ended by then.
+ */
+constexpr std::uint32_t kBrittleRetryMs = 100;
+
+} // namespace
+
 using limits::LimitChange;
 using observe::CounterId;
 using observe::EventId;
@@ -30,6 +38,9 @@
           mPermitAllocator.StateOf(load.mUpstream, isCoordinator, now)) {
       response.mLimits.push_back(std::move(*state));
     }
+    if (auto state = mCoordinatedBrittle.StateOf(load.mUpstream, now)) {
+      response.mBrittle.push_back(std::move(*state));
+    }
   }
   mSendToEntry(aFrom, std::move(response));
 }
@@ -38,11 +49,50 @@
 GatewayCore::HandleSendStarted(const SendStartedReport& aReport)
 {
   mCoordinator.Handle(aReport, mNow());
-  if (!aReport.mHasPermit) {
+  if (aReport.mHasPermit) {
+    mCoordinatedBrittle.EndGrant(aReport.mUpstream);
+  } else {
     mPermitAllocator.RecordUnpermitted(aReport.mUpstream, mNow());
   }
 }
 
+void
+GatewayCore::HandleSendEnded(const SendEndedReport& aReport)
+{
+  mCoordinator.Handle(aReport, mNow());
+  if (aReport.mRejected) {
+    mCoordinatedBrittle.RecordRejection(aReport.mUpstream, mNow());
+  }
+}
+
+void
+GatewayCore::HandleBrittleReport(const limits::BrittleState& aState)
+{
+  mCoordinatedBrittle.Apply(aState, mNow());
+}
+
+bool
+GatewayCore::ApplyBrittleState(const limits::BrittleState& aState)
+{
+  if (mSelector.IncarnationOf(aState.mUpstream) != aState.mIncarnation) {
+    return false;
+  }
+  const TimePoint now = mNow();
+  const bool isNew = mBrittleUpstreams.Apply(aState, now);
+  if (isNew) {
+    mLogger.Log(EventId::kUpstreamBrittle,
+                { { "upstream", aState.mUpstream },
+                  { "max_rejections", aState.mMaxRejections },
+                  { "age_ms", aState.mAgeMs } });
+  }
+  mCounters.Set(CounterId::kUpstreamsBrittle, mBrittleUpstreams.Count());
+  mSelector.SetBrittle(aState.mUpstream,
+                       now - std::chrono::milliseconds(aState.mAgeMs) +
+                         limits::kBrittleLifetime,
+                       now + std::chrono::milliseconds(aState.mClosedMs));
+  return isNew;
+}
+
 void
 GatewayCore::HandleLimitReport(const limits::LimitReport& aReport)
 {
@@ -61,6 +111,10 @@
                                      const limits::SendPermitRequest& aRequest)
 {
   const TimePoint now = mNow();
+  if (aRequest.mClaim.mPerSecond <= 0.0) {
+    mSendToEntry(aFrom, PermitBrittle(aRequest));
+    return;
+  }
   SendPermits(mPermitAllocator.HandleRequest(
     aFrom,
     aRequest,
@@ -68,6 +122,26 @@
     now));
 }
 
+limits::SendPermitResponse
+GatewayCore::PermitBrittle(const limits::SendPermitRequest& aRequest)
+{
+  const TimePoint now = mNow();
+  const bool granted =
+    mCoordinatedBrittle.TryGrant(aRequest.mUpstream,
+                                 aRequest.mIncarnation,
+                                 mCoordinator.Running(aRequest.mUpstream),
+                                 mSelector.Slots(aRequest.mUpstream),
+                                 now);
+  if (granted) {
+    mCounters.Add(CounterId::kPermitsIssued);
+  }
+  return { .mUpstream = aRequest.mUpstream,
+           .mTag = aRequest.mTag,
+           .mOutcome = granted ? limits::PermitOutcome::kGranted
+                               : limits::PermitOutcome::kDenied,
+           .mRetryAfterMs = granted ? 0 : kBrittleRetryMs };
+}
+
 void
 GatewayCore::SendPermits(const std::vector<limits::AddressedPermit>& aPermits)
 {
@@ -84,6 +158,7 @@
                                     const limits::SendPermitReturn& aReturn)
 {
   mPermitAllocator.HandleReturn(aFrom, aReturn, mNow());
+  mCoordinatedBrittle.EndGrant(aReturn.mUpstream);
 }
 
 void
@@ -126,6 +201,8 @@
     DecidePermit(decision);
   }
   mPermitAllocator.RemoveExpired(now);
+  mBrittleUpstreams.RemoveExpired(now);
+  mCoordinatedBrittle.RemoveExpired(now);
 }
 
 std::map<ServiceName, LimitedUpstreams>
--- a/src/gateway/UpstreamSelector.cpp
+++ b/src/gateway/UpstreamSelector.cpp
@@ -18,6 +18,11 @@
  * the prefill queue, as engines admit small prompts first.
  */
 constexpr std::uint64_t kMinQueueEvidenceTokens = 3000;
+/**
+ * Load at which a brittle upstream gets no more requests, as a part of its
+ * slots. Entries that choose at the same time don't know of each other's sends.
+ */
+constexpr double kBrittleFullness = 0.9;
 /** Divisor of the moving average: each new request contributes a tenth. */
 constexpr int kBatchTimeSamples = 10;
 
@@ -102,6 +107,28 @@
   }
 }
 
+void
+UpstreamSelector::SetBrittle(const UpstreamName& aName,
+                             TimePoint aUntil,
+                             TimePoint aClosedUntil)
+{
+  const auto found = mTrackedUpstreams.find(aName);
+  if (found != mTrackedUpstreams.end()) {
+    TrackedUpstream& upstream = found->second;
+    upstream.mBrittleUntil = std::max(upstream.mBrittleUntil, aUntil);
+    upstream.mClosedUntil = std::max(upstream.mClosedUntil, aClosedUntil);
+  }
+}
+
+bool
+UpstreamSelector::IsBrittleAndFull(const TrackedUpstream& aUpstream,
+                                   TimePoint aNow) const
+{
+  return aNow < aUpstream.mBrittleUntil &&
+         (aNow < aUpstream.mClosedUntil ||
+          FullnessOf(aUpstream, aNow) >= kBrittleFullness);
+}
+
 Duration
 UpstreamSelector::PermitWait(const TrackedUpstream& aUpstream, TimePoint aNow)
 {
@@ -397,6 +424,13 @@
            : std::nullopt;
 }
 
+std::uint32_t
+UpstreamSelector::Slots(const UpstreamName& aName) const
+{
+  const auto found = mTrackedUpstreams.find(aName);
+  return found == mTrackedUpstreams.end() ? 1 : found->second.mReport.mSlots;
+}
+
 std::optional<Address>
 UpstreamSelector::ReadyAddress(const UpstreamName& aName,
                                Incarnation aIncarnation) const
--- a/src/gateway/UpstreamSelectorChoice.cpp
+++ b/src/gateway/UpstreamSelectorChoice.cpp
@@ -376,10 +376,26 @@
   return best == nullptr ? std::nullopt : std::optional(best->mReport.mAddress);
 }
 
+bool
+UpstreamSelector::AreAllBrittleAndFull(const SelectionQuery& aQuery,
+                                       TimePoint aNow) const
+{
+  const auto candidates = Candidates(aQuery, aNow);
+  return !candidates.empty() &&
+         std::all_of(candidates.begin(),
+                     candidates.end(),
+                     [&](const TrackedUpstream* aOne) {
+                       return IsBrittleAndFull(*aOne, aNow);
+                     });
+}
+
 std::optional<UpstreamChoice>
 UpstreamSelector::Choose(const SelectionQuery& aQuery, TimePoint aNow) const
 {
-  const auto candidates = Candidates(aQuery, aNow);
+  auto candidates = Candidates(aQuery, aNow);
+  std::erase_if(candidates, [&](const TrackedUpstream* aOne) {
+    return IsBrittleAndFull(*aOne, aNow);
+  });
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -400,6 +416,7 @@
     .mVersion = upstream.mReport.mVersion,
     .mFullness = load.mFullness,
     .mWait = load.mWait,
+    .mBrittle = aNow < upstream.mBrittleUntil,
     .mPermitWait = PermitWait(upstream, aNow),
     .mPrefillTokens = prefillTokens,
     .mExpectedFirstEvent =
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -173,6 +173,9 @@
                          [&](const limits::SendPermitResponse& aResponse) {
                            mCore->HandleSendPermitResponse(aFrom, aResponse);
                          },
+                         [&](const limits::BrittleState& aState) {
+                           mCore->HandleBrittleReport(aState);
+                         },
                          [&](const limits::SendPermitReturn& aReturn) {
                            mCore->HandleSendPermitReturn(aFrom, aReturn);
                          },
@@ -180,7 +183,7 @@
                            mCore->mCoordinator.Handle(aOne, now);
                          },
                          [&](const gateway::SendEndedReport& aOne) {
-                           mCore->mCoordinator.Handle(aOne, now);
+                           mCore->HandleSendEnded(aOne);
                          }, // What else there is goes to the leader.
                          [](const auto& /*aOther*/) {} },
              aMessage);
--- a/src/runtime/PeerTally.cpp
+++ b/src/runtime/PeerTally.cpp
@@ -48,6 +48,7 @@
                 [&](const limits::SendPermitRequest&) { return shared; },
                 [&](const limits::SendPermitResponse&) { return shared; },
                 [&](const limits::SendPermitReturn&) { return shared; },
+                [&](const limits::BrittleState&) { return shared; },
                 [&](const auto&) { return load; } },
     aMessage);
 }
--- a/test/gateway/EntryGroup.cpp
+++ b/test/gateway/EntryGroup.cpp
@@ -86,35 +86,36 @@
 {
   GatewayCore& core = mEntries[aIndex]->Core();
   const TimePoint now = core.mNow();
-  std::visit(Overloaded{ [&](const LoadQuery& aQuery) {
-                          core.HandleLoadQuery(aFrom, aQuery);
-                        },
-                         [&](const LoadResponse& aResponse) {
-                           core.HandleLoadResponse(aResponse);
-                         },
-                         [&](const SendStartedReport& aReport) {
-                           core.HandleSendStarted(aReport);
-                         },
-                         [&](const PrefillDoneReport& aReport) {
-                           core.mCoordinator.Handle(aReport, now);
-                         },
-                         [&](const SendEndedReport& aReport) {
-                           core.mCoordinator.Handle(aReport, now);
-                         },
-                         [&](const limits::LimitReport& aReport) {
-                           core.HandleLimitReport(aReport);
-                         },
-                         [&](const limits::SendPermitRequest& aRequest) {
-                           core.HandleSendPermitRequest(aFrom, aRequest);
-                         },
-                         [&](const limits::SendPermitResponse& aResponse) {
-                           core.HandleSendPermitResponse(aFrom, aResponse);
-                         },
-                         [&](const limits::SendPermitReturn& aReturn) {
-                           core.HandleSendPermitReturn(aFrom, aReturn);
-                         },
-                         [](const auto&) {} },
-             aMessage);
+  std::visit(
+    Overloaded{
+      [&](const LoadQuery& aQuery) { core.HandleLoadQuery(aFrom, aQuery); },
+      [&](const LoadResponse& aResponse) {
+        core.HandleLoadResponse(aResponse);
+      },
+      [&](const SendStartedReport& aReport) {
+        core.HandleSendStarted(aReport);
+      },
+      [&](const PrefillDoneReport& aReport) {
+        core.mCoordinator.Handle(aReport, now);
+      },
+      [&](const SendEndedReport& aReport) { core.HandleSendEnded(aReport); },
+      [&](const limits::LimitReport& aReport) {
+        core.HandleLimitReport(aReport);
+      },
+      [&](const limits::SendPermitRequest& aRequest) {
+        core.HandleSendPermitRequest(aFrom, aRequest);
+      },
+      [&](const limits::SendPermitResponse& aResponse) {
+        core.HandleSendPermitResponse(aFrom, aResponse);
+      },
+      [&](const limits::BrittleState& aState) {
+        core.HandleBrittleReport(aState);
+      },
+      [&](const limits::SendPermitReturn& aReturn) {
+        core.HandleSendPermitReturn(aFrom, aReturn);
+      },
+      [](const auto&) {} },
+    aMessage);
 }
 
 // Stands in for the control leader, which confirms each entry's epoch.
--- a/test/gateway/TestNames.h
+++ b/test/gateway/TestNames.h
@@ -17,6 +17,7 @@
            .mStamp = "X-Stamp",
            .mLoad = "X-Load",
            .mRateLimit = "X-Rate-Limit",
+           .mBrittle = "X-Brittle",
            .mTokenCounts = "X-Tokens",
            .mPrefix = "X-Prefix",
            .mPriority = "X-Priority",
