Probe idle connections to upstreams, within TCP_USER_TIMEOUT

A connection that goes silent for good while it is idle was found only by the request that was lost on it. Keep-alive probes now close it first; TCP_USER_TIMEOUT decides when they have failed, so two of them fit into it.

--- a/src/gateway/SocketOptions.cpp
+++ b/src/gateway/SocketOptions.cpp
@@ -12,8 +12,18 @@
 /** A connection is closed if sent bytes stay unacknowledged for this long. */
 constexpr int kUnacknowledgedTimeoutMs = 4000;
 
+/** Several probes are sent within the time above, as one may be lost. */
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kBacklog = 1024;
 
+void
+SetTcpOption(http::Tcp::socket& aSocket, int aOption, int aValue)
+{
+  ::setsockopt(
+    aSocket.native_handle(), IPPROTO_TCP, aOption, &aValue, sizeof(aValue));
+}
+
 } // namespace
 
 void
@@ -21,12 +31,16 @@
 {
   http::ErrorCode ignored;
   aSocket.set_option(http::Tcp::no_delay(true), ignored);
-  const int value = kUnacknowledgedTimeoutMs;
-  ::setsockopt(aSocket.native_handle(),
-               IPPROTO_TCP,
-               TCP_USER_TIMEOUT,
-               &value,
-               sizeof(value));
+  SetTcpOption(aSocket, TCP_USER_TIMEOUT, kUnacknowledgedTimeoutMs);
+}
+
+void
+SetKeepAlive(http::Tcp::socket& aSocket)
+{
+  http::ErrorCode ignored;
+  aSocket.set_option(http::net::socket_base::keep_alive(true), ignored);
+  SetTcpOption(aSocket, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetTcpOption(aSocket, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
 }
 
 void
--- a/src/gateway/SocketOptions.h
+++ b/src/gateway/SocketOptions.h
@@ -16,6 +16,14 @@
 void
 SetSocketOptions(http::Tcp::socket& aSocket);
 
+/**
+ * Sends keep-alive probes while the connection is idle, so that one whose peer
+ * is gone is closed before it is used again. TCP_USER_TIMEOUT, set as above,
+ * decides when the probes have failed, whatever their number.
+ */
+void
+SetKeepAlive(http::Tcp::socket& aSocket);
+
 /**
  * Connects a socket that isn't open yet. Calls back on the socket's executor,
  * also if an address can't be used.
--- a/src/gateway/Tunnel.cpp
+++ b/src/gateway/Tunnel.cpp
@@ -35,6 +35,7 @@
 Tunnel::Run()
 {
   SetSocketOptions(mPeer);
+  SetKeepAlive(mPeer);
   mTimer.expires_after(kRequestTimeout);
   mTimer.async_wait([self = shared_from_this()](http::ErrorCode aError) {
     if (!aError) {
@@ -97,6 +98,7 @@
   mTimer.cancel();
   mOwner.OnConnected(mTarget);
   SetSocketOptions(mUpstream);
+  SetKeepAlive(mUpstream);
   Open();
 }
 
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -74,6 +74,7 @@
   mSocket = std::move(aResult.mSocket);
   mTunnel = std::move(aResult.mTunnel);
   SetSocketOptions(mSocket);
+  SetKeepAlive(mSocket);
   StartParser();
   WriteRequest();
   Read();
