Let a partitioned entry wait for tunnels that are being opened

While no open connection received anything, each tick of 50 ms moved requests off connections whose path is lost, and took one whose tunnel was still being opened for such: with entries further apart than a tick, or slow to answer, no tunnel would ever be used. Found by reading the change; ATunnelThatIsOpenedSlowlyIsUsed was answered 503 before. A connection counts from when it is established now.

--- a/include/peridotspool/routing/UpstreamPathMonitor.h
+++ b/include/peridotspool/routing/UpstreamPathMonitor.h
@@ -99,9 +99,9 @@
     return mPath == UpstreamPath::kPartitioned ||
            mFailed.size() >= mOptions.mMinUnreachable;
   }
-  /** Returns true iff a connection that last received bytes then still works.
-   */
-  bool IsTrusted(const std::optional<TimePoint>& aReceivedAt) const;
+  /** Returns true iff a connection that was established or last received bytes
+   * then can be expected to work. */
+  bool IsTrusted(const std::optional<TimePoint>& aActiveAt) const;
   /** Returns true iff there is a partition, and the connections that were
    * established before it carry nothing either. */
   bool AreOpenConnectionsSilent(TimePoint aNow) const;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -65,7 +65,8 @@
 bool
 Exchange::IsPathLost() const
 {
-  return mConnection && !mCore.IsUsable(*mConnection);
+  return mConnection && mConnection->ActiveAt() &&
+         !mCore.IsUsable(*mConnection);
 }
 
 // A request that may not run again keeps its connection: its response comes if
--- a/src/gateway/GatewayCorePath.cpp
+++ b/src/gateway/GatewayCorePath.cpp
@@ -53,7 +53,7 @@
 GatewayCore::IsUsable(const UpstreamConnection& aConnection) const
 {
   return aConnection.RelayingPeer() != nullptr ||
-         mUpstreamPath.IsTrusted(aConnection.ReceivedAt());
+         mUpstreamPath.IsTrusted(aConnection.ActiveAt());
 }
 
 // An entry that leaves closes its idle tunnels after a while. A request that
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -73,6 +73,7 @@
   }
   mSocket = std::move(aResult.mSocket);
   mTunnel = std::move(aResult.mTunnel);
+  mActiveAt = mDialer.Now();
   SetSocketOptions(mSocket);
   SetKeepAlive(mSocket);
   StartParser();
@@ -158,9 +159,9 @@
     return;
   }
   mBuffer.commit(aBytes);
-  mReceivedAt = mDialer.Now();
+  mActiveAt = mDialer.Now();
   if (!mTunnel) {
-    mDialer.Path().RecordReceived(mId, *mReceivedAt);
+    mDialer.Path().RecordReceived(mId, *mActiveAt);
   }
   if (mListener == nullptr) {
     // Unsolicited bytes could be taken for the response to the next request.
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -82,8 +82,9 @@
   {
     return mTunnel ? &mTunnel->Peer() : nullptr;
   }
-  /** When the connection last received bytes; empty if it never has. */
-  std::optional<TimePoint> ReceivedAt() const { return mReceivedAt; }
+  /** When the connection was established, or last received bytes; empty before
+   * it is established. */
+  std::optional<TimePoint> ActiveAt() const { return mActiveAt; }
   /** The idle time-out that the upstream announced in Keep-Alive; empty if it
    * announced none. */
   std::optional<Duration> AdvertisedIdleTimeout() const
@@ -113,7 +114,7 @@
   http::Tcp::socket mSocket;
   std::shared_ptr<PendingDial> mDial;
   std::shared_ptr<TunnelLease> mTunnel;
-  std::optional<TimePoint> mReceivedAt;
+  std::optional<TimePoint> mActiveAt;
   UpstreamName mName;
   UpstreamListener* mListener = nullptr;
   http::beast::flat_buffer mBuffer;
--- a/src/routing/UpstreamPathMonitor.cpp
+++ b/src/routing/UpstreamPathMonitor.cpp
@@ -126,11 +126,10 @@
 }
 
 bool
-UpstreamPathMonitor::IsTrusted(
-  const std::optional<TimePoint>& aReceivedAt) const
+UpstreamPathMonitor::IsTrusted(const std::optional<TimePoint>& aActiveAt) const
 {
   return mPath == UpstreamPath::kDirect ||
-         (aReceivedAt && *aReceivedAt > mPartitionedAt);
+         (aActiveAt && *aActiveAt > mPartitionedAt);
 }
 
 bool
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -149,6 +149,12 @@
     .mPermitClient = limits::PermitClient(RandomNumber()),
     .mPermitAllocator = limits::PermitAllocator(RandomNumber()),
     .mTunnelPeers = std::make_shared<gateway::TunnelPeers>(RandomNumber()) });
+  MakeServers();
+}
+
+void
+GatewayRelay::MakeServers()
+{
   mCore->mDialer.SetOnPathChanged([this] { mCore->OnUpstreamPathChanged(); });
   if (mSettings.mListen.mPeerBind) {
     mCore->mDialer.SetSourceHost(mSettings.mListen.mPeerBind->mHost);
--- a/src/runtime/GatewayRelay.h
+++ b/src/runtime/GatewayRelay.h
@@ -37,6 +37,7 @@
 
 private:
   void MakeParts();
+  void MakeServers();
   http::HttpResponse OnReadyRequest(const http::HttpRequest& aRequest);
   void StartSession();
   void OnFrame(const std::string& aFrame);
@@ -81,11 +82,11 @@
   std::optional<membership::ControlSession> mSession;
   std::optional<UpstreamFeed> mFeed;
   std::atomic<bool> mReady{ false };
+  unsigned mReports = 0;
   std::atomic<std::size_t> mFrames{ 0 };
   TimePoint mPulledAt;
   TimePoint mPulledAllAt;
   TimePoint mReportedAt;
-  unsigned mReports = 0;
   /** The control leader, as it said itself, and when it last did. */
   std::optional<Address> mLeader;
   TimePoint mLeaderHeardAt;
--- a/test/gateway/PartitionedEntryTest.cpp
+++ b/test/gateway/PartitionedEntryTest.cpp
@@ -264,4 +264,43 @@
   CheckPartition(LinkState::kRefuseNew);
 }
 
+// Guards against a partitioned entry that gives up tunnels while they are being
+// opened.
+TEST_CASE("ATunnelThatIsOpenedSlowlyIsUsed")
+{
+  constexpr milliseconds kOpening{ 80 };
+  ScriptedUpstream slow([&](const std::string& aRequest) {
+    if (!aRequest.starts_with("CONNECT")) {
+      return Script{ .mAnswer = WholeAnswer("whole") };
+    }
+    std::this_thread::sleep_for(kOpening);
+    return Script{ .mAnswer = "HTTP/1.1 200 Tunnel\r\n\r\n" };
+  });
+  GatewayFixture entry;
+  entry.Add("u", { "127.0.0.1", 1 });
+  Address peer = slow.Where();
+  ++peer.mPort;
+  entry.OnRelay([&] {
+    GatewayCore& core = entry.Core();
+    core.SetTunnelPeers({ { .mAddress = peer, .mDomain = {} } }, {});
+    core.mUpstreamPath.RecordUnreachable(UpstreamName("x"), core.mNow());
+    core.mUpstreamPath.RecordUnreachable(UpstreamName("y"), core.mNow());
+  });
+  std::this_thread::sleep_for(milliseconds(500));
+  std::atomic<bool> done{ false };
+  std::thread ticking([&] {
+    while (!done) {
+      entry.OnRelay([&] { entry.TickUpstreamPath(); });
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+  });
+  Caller caller(entry.Where());
+  caller.Send(RequestText("safe", "1"));
+  CHECK(StatusOf(caller.ReadAnswer()) == "HTTP/1.1 200");
+  done = true;
+  ticking.join();
+  INFO("expected one request for a tunnel, and one through it");
+  CHECK(slow.Requests().size() == 2);
+}
+
 } // namespace peridotspool::gateway
