Let replicas without an identity find the group by its messages

Cause: the seeds had been exchanged for replicas without a disk. After the restart these knew nobody and asked each other, and so did all entries, while three replicas with disks had elected a leader within 0.65 s. The leader kept sending to their old identities, and that was dropped.

A replica without an identity now asks the senders of such messages too. ReplicasWithoutADiskRejoinThoughSeedsNameOnlyThemselves failed before (10 s), and is kept; all of test/control is (70 cases).

--- a/src/control/ControlJoin.cpp
+++ b/src/control/ControlJoin.cpp
@@ -82,6 +82,20 @@
   }
 }
 
+// The configured seeds may all be replicas without an identity themselves, such
+// as ones without a disk after a restart. A message for an earlier identity of
+// this address shows where the group is.
+void
+ControlNodeState::RecordReplicaAddress(const Address& aAddress)
+{
+  constexpr std::size_t kMaxSeeds = 16;
+  const bool isKnown =
+    std::find(mSeeds.begin(), mSeeds.end(), aAddress) != mSeeds.end();
+  if (!isKnown && aAddress != mOptions.mAddress && mSeeds.size() < kMaxSeeds) {
+    mSeeds.push_back(aAddress);
+  }
+}
+
 void
 ControlNodeState::HandleJoinReply(SystemId aSystem, const JoinReply& aReply)
 {
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -88,7 +88,11 @@
   }
   // A message of another system, or for an identity whose disk was lost, must
   // not count for this replica: it never made the promises of that identity.
-  if (!mConsensus || envelope.mSystem != mIdentity->mSystem ||
+  if (!mConsensus) {
+    RecordReplicaAddress(envelope.mReplyTo);
+    return;
+  }
+  if (envelope.mSystem != mIdentity->mSystem ||
       envelope.mTo != mIdentity->mReplica) {
     return;
   }
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -89,6 +89,7 @@
 
   // ControlJoin.cpp: replicas without an identity, and the replica set
   void RecordReplacedReplica(const JoinRequest& aRequest);
+  void RecordReplicaAddress(const Address& aAddress);
   void HandleJoinRequest(const Address& aReplyTo, const JoinRequest& aRequest);
   void HandleJoinReply(SystemId aSystem, const JoinReply& aReply);
   void RequestIdentity();
--- a/test/control/SeededGroupTest.cpp
+++ b/test/control/SeededGroupTest.cpp
@@ -3,7 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace peridotspool::control {
 
@@ -196,6 +199,43 @@
   }));
 }
 
+// Guards against an outage after all processes were killed, where all named
+// seeds are replicas without a disk, which know nobody after a restart.
+TEST_CASE("ReplicasWithoutADiskRejoinThoughSeedsNameOnlyThemselves")
+{
+  const std::set<std::string> diskless{ "control-4", "control-5", "control-6" };
+  ControlCluster cluster(11);
+  cluster.mTune = [&](ControlOptions& aOptions) {
+    aOptions.mVolatile = diskless.contains(aOptions.mAddress.mHost);
+  };
+  cluster.StartSeeded(6, 3);
+  REQUIRE(
+    cluster.RunUntil([&] { return ReplicaCount(cluster) == 6; }, kSettled));
+  REQUIRE(Send(cluster, 5) == 5);
+  std::vector<Address> seeds;
+  for (const std::string& name : diskless) {
+    seeds.push_back(cluster.Process(name).mAddress);
+  }
+  for (const auto& [name, process] : cluster.Processes()) {
+    cluster.Crash(name);
+  }
+  for (const std::string& name : diskless) {
+    cluster.LoseDisk(name);
+    cluster.Process(name).mOptions.mSeeds = seeds;
+  }
+  for (const auto& [name, process] : cluster.Processes()) {
+    cluster.Restart(name);
+  }
+  CHECK(cluster.RunUntil(
+    [&] {
+      return std::all_of(
+        diskless.begin(), diskless.end(), [&](const std::string& aName) {
+          return cluster.Process(aName).mNode->State().mSettings.mDocument == 5;
+        });
+    },
+    std::chrono::seconds(10)));
+}
+
 TEST_CASE("OrdinaryRestartReplacesNoVoter")
 {
   ControlCluster cluster(3);
--- a/test/soak/SoakProxy.cpp
+++ b/test/soak/SoakProxy.cpp
@@ -155,7 +155,8 @@
 SoakProxy::Start()
 {
   for (int machine = 1; machine <= kMachines; ++machine) {
-    for (const std::uint16_t port : { kPeerPort, kTunnelPort, kEntryPeerPort }) {
+    for (const std::uint16_t port :
+         { kPeerPort, kTunnelPort, kEntryPeerPort }) {
       const auto address = [&](const std::string& aHost) {
         return Tcp::endpoint(asio::ip::make_address(aHost), port);
       };
