Accept callers and tunnels by one class

Gateway and TunnelServer had the same loop that listens, accepts and pauses when descriptors run out. No change of behaviour.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,10 +1,7 @@
 #include "gateway/Gateway.h"
 
-#include "gateway/SocketOptions.h"
-
-#include <boost/asio/ip/address.hpp>
-
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace peridotspool::gateway {
@@ -14,62 +11,33 @@
 namespace net = http::net;
 
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
-constexpr std::chrono::milliseconds kAcceptBackoff{ 20 };
 
 } // namespace
 
 Gateway::Gateway(GatewayCore& aCore, GatewayOptions aOptions)
   : mCore(aCore)
   , mOptions(std::move(aOptions))
-  , mAcceptor(aCore.mIo)
-  , mAcceptTimer(aCore.mIo)
+  , mAcceptor(aCore.mIo, [this](http::Tcp::socket aSocket) {
+    OnConnection(std::move(aSocket));
+  })
 {
 }
 
 bool
 Gateway::Start(LastReason& aReason)
 {
-  http::ErrorCode error;
-  const auto host = net::ip::make_address(mOptions.mListen.mHost, error);
-  const http::Tcp::endpoint endpoint(host, mOptions.mListen.mPort);
-  if (!error) {
-    error = ListenAt(mAcceptor, endpoint);
-  }
-  if (error) {
-    aReason.Set("cannot listen on " + ToText(mOptions.mListen) + ": " +
-                error.message());
-    return false;
-  }
-  Accept();
-  return true;
+  return mAcceptor.Start(mOptions.mListen, aReason);
 }
 
 void
-Gateway::Accept()
+Gateway::OnConnection(http::Tcp::socket aSocket)
 {
-  mAcceptor.async_accept(
-    [this](http::ErrorCode aError, http::Tcp::socket aSocket) {
-      if (!mAcceptor.is_open()) {
-        return;
-      }
-      if (aError) {
-        // Probably out of descriptors; accepting again at once would busy-loop.
-        mAcceptTimer.expires_after(kAcceptBackoff);
-        mAcceptTimer.async_wait([this](http::ErrorCode aCancelled) {
-          if (!aCancelled) {
-            Accept();
-          }
-        });
-        return;
-      }
-      if (mConnections.size() < mOptions.mMaxConnections) {
-        auto connection =
-          std::make_shared<CallerConnection>(std::move(aSocket), *this);
-        mConnections.emplace(connection.get(), connection);
-        connection->Run();
-      }
-      Accept();
-    });
+  if (mConnections.size() < mOptions.mMaxConnections) {
+    auto connection =
+      std::make_shared<CallerConnection>(std::move(aSocket), *this);
+    mConnections.emplace(connection.get(), connection);
+    connection->Run();
+  }
 }
 
 void
@@ -178,8 +146,7 @@
 void
 Gateway::StopAccepting()
 {
-  http::ErrorCode ignored;
-  mAcceptor.close(ignored);
+  mAcceptor.Close();
 }
 
 void
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/CallerConnection.h"
+#include "gateway/ConnectionAcceptor.h"
 #include "gateway/Exchange.h"
 #include "gateway/GatewayCore.h"
 
@@ -52,12 +53,11 @@
   TimePoint Now() const override { return mCore.mNow(); }
 
 private:
-  void Accept();
+  void OnConnection(http::Tcp::socket aSocket);
 
   GatewayCore& mCore;
   GatewayOptions mOptions;
-  http::Tcp::acceptor mAcceptor;
-  http::net::steady_timer mAcceptTimer;
+  ConnectionAcceptor mAcceptor;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
     mConnections;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> mExchanges;
--- a/src/gateway/TunnelServer.cpp
+++ b/src/gateway/TunnelServer.cpp
@@ -1,19 +1,13 @@
 #include "gateway/TunnelServer.h"
 
-#include "gateway/SocketOptions.h"
-
-#include <boost/asio/ip/address.hpp>
-
 #include <utility>
 
 namespace peridotspool::gateway {
 
 namespace {
 
-namespace net = http::net;
 using observe::CounterId;
 
-constexpr std::chrono::milliseconds kAcceptBackoff{ 20 };
 /** Longer than idle connections to upstreams are kept. */
 constexpr Duration kMaxIdle = std::chrono::seconds(30);
 /** A tunnel that carries a request is not idle for longer than this. */
@@ -24,59 +18,25 @@
 TunnelServer::TunnelServer(GatewayCore& aCore, TunnelServerOptions aOptions)
   : mCore(aCore)
   , mOptions(std::move(aOptions))
-  , mAcceptor(aCore.mIo)
-  , mAcceptTimer(aCore.mIo)
+  , mAcceptor(aCore.mIo, [this](http::Tcp::socket aSocket) {
+    OnConnection(std::move(aSocket));
+  })
 {
 }
 
 bool
 TunnelServer::Start(LastReason& aReason)
 {
-  http::ErrorCode error;
-  const auto host = net::ip::make_address(mOptions.mListen.mHost, error);
-  const http::Tcp::endpoint endpoint(host, mOptions.mListen.mPort);
-  if (!error) {
-    error = ListenAt(mAcceptor, endpoint);
-  }
-  if (error) {
-    aReason.Set("cannot listen for tunnels on " + ToText(mOptions.mListen) +
-                ": " + error.message());
-    return false;
-  }
-  Accept();
-  return true;
-}
-
-Address
-TunnelServer::Listening() const
-{
-  return { mOptions.mListen.mHost, mAcceptor.local_endpoint().port() };
+  return mAcceptor.Start(mOptions.mListen, aReason);
 }
 
 void
-TunnelServer::Accept()
+TunnelServer::OnConnection(http::Tcp::socket aSocket)
 {
-  mAcceptor.async_accept(
-    [this](http::ErrorCode aError, http::Tcp::socket aSocket) {
-      if (!mAcceptor.is_open()) {
-        return;
-      }
-      if (aError) {
-        // Probably out of descriptors; accepting again at once would busy-loop.
-        mAcceptTimer.expires_after(kAcceptBackoff);
-        mAcceptTimer.async_wait([this](http::ErrorCode aCancelled) {
-          if (!aCancelled) {
-            Accept();
-          }
-        });
-        return;
-      }
-      if (mTunnels.size() < mOptions.mMaxTunnels) {
-        mTunnels.push_back(std::make_shared<Tunnel>(std::move(aSocket), *this));
-        mTunnels.back()->Run();
-      }
-      Accept();
-    });
+  if (mTunnels.size() < mOptions.mMaxTunnels) {
+    mTunnels.push_back(std::make_shared<Tunnel>(std::move(aSocket), *this));
+    mTunnels.back()->Run();
+  }
 }
 
 TunnelDecision
--- a/src/gateway/TunnelServer.h
+++ b/src/gateway/TunnelServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/ConnectionAcceptor.h"
 #include "gateway/GatewayCore.h"
 #include "gateway/Tunnel.h"
 #include "peridotspool/base/LastReason.h"
@@ -32,7 +33,7 @@
   void Sweep(TimePoint aNow);
   /** Returns true iff no tunnel is in use. */
   bool IsQuiet() const { return mTunnels.empty(); }
-  Address Listening() const;
+  Address Listening() const { return mAcceptor.Listening(); }
 
   TunnelDecision Decide(const DialTarget& aTarget) override;
   void OnConnected(const DialTarget& aTarget) override;
@@ -42,12 +43,11 @@
   TimePoint Now() const override { return mCore.mNow(); }
 
 private:
-  void Accept();
+  void OnConnection(http::Tcp::socket aSocket);
 
   GatewayCore& mCore;
   TunnelServerOptions mOptions;
-  http::Tcp::acceptor mAcceptor;
-  http::net::steady_timer mAcceptTimer;
+  ConnectionAcceptor mAcceptor;
   std::list<std::shared_ptr<Tunnel>> mTunnels;
 };
 
