--- a/include/peridotspool/gateway/RequestHead.h
+++ b/include/peridotspool/gateway/RequestHead.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peridotspool/gateway/BodyFraming.h"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -47,6 +49,7 @@
   unsigned mStatus = 0;
   std::string mReason;
   FieldList mFields;
+  BodyFraming mFraming = BodyFraming::kLength;
 };
 
 } // namespace peridotspool::gateway
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -105,6 +105,8 @@
                      observe::CounterId aRetry);
   void ApplyBackpressure();
   void RelayEvents(std::string_view aEvents);
+  /** How the current upstream's response is framed; for the log. */
+  const char* FramingText() const;
   void LogConnectionFailure(const ConnectionFailure& aFailure);
   void RecordConnectionLoss(const ConnectionFailure& aFailure);
   bool RequestPermit();
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -192,6 +192,8 @@
       { "runs", mRuns },
       { "refusals", mRefusals },
       { "begun", mBegun },
+      { "framing", FramingText() },
+      { "unfinished_bytes", mEvents.Incomplete().size() },
       { "first_ms",
         mBegun ? Duration(mFirstEventAt - mArrivedAt) : Duration(0) },
       { "worst_gap_ms", mMaxGap },
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -3,6 +3,8 @@
 #include "gateway/Exchange.h"
 #include "gateway/IncarnationProbe.h"
 
+#include <boost/describe/enum_to_string.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -255,6 +257,14 @@
   }
 }
 
+const char*
+Exchange::FramingText() const
+{
+  return mHead.mStatus == 0
+           ? "none"
+           : boost::describe::enum_to_string(mHead.mFraming, "");
+}
+
 void
 Exchange::LogConnectionFailure(const ConnectionFailure& aFailure)
 {
@@ -270,6 +280,8 @@
       { "may_have_run", aFailure.mMayHaveBeenSent },
       { "reused", aFailure.mReused },
       { "begun", mBegun },
+      { "framing", FramingText() },
+      { "unfinished_bytes", mEvents.Incomplete().size() },
       { "last_connected_ms", path.mSinceConnected.value_or(kNever) },
       { "last_received_ms", path.mSinceReceived.value_or(kNever) },
       { "unreachable", path.mFailedUpstreams } });
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -38,6 +38,16 @@
   return std::chrono::seconds(*seconds);
 }
 
+template<typename Parser>
+BodyFraming
+FramingOf(const Parser& aParser)
+{
+  if (aParser.chunked()) {
+    return BodyFraming::kChunked;
+  }
+  return aParser.need_eof() ? BodyFraming::kConnection : BodyFraming::kLength;
+}
+
 } // namespace
 
 UpstreamConnection::UpstreamConnection(UpstreamDialer& aDialer,
@@ -235,7 +245,8 @@
   }
   ResponseHead head{ .mStatus = message.result_int(),
                      .mReason = std::string(message.reason()),
-                     .mFields = {} };
+                     .mFields = {},
+                     .mFraming = FramingOf(*mParser) };
   for (const auto& field : message) {
     head.mFields.emplace_back(field.name_string(), field.value());
   }
