End streams that close inside an event as broken off

Cause: an answer with neither a length nor chunks ends with its connection, and an entry took every close in order for the end of the answer. An upstream that breaks off, or crashes, closes its connection in the same way. The entry then sent the rest of the unfinished event and the last chunk: it framed as complete what was not, where its upstream had claimed nothing. The class: the end of input is taken for the end of the message.

Change: StreamEnd judges the end by framing, events and whether the stream is inside one. EventSplitter tells that for all line ends, with linear work; it took CRLF after LF, or CR alone, for no end at all. A broken-off stream takes the path of a reset connection: resumed where that is allowed, otherwise ended without the last chunk. An answer of another type on a route of streams is a whole answer. An event over 8 MiB ends its response; it had no bound.

Usage is counted from the first byte of the body instead of the first whole event, as the run has begun by then.

One expectation of the new test was wrong: a stream that was reset after its last event, and resumed by a response that has no event and only a close, was to be complete. Nothing tells it from a crash before the first event, so it is to be incomplete with all events, now checked. ExchangeLoadTest's upstreams answered streams with bytes that were no event; they send an event now, its checks are the same.

--- a/src/gateway/EventSplitter.cpp
+++ b/src/gateway/EventSplitter.cpp
@@ -1,18 +1,36 @@
 #include "gateway/EventSplitter.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace peridotspool::gateway {
 
 namespace {
 
-/** Returns the end of the last complete event, or 0 if there is none. */
-std::size_t
-EndOfEvents(std::string_view aText)
+constexpr std::string_view kLineEnds = "\r\n";
+constexpr std::string_view kIdField = "id:";
+
+bool
+EndsLine(char aByte)
+{
+  return aByte == '\n' || aByte == '\r';
+}
+
+/** Removes the first line and its end from the text and returns it. */
+std::string_view
+TakeLine(std::string_view& aText)
 {
-  const std::size_t plain = aText.rfind("\n\n");
-  const std::size_t dos = aText.rfind("\r\n\r\n");
-  const std::size_t plainEnd = plain == std::string_view::npos ? 0 : plain + 2;
-  const std::size_t dosEnd = dos == std::string_view::npos ? 0 : dos + 4;
-  return plainEnd > dosEnd ? plainEnd : dosEnd;
+  const std::size_t end =
+    std::min(aText.find_first_of(kLineEnds), aText.size());
+  const std::string_view line = aText.substr(0, end);
+  aText.remove_prefix(std::min(end + 1, aText.size()));
+  return line;
+}
+
+bool
+IsComment(std::string_view aLine)
+{
+  return aLine.starts_with(':');
 }
 
 } // namespace
@@ -20,31 +38,82 @@
 std::string
 EventSplitter::Append(std::string_view aBytes)
 {
-  mIncomplete.append(aBytes);
-  const std::size_t end = EndOfEvents(mIncomplete);
+  std::size_t end = 0;
+  for (const char byte : aBytes) {
+    end = AppendByte(byte, end);
+  }
   std::string whole = mIncomplete.substr(0, end);
   mIncomplete.erase(0, end);
-  RecordIds(whole);
+  RecordEvents(whole);
   return whole;
 }
 
+// A line ends with a line feed, a carriage return, or both. A carriage return
+// that ends an empty line may be half of such a pair. It completes the event at
+// once only if the line before ended with a carriage return alone.
+std::size_t
+EventSplitter::AppendByte(char aByte, std::size_t aEndOfEvents)
+{
+  const char last = std::exchange(mLastByte, aByte);
+  const bool afterCarriageReturn = last == '\r';
+  mIncomplete += aByte;
+  if (aByte == '\n' && afterCarriageReturn) {
+    return mWasBlankLine ? mIncomplete.size() : aEndOfEvents;
+  }
+  const bool wasBlankLine = mWasBlankLine;
+  if (EndsLine(aByte)) {
+    mWasBlankLine = std::exchange(mLineIsEmpty, true);
+    if (mWasBlankLine && (aByte == '\n' || afterCarriageReturn)) {
+      return mIncomplete.size();
+    }
+    return aEndOfEvents;
+  }
+  mLineIsEmpty = false;
+  return afterCarriageReturn && wasBlankLine ? mIncomplete.size() - 1
+                                             : aEndOfEvents;
+}
+
 void
-EventSplitter::RecordIds(std::string_view aEvents)
+EventSplitter::StartResponse()
+{
+  mIncomplete.clear();
+  mHasEvent = false;
+  mLastByte = '\0';
+  mLineIsEmpty = true;
+  mWasBlankLine = false;
+}
+
+bool
+EventSplitter::IsInsideEvent() const
+{
+  if (!mIncomplete.empty() && !EndsLine(mIncomplete.back())) {
+    return true;
+  }
+  std::string_view rest = mIncomplete;
+  while (!rest.empty()) {
+    const std::string_view line = TakeLine(rest);
+    if (!line.empty() && !IsComment(line)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+EventSplitter::RecordEvents(std::string_view aEvents)
 {
   while (!aEvents.empty()) {
-    const std::size_t end = aEvents.find('\n');
-    std::string_view line = aEvents.substr(0, end);
-    aEvents = end == std::string_view::npos ? std::string_view()
-                                            : aEvents.substr(end + 1);
-    if (!line.starts_with("id:")) {
+    std::string_view line = TakeLine(aEvents);
+    if (line.empty() || IsComment(line)) {
       continue;
     }
-    line.remove_prefix(3);
-    while (!line.empty() && line.front() == ' ') {
-      line.remove_prefix(1);
+    mHasEvent = true;
+    if (!line.starts_with(kIdField)) {
+      continue;
     }
-    while (!line.empty() && line.back() == '\r') {
-      line.remove_suffix(1);
+    line.remove_prefix(kIdField.size());
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
     }
     mLastId = line;
   }
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -132,7 +132,7 @@
   mSelectionQuery.mTried.insert(mUpstream);
   mHead = ResponseHead{};
   mBody.clear();
-  mEvents.DropIncomplete();
+  mEvents.StartResponse();
 }
 
 void
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/UpstreamConnection.h"
 #include "peridotspool/gateway/AttemptPolicy.h"
 #include "peridotspool/gateway/HeaderRules.h"
+#include "peridotspool/gateway/StreamEnd.h"
 
 #include <functional>
 #include <memory>
@@ -118,6 +119,8 @@
   void LogPermit(const char* aOutcome);
   void FinishBuffered();
   void FinishStream();
+  void OnStreamBrokenOff(StreamEnd aEnd);
+  void FailOversized();
   void OnTimeout();
   void SendLocalResponse(unsigned aStatus,
                          const char* aReason,
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -15,7 +15,7 @@
 using observe::CounterId;
 using observe::EventId;
 
-/** A buffered response larger than this fails the request. */
+/** A buffered response, or an event, larger than this fails the request. */
 constexpr std::size_t kMaxHeldBytes = 8U << 20;
 constexpr Duration kSlowCallerCheckPeriod = std::chrono::milliseconds(5);
 /** Bytes that may be queued for a slow caller before reading from its upstream
@@ -31,6 +31,16 @@
   return aStatus >= 200 && aStatus < 300;
 }
 
+/** Returns true iff a response on a route of streams consists of events. */
+bool
+HasEvents(const FieldList& aFields)
+{
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string_view type = FieldOf(aFields, "content-type");
+  return type.empty() ||
+         EqualsIgnoreCase(type.substr(0, kEventStream.size()), kEventStream);
+}
+
 } // namespace
 
 void
@@ -80,7 +90,7 @@
   RecordStatedLimit();
   RecordBrittleness();
   mIsStream = mRoute->mKind == RequestKind::kStreaming &&
-              IsSuccess(mHead.mStatus) &&
+              IsSuccess(mHead.mStatus) && HasEvents(mHead.mFields) &&
               !FieldOf(mHead.mFields, mCore.mNames.mStamp).empty();
   return true;
 }
@@ -91,16 +101,26 @@
   if (!mIsStream) {
     mBody += aBytes;
     if (mBody.size() > kMaxHeldBytes) {
-      mConnection->Drop();
-      ++mRuns;
-      EndAttempt(SendResult::kAnswered);
-      ApplyNextStep(NextStep::kFail,
-                    "the answer is over its bound",
-                    CounterId::kRefusedBound);
+      FailOversized();
     }
     return;
   }
+  CountUsage();
   RelayEvents(mEvents.Append(aBytes));
+  if (!mEnded && mEvents.Incomplete().size() > kMaxHeldBytes) {
+    FailOversized();
+  }
+}
+
+void
+Exchange::FailOversized()
+{
+  mConnection->Drop();
+  ++mRuns;
+  EndAttempt(SendResult::kAnswered);
+  ApplyNextStep(mBegun ? NextStep::kAbort : NextStep::kFail,
+                "the answer is over its bound",
+                CounterId::kRefusedBound);
 }
 
 void
@@ -114,7 +134,6 @@
   if (!mBegun) {
     mBegun = true;
     mFirstEventAt = now;
-    CountUsage();
     mCore.mCounters.Histogram(observe::HistogramId::kFirstTokenTime)
       .Observe(now - mArrivedAt);
     mCaller->BeginChunked(WriteResponseHead(mHead, std::nullopt, KeepAlive()));
@@ -164,12 +183,31 @@
                   CounterId::kRetryUpstreamRefused);
     return;
   }
-  ++mRuns;
-  if (mIsStream) {
-    FinishStream();
+  if (!mIsStream) {
+    ++mRuns;
+    FinishBuffered();
     return;
   }
-  FinishBuffered();
+  const StreamEnd end =
+    JudgeStreamEnd({ .mFraming = mHead.mFraming,
+                     .mHasEvent = mEvents.HasEvent(),
+                     .mInsideEvent = mEvents.IsInsideEvent() });
+  if (end == StreamEnd::kComplete) {
+    ++mRuns;
+    FinishStream();
+  } else {
+    OnStreamBrokenOff(end);
+  }
+}
+
+void
+Exchange::OnStreamBrokenOff(StreamEnd aEnd)
+{
+  mCore.mCounters.Add(CounterId::kStreamBrokenOff);
+  mConnection->Drop();
+  OnConnectionFailed({ .mReason = aEnd == StreamEnd::kInsideEvent
+                                    ? "the stream ended inside an event"
+                                    : "the stream ended without an event" });
 }
 
 void
--- a/test/gateway/BrokenOffAnswerTest.cpp
+++ b/test/gateway/BrokenOffAnswerTest.cpp
@@ -73,6 +73,15 @@
   GatewayFixture mGateway;
 };
 
+/** Returns true iff a resumed response has no event to send, and nothing but
+ * the close of its connection tells that it has ended. */
+bool
+ResumesWithoutProof(const AnswerKind& aKind, std::size_t aBytes)
+{
+  return aKind.IsStream() && aKind.mFraming == BodyFraming::kConnection &&
+         BodyOf(aKind, aBytes) == WholeBody(aKind);
+}
+
 void
 CheckAnswer(const AnswerKind& aKind,
             std::size_t aBytes,
@@ -90,6 +99,10 @@
     CHECK(aSeen.mComplete);
     CHECK(aSeen.mBody == BodyOf(aKind, aBytes));
     CHECK(aRuns == 1);
+  } else if (aKind.IsRetryable() && ResumesWithoutProof(aKind, aBytes)) {
+    CHECK_FALSE(aSeen.mComplete);
+    CHECK(aSeen.mBody == WholeBody(aKind));
+    CHECK(aRuns == 2);
   } else if (aKind.IsRetryable()) {
     CHECK(isSuccess);
     CHECK(aSeen.mComplete);
@@ -122,8 +135,68 @@
   }
 }
 
+constexpr const char* kStreamHead = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\n"
+                                    "X-Stamp: proof\r\n"
+                                    "Content-Type: text/event-stream\r\n";
+
+/** Returns what a caller gets of a stream with this framing and body. */
+SeenAnswer
+StreamSeen(const std::string& aFraming, const std::string& aBody)
+{
+  ScriptedUpstream upstream([&](const std::string&) {
+    return Script{ .mAnswer = kStreamHead + aFraming + "\r\n" + aBody,
+                   .mThen = Then::kClose };
+  });
+  GatewayFixture gateway;
+  gateway.Add("u", upstream.Where());
+  Caller caller(gateway.Where());
+  caller.Send(RequestText("prompt", "1"));
+  return ParseAnswer(caller.ReadAnswer());
+}
+
 } // namespace
 
+// Guards against an upstream that completes the framing of a stream which it
+// has broken off itself.
+TEST_CASE("AFramedStreamThatEndsInsideAnEventIsNotComplete")
+{
+  const std::string body = "id: 1\ndata: a\n\nid: 2\nda";
+  const SeenAnswer byLength =
+    StreamSeen("Content-Length: " + std::to_string(body.size()) + "\r\n", body);
+  CHECK_FALSE(byLength.mComplete);
+  const SeenAnswer byChunks = StreamSeen("Transfer-Encoding: chunked\r\n",
+                                         "17\r\n" + body + "\r\n0\r\n\r\n");
+  CHECK_FALSE(byChunks.mComplete);
+}
+
+// Guards against an event without end that fills the entry's memory.
+TEST_CASE("AnEventOverTheBoundEndsTheResponseIncomplete")
+{
+  const SeenAnswer seen = StreamSeen(
+    "", "id: 1\ndata: a\n\ndata: " + std::string(9U << 20, 'x') + "\n\n");
+  CHECK_FALSE(seen.mComplete);
+  CHECK(seen.mBody == "id: 1\ndata: a\n\n");
+}
+
+// Guards against an answer of another type, on a route of streams, that is
+// taken for a stream broken off inside its first event.
+TEST_CASE("AnAnswerWithoutEventsOnARouteOfStreamsIsRelayedWhole")
+{
+  ScriptedUpstream upstream([](const std::string&) {
+    return Script{ .mAnswer = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\n"
+                              "X-Stamp: proof\r\nContent-Type: "
+                              "application/json\r\n\r\n{}",
+                   .mThen = Then::kClose };
+  });
+  GatewayFixture gateway;
+  gateway.Add("u", upstream.Where());
+  Caller caller(gateway.Where());
+  caller.Send(RequestText("prompt", "1"));
+  const SeenAnswer seen = ParseAnswer(caller.ReadAnswer());
+  CHECK(seen.mComplete);
+  CHECK(seen.mBody == "{}");
+}
+
 // Guards against a stream that is broken off inside an event, by a close that
 // is taken for its end, and reaches the caller as complete.
 TEST_CASE("AStreamBrokenOffAtAnyByteIsNeverTakenForComplete")
--- a/test/gateway/EventSplitterTest.cpp
+++ b/test/gateway/EventSplitterTest.cpp
@@ -18,12 +18,65 @@
   CHECK(splitter.Append("\nid: 2\nda") == "id: 1\ndata: a\n\n");
   CHECK(splitter.LastId() == "1");
   CHECK(splitter.Incomplete() == "id: 2\nda");
-  splitter.DropIncomplete();
+  splitter.StartResponse();
   CHECK(splitter.Append("id:2\r\ndata: b\r\n\r\n") ==
         "id:2\r\ndata: b\r\n\r\n");
   CHECK(splitter.LastId() == "2");
 }
 
+// Guards against a complete stream that is taken for a broken-off one because
+// of its line ends, and against events that wait for the next one.
+TEST_CASE("EventSplitterAcceptsAllLineEnds")
+{
+  for (const std::string line : { "\n", "\r", "\r\n" }) {
+    for (const std::string blank : { "\n", "\r", "\r\n" }) {
+      if (line == "\r" && blank == "\n") {
+        continue; // The two are one line end.
+      }
+      const std::string event = "id: 7" + line + "data: a" + line + blank;
+      EventSplitter splitter;
+      std::string seen;
+      for (const char byte : event + event) {
+        seen += splitter.Append(std::string(1, byte));
+      }
+      INFO("line ends " << int(line[0]) << " and " << int(blank[0]));
+      const bool isHeld = line != "\r" && blank == "\r";
+      CHECK(seen + splitter.Incomplete() == event + event);
+      CHECK(splitter.IsInsideEvent() == isHeld);
+      CHECK(seen.starts_with(event));
+      CHECK(splitter.LastId() == "7");
+    }
+  }
+}
+
+TEST_CASE("EventSplitterTellsWhetherTheStreamIsInsideAnEvent")
+{
+  const auto isInside = [](const std::string& aText) {
+    EventSplitter splitter;
+    splitter.Append(aText);
+    return splitter.IsInsideEvent();
+  };
+  const std::string event = "id: 1\ndata: a\n\n";
+  CHECK_FALSE(isInside(event));
+  CHECK_FALSE(isInside(event + ": comment\n"));
+  CHECK_FALSE(isInside(event + "\n"));
+  CHECK(isInside(event + ": comm"));
+  CHECK(isInside(event + "data: b\n"));
+  CHECK(isInside(event + "d"));
+  CHECK(isInside("data: a\r\n\r"));
+}
+
+TEST_CASE("EventSplitterTellsWhetherTheResponseHadAnEvent")
+{
+  EventSplitter splitter;
+  splitter.Append(": comment\n\n\n");
+  CHECK_FALSE(splitter.HasEvent());
+  splitter.Append("data: a\n\n");
+  CHECK(splitter.HasEvent());
+  splitter.StartResponse();
+  CHECK_FALSE(splitter.HasEvent());
+}
+
 TEST_CASE("EventSplitterPreservesAllBytesForAnySplit")
 {
   rc::prop("cuts", [] {
--- a/test/gateway/ExchangeLoadTest.cpp
+++ b/test/gateway/ExchangeLoadTest.cpp
@@ -31,8 +31,8 @@
 {
 public:
   QueryingGateway()
-    : mOne(Answering("one"))
-    , mTwo(Answering("two"))
+    : mOne(Answering("data: one\n\n"))
+    , mTwo(Answering("data: two\n\n"))
   {
     mGateway.OnRelay([this] {
       GatewayCore& core = mGateway.Core();
