Send what is queued before a broken-off response is closed

Callers of a broken-off stream lost events that had come whole. Aborting a response closed the connection at once, with the events still queued behind a write in progress; a resumable stream's caller then asked for them again.

Abort now ends the connection like any last response: after what is queued. Requests that arrive meanwhile aren't read, as they would be passed on and then closed without an answer. AFramedStreamThatEndsInsideAnEventIsNotComplete failed on the body before ('' instead of the first event) and is kept now.

The stand-in of the same test closed connections after complete answers too, without saying so; a later request could cross that close and count as a run that the stand-in had not seen (1 run of 2, 502). It keeps them now, except where the close is the answer's end.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -49,7 +49,7 @@
 CallerConnection::Read()
 {
   if (mReading || mClosed ||
-      (mServing && mBuffer.size() > kMaxReadAheadBytes)) {
+      ((mServing || mClosing) && mBuffer.size() > kMaxReadAheadBytes)) {
     return;
   }
   mReading = true;
@@ -75,7 +75,7 @@
     return;
   }
   mBuffer.commit(aBytes);
-  if (!mServing) {
+  if (!mServing && !mClosing) {
     Parse();
   }
   Read();
@@ -254,8 +254,7 @@
 void
 CallerConnection::Abort()
 {
-  mServing = false;
-  Close();
+  FinishResponse(false);
 }
 
 void
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -47,8 +47,8 @@
   void SendChunk(std::string_view aBytes);
   /** Sends the last chunk of a chunked response. */
   void FinishChunked(bool aKeepAlive);
-  /** Closes the connection. The missing end of a response in progress shows
-   * the caller that it is incomplete. */
+  /** Closes the connection after the bytes that are queued. The missing end of
+   * a response in progress shows the caller that it is incomplete. */
   void Abort();
 
   /** Returns true iff no request is being read or served. */
--- a/test/gateway/BrokenOffAnswerTest.cpp
+++ b/test/gateway/BrokenOffAnswerTest.cpp
@@ -57,7 +57,9 @@
     if (++mRuns[id] == 1) {
       return { .mAnswer = bytes.substr(0, mCut), .mThen = mKind.mThen };
     }
-    return { .mAnswer = bytes, .mThen = Then::kClose };
+    const bool endsByClose = mKind.mFraming == BodyFraming::kConnection;
+    return { .mAnswer = bytes,
+             .mThen = endsByClose ? Then::kClose : Then::kKeep };
   }
 
   const AnswerKind mKind;
@@ -164,9 +166,11 @@
   const SeenAnswer byLength =
     StreamSeen("Content-Length: " + std::to_string(body.size()) + "\r\n", body);
   CHECK_FALSE(byLength.mComplete);
+  CHECK(byLength.mBody == "id: 1\ndata: a\n\n");
   const SeenAnswer byChunks = StreamSeen("Transfer-Encoding: chunked\r\n",
                                          "17\r\n" + body + "\r\n0\r\n\r\n");
   CHECK_FALSE(byChunks.mComplete);
+  CHECK(byChunks.mBody == "id: 1\ndata: a\n\n");
 }
 
 // Guards against an event without end that fills the entry's memory.
