Tell the end of a relayed answer by a record, not by the tunnel's end

An entry that is partitioned reaches upstreams through others. When such another entry was killed or stopped, its callers' answers that end with their connection were complete at whatever byte they had come to, and the upstream was ejected for it.

Change: an open tunnel carries records from the relaying entry: the upstream's bytes, how its connection ended, and signs of life while a request waits. A tunnel that ends without the record of the upstream's end has lost its entry: a run, for limits and attempts, but no failure of the upstream. A second without a record lets requests that may run again leave a frozen entry. Both heads name the framing, so that entries of two versions open no tunnel.

A stream that another entry resumes, and whose response ends by a close without an event, isn't held against the upstream any more: it may have had nothing left to send. It stays incomplete for its caller.

--- a/include/peridotspool/gateway/TunnelPeers.h
+++ b/include/peridotspool/gateway/TunnelPeers.h
@@ -36,6 +36,8 @@
   void Set(const std::vector<Coordinator>& aPeers,
            const FailureDomain& aOwnDomain);
   bool Contains(const Address& aPeer) const { return mPeers.contains(aPeer); }
+  /** Returns true iff this entry has tunnels, or is opening some. */
+  bool HasTunnels() const;
   bool IsEmpty() const { return mPeers.empty(); }
 
   /** Returns empty iff all entries have been tried. */
--- a/include/peridotspool/gateway/TunnelProtocol.h
+++ b/include/peridotspool/gateway/TunnelProtocol.h
@@ -36,7 +36,11 @@
 std::optional<DialTarget>
 ParseTunnelRequest(std::string_view aHead);
 
-/** Returns the head of the response; empty failure: the tunnel is open. */
+/**
+ * Returns the head of the response; empty failure: the tunnel is open. After
+ * the head, an open tunnel carries the upstream's bytes in records
+ * (TunnelRecord.h); in the other direction it carries them as they are.
+ */
 std::string
 WriteTunnelResponse(const std::optional<TunnelFailure>& aFailure);
 /** Returns false iff the head is no valid response. Sets the failure, or clears
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -66,7 +66,8 @@
 Exchange::IsPathLost() const
 {
   return mConnection && mConnection->ActiveAt() &&
-         !mCore.IsUsable(*mConnection);
+         (!mCore.IsUsable(*mConnection) ||
+          mConnection->IsRelaySilent(mCore.mNow()));
 }
 
 // A request that may not run again keeps its connection: its response comes if
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -205,6 +205,14 @@
 {
   mCore.mCounters.Add(CounterId::kStreamBrokenOff);
   mConnection->Drop();
+  if (mBegun && aEnd == StreamEnd::kNoEvent) {
+    // The upstream may have had nothing left to send, so the end isn't held
+    // against it.
+    ++mRuns;
+    EndAttempt(SendResult::kAnswered);
+    AbortResponse("the resumed stream ended without an event");
+    return;
+  }
   OnConnectionFailed({ .mReason = aEnd == StreamEnd::kInsideEvent
                                     ? "the stream ended inside an event"
                                     : "the stream ended without an event" });
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -117,7 +117,8 @@
 void
 Gateway::FailStalled(TimePoint aNow)
 {
-  if (!mCore.mUpstreamPath.AreOpenConnectionsSilent(aNow)) {
+  if (!mCore.mUpstreamPath.AreOpenConnectionsSilent(aNow) &&
+      !mCore.mTunnelPeers->HasTunnels()) {
     return;
   }
   std::vector<std::shared_ptr<Exchange>> exchanges;
--- a/src/gateway/Tunnel.cpp
+++ b/src/gateway/Tunnel.cpp
@@ -18,6 +18,10 @@
 constexpr Duration kRequestTimeout = std::chrono::seconds(1);
 /** The entry that asks has other ways to try meanwhile. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/** Several of these fit into the time after which a tunnel counts as silent. */
+constexpr Duration kKeepAlivePeriod = std::chrono::milliseconds(250);
+/** Nobody waits longer for a response after the request's last bytes. */
+constexpr Duration kMaxWait = std::chrono::seconds(30);
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 } // namespace
@@ -133,69 +137,132 @@
     mPeer,
     net::buffer(mResponse),
     [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
-      if (aError) {
-        self->Reset();
+      if (aError || self->mClosed) {
+        self->Close();
         return;
       }
-      self->Pump(self->mToUpstream);
-      self->Pump(self->mToPeer);
+      self->mOpen = true;
+      self->ReadPeer();
+      self->ReadUpstream();
     });
 }
 
 void
-Tunnel::Pump(Direction& aDirection)
+Tunnel::ReadPeer()
 {
   if (mClosed) {
     return;
   }
-  aDirection.mFrom.async_read_some(
-    net::buffer(aDirection.mBuffer),
-    [self = shared_from_this(), &aDirection](http::ErrorCode aError,
-                                             std::size_t aBytes) {
-      self->OnRead(aDirection, aError, aBytes);
+  mPeer.async_read_some(
+    net::buffer(mFromPeer),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
+      self->OnPeerRead(aError, aBytes);
     });
 }
 
 void
-Tunnel::OnRead(Direction& aDirection,
-               http::ErrorCode aError,
-               std::size_t aBytes)
+Tunnel::OnPeerRead(http::ErrorCode aError, std::size_t aBytes)
 {
   if (mClosed) {
     return;
   }
-  if (aError == net::error::eof) {
+  if (aError) {
     Close();
     return;
   }
+  mActiveAt = mOwner.Now();
+  mPeerActiveAt = mActiveAt;
+  net::async_write(
+    mUpstream,
+    net::buffer(mFromPeer, aBytes),
+    [self = shared_from_this()](http::ErrorCode aFault, std::size_t) {
+      // The upstream may have answered before it closed; its end is read.
+      if (!aFault) {
+        self->ReadPeer();
+      }
+    });
+}
+
+void
+Tunnel::ReadUpstream()
+{
+  if (mClosed) {
+    return;
+  }
+  mUpstream.async_read_some(
+    net::buffer(mFromUpstream),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
+      self->OnUpstreamRead(aError, aBytes);
+    });
+}
+
+void
+Tunnel::OnUpstreamRead(http::ErrorCode aError, std::size_t aBytes)
+{
+  if (mClosed) {
+    return;
+  }
   if (aError) {
-    Reset();
+    mEnding = true;
+    SendRecord(aError == net::error::eof ? TunnelRecordType::kClosed
+                                         : TunnelRecordType::kReset);
     return;
   }
   mActiveAt = mOwner.Now();
-  net::async_write(aDirection.mTo,
-                   net::buffer(aDirection.mBuffer, aBytes),
-                   [self = shared_from_this(),
-                    &aDirection](http::ErrorCode aFault, std::size_t) {
-                     if (aFault) {
-                       self->Reset();
-                     } else {
-                       self->Pump(aDirection);
-                     }
-                   });
+  mUpstreamPaused = true;
+  SendRecord(TunnelRecordType::kData, { mFromUpstream.data(), aBytes });
 }
 
-// A response without a length ends with its connection. A reset must not look
-// like its end.
 void
-Tunnel::Reset()
+Tunnel::SendRecord(TunnelRecordType aType, std::string_view aData)
 {
-  if (mClosed) {
+  mRecordSentAt = mOwner.Now();
+  mRecords += WriteTunnelRecord(aType, aData);
+  Flush();
+}
+
+void
+Tunnel::Flush()
+{
+  if (!mWriting.empty() || mRecords.empty()) {
     return;
   }
-  ResetOnClose(mPeer);
-  ResetOnClose(mUpstream);
-  Close();
+  mWriting.swap(mRecords);
+  net::async_write(
+    mPeer,
+    net::buffer(mWriting),
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
+      self->OnFlushed(aError);
+    });
+}
+
+void
+Tunnel::OnFlushed(http::ErrorCode aError)
+{
+  mWriting.clear();
+  if (aError || mClosed) {
+    Close();
+    return;
+  }
+  Flush();
+  if (!mWriting.empty()) {
+    return;
+  }
+  if (mEnding) {
+    Close();
+  } else if (std::exchange(mUpstreamPaused, false)) {
+    ReadUpstream();
+  }
+}
+
+void
+Tunnel::KeepAlive(TimePoint aNow)
+{
+  const bool mayWait = aNow - mPeerActiveAt < kMaxWait;
+  if (mOpen && !mClosed && !mEnding && mWriting.empty() && mayWait &&
+      aNow - mRecordSentAt >= kKeepAlivePeriod) {
+    SendRecord(TunnelRecordType::kKeepAlive);
+  }
 }
 
 void
--- a/src/gateway/Tunnel.h
+++ b/src/gateway/Tunnel.h
@@ -3,12 +3,14 @@
 #include "http/BeastTypes.h"
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/TunnelProtocol.h"
+#include "peridotspool/gateway/TunnelRecord.h"
 
 #include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace peridotspool::gateway {
@@ -34,8 +36,8 @@
 /**
  * One connection of another entry that this entry relays to an upstream. Each
  * direction has one buffer, so that a receiver that doesn't read stops the
- * sender. The end of one connection ends the other in the same way, by a close
- * or by a reset.
+ * sender. The other entry is told how the upstream's connection ended, as it
+ * would take the end of this process for a close by the upstream.
  */
 class Tunnel : public std::enable_shared_from_this<Tunnel>
 {
@@ -47,15 +49,14 @@
   bool IsClosed() const { return mClosed; }
   /** When bytes last passed, or when the tunnel was requested. */
   TimePoint ActiveAt() const { return mActiveAt; }
+  /** Tells the other entry that this one is alive, if it may wait for bytes and
+   * has received none lately. */
+  void KeepAlive(TimePoint aNow);
 
 private:
   static constexpr std::size_t kBufferBytes = 16U << 10;
-  struct Direction
-  {
-    http::Tcp::socket& mFrom;
-    http::Tcp::socket& mTo;
-    std::array<char, kBufferBytes> mBuffer;
-  };
+  using Buffer = std::array<char, kBufferBytes>;
+  static_assert(kBufferBytes <= kMaxTunnelRecordBytes);
 
   void OnRequest(http::ErrorCode aError);
   void Connect(const Address& aUpstream);
@@ -63,11 +64,13 @@
   void FailConnect(TunnelFailure aFailure);
   void Refuse(TunnelFailure aFailure);
   void Open();
-  void Pump(Direction& aDirection);
-  void OnRead(Direction& aDirection,
-              http::ErrorCode aError,
-              std::size_t aBytes);
-  void Reset();
+  void ReadPeer();
+  void OnPeerRead(http::ErrorCode aError, std::size_t aBytes);
+  void ReadUpstream();
+  void OnUpstreamRead(http::ErrorCode aError, std::size_t aBytes);
+  void SendRecord(TunnelRecordType aType, std::string_view aData = {});
+  void Flush();
+  void OnFlushed(http::ErrorCode aError);
 
   http::Tcp::socket mPeer;
   http::Tcp::socket mUpstream;
@@ -76,9 +79,18 @@
   std::string mHead;
   DialTarget mTarget;
   std::string mResponse;
-  Direction mToUpstream{ .mFrom = mPeer, .mTo = mUpstream, .mBuffer = {} };
-  Direction mToPeer{ .mFrom = mUpstream, .mTo = mPeer, .mBuffer = {} };
+  Buffer mFromPeer;
+  Buffer mFromUpstream;
+  /** Records to the other entry: queued, and being written. */
+  std::string mRecords;
+  std::string mWriting;
   TimePoint mActiveAt;
+  TimePoint mPeerActiveAt;
+  TimePoint mRecordSentAt;
+  bool mOpen = false;
+  bool mUpstreamPaused = false;
+  /** The last record is queued. */
+  bool mEnding = false;
   bool mClosed = false;
 };
 
--- a/src/gateway/TunnelPeers.cpp
+++ b/src/gateway/TunnelPeers.cpp
@@ -47,6 +47,14 @@
   mPeers = std::move(peers);
 }
 
+bool
+TunnelPeers::HasTunnels() const
+{
+  return std::any_of(mPeers.begin(), mPeers.end(), [](const auto& aPair) {
+    return aPair.second.mTunnels > 0;
+  });
+}
+
 std::optional<Address>
 TunnelPeers::Choose(const std::set<Address>& aTried, TimePoint aNow) const
 {
--- a/src/gateway/TunnelProtocol.cpp
+++ b/src/gateway/TunnelProtocol.cpp
@@ -14,6 +14,10 @@
 
 constexpr const char* kNameField = "X-Upstream";
 constexpr const char* kIncarnationField = "X-Incarnation";
+/** Entries of another version, whose tunnels carry something else, don't agree
+ * on the same framing. */
+constexpr const char* kFramingField = "X-Tunnel-Framing";
+constexpr const char* kFraming = "records-1";
 constexpr unsigned kOpen = 200;
 
 struct FailureStatus
@@ -51,7 +55,8 @@
   return "CONNECT " + authority + " HTTP/1.1\r\nHost: " + authority + "\r\n" +
          kNameField + ": " + aTarget.mName.Value() + "\r\n" +
          kIncarnationField + ": " +
-         std::to_string(aTarget.mIncarnation.Value()) + "\r\n\r\n";
+         std::to_string(aTarget.mIncarnation.Value()) + "\r\n" + kFramingField +
+         ": " + kFraming + "\r\n\r\n";
 }
 
 std::optional<DialTarget>
@@ -59,7 +64,8 @@
 {
   beast_http::request_parser<beast_http::empty_body> parser;
   if (!ParseHead(parser, aHead) ||
-      parser.get().method() != beast_http::verb::connect) {
+      parser.get().method() != beast_http::verb::connect ||
+      parser.get()[kFramingField] != kFraming) {
     return std::nullopt;
   }
   const auto name = parser.get()[kNameField];
@@ -85,7 +91,8 @@
       status = row.mStatus;
     }
   }
-  return "HTTP/1.1 " + std::to_string(status) + " Tunnel\r\n\r\n";
+  return "HTTP/1.1 " + std::to_string(status) + " Tunnel\r\n" + kFramingField +
+         ": " + kFraming + "\r\n\r\n";
 }
 
 bool
@@ -95,7 +102,7 @@
   beast_http::response_parser<beast_http::empty_body> parser;
   // A response to CONNECT has no body, whatever its fields say.
   parser.skip(true);
-  if (!ParseHead(parser, aHead)) {
+  if (!ParseHead(parser, aHead) || parser.get()[kFramingField] != kFraming) {
     return false;
   }
   const unsigned status = parser.get().result_int();
--- a/src/gateway/TunnelServer.cpp
+++ b/src/gateway/TunnelServer.cpp
@@ -89,6 +89,7 @@
     if (aNow - aTunnel->ActiveAt() >= maxIdle) {
       aTunnel->Close();
     }
+    aTunnel->KeepAlive(aNow);
     return aTunnel->IsClosed();
   });
 }
--- a/src/gateway/TunnelServer.h
+++ b/src/gateway/TunnelServer.h
@@ -29,7 +29,7 @@
 
   /** Starts listening; returns false and sets the reason on failure. */
   bool Start(LastReason& aReason);
-  /** Closes idle tunnels; called every 50 ms. */
+  /** Closes idle tunnels and keeps the others alive; called every 50 ms. */
   void Sweep(TimePoint aNow);
   /** Returns true iff no tunnel is in use. */
   bool IsQuiet() const { return mTunnels.empty(); }
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t kReadBytes = 8U << 10;
 constexpr std::uint32_t kHeaderBytes = 64U << 10;
+/** Several times the period in which relaying entries keep tunnels alive. */
+constexpr Duration kMaxRelaySilence = std::chrono::seconds(1);
 /** Bounds the late responses to earlier requests that are skipped before one
  * response. */
 constexpr std::size_t kMaxSkippedResponses = 4;
@@ -143,8 +145,11 @@
     return;
   }
   mReading = true;
+  if (mTunnel) {
+    mRecordBytes.resize(kReadBytes);
+  }
   mSocket.async_read_some(
-    mBuffer.prepare(kReadBytes),
+    mTunnel ? net::buffer(mRecordBytes) : mBuffer.prepare(kReadBytes),
     [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
       self->OnRead(aError, aBytes);
     });
@@ -153,7 +158,9 @@
 void
 UpstreamConnection::Resume()
 {
-  mPaused = false;
+  if (std::exchange(mPaused, false)) {
+    mActiveAt = mDialer.Now();
+  }
   Read();
 }
 
@@ -165,23 +172,69 @@
     return;
   }
   if (aError) {
-    OnReadEnd(aError);
+    if (mTunnel) {
+      OnRelayLost();
+    } else {
+      OnReadEnd(aError);
+    }
     return;
   }
-  mBuffer.commit(aBytes);
   mActiveAt = mDialer.Now();
   if (!mTunnel) {
+    mBuffer.commit(aBytes);
     mDialer.Path().RecordReceived(mId, *mActiveAt);
+  } else if (!ReadRecords(aBytes)) {
+    return;
   }
-  if (mListener == nullptr) {
+  if (mListener == nullptr && mBuffer.size() > 0) {
     // Unsolicited bytes could be taken for the response to the next request.
     Close();
     return;
   }
   Parse();
+  if (const auto end = mRecords.End(); end && !mClosed) {
+    OnReadEnd(*end == TunnelRecordType::kClosed
+                ? http::ErrorCode(net::error::eof)
+                : http::ErrorCode(net::error::connection_reset));
+    return;
+  }
   Read();
 }
 
+bool
+UpstreamConnection::ReadRecords(std::size_t aBytes)
+{
+  std::string data;
+  const std::string_view bytes(mRecordBytes.data(), aBytes);
+  if (!mRecords.Read(bytes, data)) {
+    OnRelayLost();
+    return false;
+  }
+  net::buffer_copy(mBuffer.prepare(data.size()), net::buffer(data));
+  mBuffer.commit(data.size());
+  return true;
+}
+
+// The process that relays the connection may have ended. Its connections are
+// closed in order then, which must not be taken for the end of a response.
+void
+UpstreamConnection::OnRelayLost()
+{
+  // Idle tunnels may be closed at any time.
+  if (mListener != nullptr) {
+    mDialer.RecordRelayLost(mTunnel->Peer());
+  }
+  Fail("the relaying entry is lost", { .mPathLost = true });
+}
+
+bool
+UpstreamConnection::IsRelaySilent(TimePoint aNow)
+{
+  // Bytes that have come and wait to be read are no silence.
+  return mTunnel && !mPaused && aNow - *mActiveAt >= kMaxRelaySilence &&
+         !HasEofOrData(mSocket);
+}
+
 // A response without a length ends with its connection. If the connection was
 // reset instead of closed, the response may be truncated and must not be
 // treated as complete.
@@ -318,6 +371,10 @@
 void
 UpstreamConnection::FailForLostPath()
 {
+  if (mTunnel) {
+    OnRelayLost();
+    return;
+  }
   Fail("the path is lost", { .mPathLost = true });
 }
 
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -6,6 +6,7 @@
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/RequestHead.h"
+#include "peridotspool/gateway/TunnelRecord.h"
 
 #include <functional>
 #include <memory>
@@ -85,6 +86,9 @@
   /** When the connection was established, or last received bytes; empty before
    * it is established. */
   std::optional<TimePoint> ActiveAt() const { return mActiveAt; }
+  /** Returns true iff another entry relays the connection and has not shown
+   * lately that it is alive. */
+  bool IsRelaySilent(TimePoint aNow);
   /** The idle time-out that the upstream announced in Keep-Alive; empty if it
    * announced none. */
   std::optional<Duration> AdvertisedIdleTimeout() const
@@ -101,7 +105,10 @@
   void WriteRequest();
   void Read();
   void OnRead(http::ErrorCode aError, std::size_t aBytes);
+  /** Returns false iff the connection has been closed. */
+  bool ReadRecords(std::size_t aBytes);
   void OnReadEnd(http::ErrorCode aError);
+  void OnRelayLost();
   void Parse();
   bool HandleHead();
   void HandleBody();
@@ -114,6 +121,9 @@
   http::Tcp::socket mSocket;
   std::shared_ptr<PendingDial> mDial;
   std::shared_ptr<TunnelLease> mTunnel;
+  /** What has come through the tunnel; used iff there is one. */
+  TunnelRecordReader mRecords;
+  std::string mRecordBytes;
   std::optional<TimePoint> mActiveAt;
   UpstreamName mName;
   UpstreamListener* mListener = nullptr;
--- a/src/gateway/UpstreamDialer.cpp
+++ b/src/gateway/UpstreamDialer.cpp
@@ -301,6 +301,13 @@
   }
 }
 
+void
+UpstreamDialer::RecordRelayLost(const Address& aPeer)
+{
+  mParts.mCounters.Add(CounterId::kTunnelLost);
+  mParts.mPeers->RecordFailure(aPeer, TunnelFailure::kPeerUnreachable, Now());
+}
+
 void
 UpstreamDialer::RecordUnreachable(const UpstreamName& aUpstream)
 {
--- a/src/gateway/UpstreamDialer.h
+++ b/src/gateway/UpstreamDialer.h
@@ -68,6 +68,9 @@
   /** Records a connection that was established without a tunnel. */
   void RecordConnected(const UpstreamName& aUpstream);
 
+  /** Records that an established tunnel has lost the entry that relays it. */
+  void RecordRelayLost(const Address& aPeer);
+
   /** Sets a function that is called when a partition has begun or ended. */
   void SetOnPathChanged(std::function<void()> aCall)
   {
