Let test gateways listen on a port that the system gives them

GatewayFixture took a free port by opening and closing an acceptor; another test or its connections took it before the gateway listened. The gateway now listens on port 0 and tells its address. UpstreamLink gave its port up while it refused connections, and keeps it reserved now.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -35,6 +35,8 @@
   /** Moves requests off connections whose path is lost; called every 50 ms. */
   void FailStalled(TimePoint aNow);
   void StopAccepting();
+  /** The address in use; valid after Start. */
+  Address Listening() const { return mAcceptor.Listening(); }
   /** Closes connections without a request in progress. */
   void CloseIdle();
 
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -330,19 +330,15 @@
     .mWallClock = runtime::ReadWallMicros,
     .mQuotaWaiters = {},
     .mTable = MakeTable() });
-  // Finds a free port by opening and closing an acceptor.
-  http::Tcp::acceptor probe(
-    mIo, http::Tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
-  mWhere = { "127.0.0.1", probe.local_endpoint().port() };
-  probe.close();
-  mGateway =
-    std::make_unique<Gateway>(*mCore, GatewayOptions{ .mListen = mWhere });
+  mGateway = std::make_unique<Gateway>(
+    *mCore, GatewayOptions{ .mListen = { "127.0.0.1", 0 } });
   mTunnelServer = std::make_unique<TunnelServer>(
     *mCore, TunnelServerOptions{ .mListen = { "127.0.0.1", 0 } });
   mCore->mDialer.SetOnPathChanged([this] { mCore->OnUpstreamPathChanged(); });
   if (!mTunnelServer->Start(reason) || !mGateway->Start(reason)) {
     throw std::runtime_error(reason.Text());
   }
+  mWhere = mGateway->Listening();
   mRelay = std::thread([this] {
     const auto guard = net::make_work_guard(mIo);
     mIo.run();
--- a/test/gateway/UpstreamLink.cpp
+++ b/test/gateway/UpstreamLink.cpp
@@ -59,8 +59,11 @@
   : mUpstream(EndpointOf(aUpstream))
   , mWhere{ "127.0.0.1", 0 }
 {
+  mReservation.open(http::Tcp::v4());
+  mReservation.set_option(net::socket_base::reuse_address(true));
+  mReservation.bind(EndpointOf(mWhere));
+  mWhere.mPort = mReservation.local_endpoint().port();
   Listen();
-  mWhere.mPort = mAcceptor.local_endpoint().port();
   Accept();
   mThread = std::thread([this] {
     const auto guard = net::make_work_guard(mIo);
--- a/test/gateway/UpstreamLink.h
+++ b/test/gateway/UpstreamLink.h
@@ -52,6 +52,8 @@
 
   const http::Tcp::endpoint mUpstream;
   http::net::io_context mIo{ 1 };
+  /** Keeps the port from other processes while the link refuses connections. */
+  http::Tcp::acceptor mReservation{ mIo };
   http::Tcp::acceptor mAcceptor{ mIo };
   Address mWhere;
   LinkState mState = LinkState::kPass;
