Frame streams for callers of HTTP/1.0 by their connection

Such a stream is now sent as it is and ends with its connection: by a close if it is complete, and otherwise by a reset, also if the process ends meanwhile (SO_LINGER, set natively, as the library takes its own option back when a socket is destroyed).

ACallerOfHttp10SeesWhetherItsStreamIsComplete failed on 5 of 6 assertions before and is kept now.

--- a/include/peridotspool/gateway/HeaderRules.h
+++ b/include/peridotspool/gateway/HeaderRules.h
@@ -43,12 +43,14 @@
                      const UpstreamRequestFields& aTerms);
 
 /**
- * Writes the head of an upstream's response with the framing replaced: a body
- * of aLength bytes, or a chunked one if aLength is empty.
+ * Writes the head of an upstream's response with the framing replaced.
+ *
+ * @param aLength bytes of the body; used iff it is framed by its length
  */
 std::string
 WriteResponseHead(const ResponseHead& aHead,
-                  std::optional<std::uint64_t> aLength,
+                  BodyFraming aFraming,
+                  std::uint64_t aLength,
                   bool aKeepAlive);
 
 /** A response that the gateway generates itself. */
--- a/include/peridotspool/gateway/RequestHead.h
+++ b/include/peridotspool/gateway/RequestHead.h
@@ -36,6 +36,8 @@
   FieldList mFields;
   std::string mBody;
   bool mKeepAlive = true;
+  /** How a response of unknown length is framed for this caller. */
+  BodyFraming mStreamFraming = BodyFraming::kChunked;
 
   std::string_view Path() const
   {
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -166,7 +166,10 @@
                          .mFields = {},
                          .mBody = std::move(message.body()),
                          .mKeepAlive =
-                           message.keep_alive() && message.version() == 11 };
+                           message.keep_alive() && message.version() == 11,
+                         .mStreamFraming = message.version() >= 11
+                                             ? BodyFraming::kChunked
+                                             : BodyFraming::kConnection };
   for (const auto& field : message.base()) {
     request.mFields.emplace_back(field.name_string(), field.value());
   }
@@ -204,26 +207,42 @@
   FinishResponse(aKeepAlive);
 }
 
+// A caller of HTTP/1.0 takes any close in order for the end of the response,
+// also one by the end of this process.
 void
-CallerConnection::BeginChunked(std::string_view aHead)
+CallerConnection::BeginStream(std::string_view aHead, BodyFraming aFraming)
 {
+  mStreamFraming = aFraming;
+  if (aFraming == BodyFraming::kConnection) {
+    mResetsOnClose = true;
+    SetResetOnClose(mSocket, true);
+  }
   Write(aHead);
 }
 
 void
-CallerConnection::SendChunk(std::string_view aBytes)
+CallerConnection::SendPart(std::string_view aBytes)
 {
-  if (!aBytes.empty()) {
-    mPending += fmt::format("{:x}\r\n", aBytes.size());
-    mPending.append(aBytes).append("\r\n");
-    Flush();
+  if (aBytes.empty()) {
+    return;
   }
+  if (mStreamFraming == BodyFraming::kConnection) {
+    Write(aBytes);
+    return;
+  }
+  mPending += fmt::format("{:x}\r\n", aBytes.size());
+  mPending.append(aBytes).append("\r\n");
+  Flush();
 }
 
 void
-CallerConnection::FinishChunked(bool aKeepAlive)
+CallerConnection::FinishStream(bool aKeepAlive)
 {
-  Write("0\r\n\r\n");
+  if (mStreamFraming == BodyFraming::kConnection) {
+    mStreamIsWhole = true;
+  } else {
+    Write("0\r\n\r\n");
+  }
   FinishResponse(aKeepAlive);
 }
 
@@ -327,7 +346,13 @@
   }
   mClosed = true;
   http::ErrorCode ignored;
-  mSocket.shutdown(http::Tcp::socket::shutdown_send, ignored);
+  if (mResetsOnClose && mStreamIsWhole && QueuedBytes() == 0) {
+    mResetsOnClose = false;
+    SetResetOnClose(mSocket, false);
+  }
+  if (!mResetsOnClose) {
+    mSocket.shutdown(http::Tcp::socket::shutdown_send, ignored);
+  }
   mSocket.close(ignored);
   mOwner.OnClosed(*this);
 }
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -42,11 +42,12 @@
   void Run();
   /** Sends a complete response. */
   void SendResponse(std::string_view aBytes, bool aKeepAlive);
-  /** Sends the head of a chunked response. */
-  void BeginChunked(std::string_view aHead);
-  void SendChunk(std::string_view aBytes);
-  /** Sends the last chunk of a chunked response. */
-  void FinishChunked(bool aKeepAlive);
+  /** Sends the head of a response of unknown length.
+   * @param aFraming kChunked, or kConnection for a caller of HTTP/1.0 */
+  void BeginStream(std::string_view aHead, BodyFraming aFraming);
+  void SendPart(std::string_view aBytes);
+  /** Ends a response of unknown length as complete. */
+  void FinishStream(bool aKeepAlive);
   /** Closes the connection after the bytes that are queued. The missing end of
    * a response in progress shows the caller that it is incomplete. */
   void Abort();
@@ -83,6 +84,11 @@
   bool mHeadChecked = false;
   bool mClosed = false;
   bool mClosing = false;
+  BodyFraming mStreamFraming = BodyFraming::kChunked;
+  /** Set while the end of the connection must not look like the end of a
+   * response. */
+  bool mResetsOnClose = false;
+  bool mStreamIsWhole = false;
   /** When the first byte of the current request came, or, without a request,
    * when the connection became idle. */
   TimePoint mRequestOrIdleSince;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -105,6 +105,7 @@
                      const char* aReason,
                      observe::CounterId aRetry);
   void ApplyBackpressure();
+  void BeginStream();
   void RelayEvents(std::string_view aEvents);
   /** How the current upstream's response is framed; for the log. */
   const char* FramingText() const;
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -123,6 +123,14 @@
                 CounterId::kRefusedBound);
 }
 
+void
+Exchange::BeginStream()
+{
+  const BodyFraming framing = mRequest.mStreamFraming;
+  mCaller->BeginStream(WriteResponseHead(mHead, framing, 0, KeepAlive()),
+                       framing);
+}
+
 void
 Exchange::RelayEvents(std::string_view aEvents)
 {
@@ -136,7 +144,7 @@
     mFirstEventAt = now;
     mCore.mCounters.Histogram(observe::HistogramId::kFirstTokenTime)
       .Observe(now - mArrivedAt);
-    mCaller->BeginChunked(WriteResponseHead(mHead, std::nullopt, KeepAlive()));
+    BeginStream();
   } else {
     mCore.mCounters.Histogram(observe::HistogramId::kTokenGap)
       .Observe(now - mLastEventAt);
@@ -146,7 +154,7 @@
   if (mEventBatches++ == 0) {
     mFirstBatchAt = now;
   }
-  mCaller->SendChunk(aEvents);
+  mCaller->SendPart(aEvents);
   ApplyBackpressure();
 }
 
@@ -225,12 +233,12 @@
   EndAttempt(SendResult::kAnswered);
   RecordAnswered();
   if (!mBegun) {
-    mCaller->BeginChunked(WriteResponseHead(mHead, std::nullopt, KeepAlive()));
+    BeginStream();
   }
   if (!mEvents.Incomplete().empty()) {
-    mCaller->SendChunk(mEvents.Incomplete());
+    mCaller->SendPart(mEvents.Incomplete());
   }
-  mCaller->FinishChunked(KeepAlive());
+  mCaller->FinishStream(KeepAlive());
   End(mHead.mStatus, "whole");
 }
 
@@ -266,7 +274,8 @@
     return;
   }
   std::string answer =
-    WriteResponseHead(mHead, mBody.size(), KeepAlive()) + mBody;
+    WriteResponseHead(mHead, BodyFraming::kLength, mBody.size(), KeepAlive()) +
+    mBody;
   mCaller->SendResponse(std::move(answer), KeepAlive());
   End(mHead.mStatus, "whole");
 }
--- a/src/gateway/HeaderRules.cpp
+++ b/src/gateway/HeaderRules.cpp
@@ -185,7 +185,8 @@
 
 std::string
 WriteResponseHead(const ResponseHead& aHead,
-                  std::optional<std::uint64_t> aLength,
+                  BodyFraming aFraming,
+                  std::uint64_t aLength,
                   bool aKeepAlive)
 {
   std::string text =
@@ -197,9 +198,9 @@
       AppendField(text, name, value);
     }
   }
-  if (aLength) {
-    AppendField(text, "Content-Length", std::to_string(*aLength));
-  } else {
+  if (aFraming == BodyFraming::kLength) {
+    AppendField(text, "Content-Length", std::to_string(aLength));
+  } else if (aFraming == BodyFraming::kChunked) {
     AppendField(text, "Transfer-Encoding", "chunked");
   }
   if (!aKeepAlive) {
--- a/src/gateway/SocketOptions.cpp
+++ b/src/gateway/SocketOptions.cpp
@@ -84,11 +84,13 @@
   return error;
 }
 
+// The library's own option is taken back when the socket is destroyed.
 void
-ResetOnClose(http::Tcp::socket& aSocket)
+SetResetOnClose(http::Tcp::socket& aSocket, bool aResets)
 {
-  http::ErrorCode ignored;
-  aSocket.set_option(http::net::socket_base::linger(true, 0), ignored);
+  const linger option{ .l_onoff = aResets ? 1 : 0, .l_linger = 0 };
+  ::setsockopt(
+    aSocket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
 bool
--- a/src/gateway/SocketOptions.h
+++ b/src/gateway/SocketOptions.h
@@ -40,9 +40,10 @@
 http::ErrorCode
 ListenAt(http::Tcp::acceptor& aAcceptor, const http::Tcp::endpoint& aEndpoint);
 
-/** Makes a later close reset the connection instead of ending it in order. */
+/** Sets whether the end of the connection, also by the end of this process,
+ * resets it instead of closing it in order. */
 void
-ResetOnClose(http::Tcp::socket& aSocket);
+SetResetOnClose(http::Tcp::socket& aSocket, bool aResets);
 
 /** Returns true iff the peer has closed the connection or data can be read. */
 bool
--- a/test/gateway/BrokenOffAnswerTest.cpp
+++ b/test/gateway/BrokenOffAnswerTest.cpp
@@ -158,6 +158,35 @@
 
 } // namespace
 
+// Guards against a stream that reaches a caller of HTTP/1.0 in chunks, which it
+// takes for the body, and whose broken-off end it takes for the end.
+TEST_CASE("ACallerOfHttp10SeesWhetherItsStreamIsComplete")
+{
+  const AnswerKind kind{ .mRoute = "prompt",
+                         .mFraming = BodyFraming::kChunked };
+  const std::string bytes = AnswerBytes(kind);
+  std::atomic<bool> isCut{ false };
+  ScriptedUpstream upstream([&](const std::string&) {
+    return Script{ .mAnswer = bytes.substr(0, bytes.size() - (isCut ? 5 : 0)),
+                   .mThen = Then::kClose };
+  });
+  GatewayFixture gateway;
+  gateway.Add("u", upstream.Where());
+  for (const bool cut : { false, true }) {
+    isCut = cut;
+    Caller caller(gateway.Where());
+    std::string request = RequestText("prompt", cut ? "cut" : "whole");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    caller.Send(request);
+    bool isReset = false;
+    const std::string answer = caller.ReadAll(&isReset);
+    INFO("the caller got " << answer);
+    CHECK(answer.ends_with("\r\n\r\n" + WholeBody(kind)));
+    CHECK(answer.find("Transfer-Encoding") == std::string::npos);
+    CHECK(isReset == cut);
+  }
+}
+
 // Guards against an upstream that completes the framing of a stream which it
 // has broken off itself.
 TEST_CASE("AFramedStreamThatEndsInsideAnEventIsNotComplete")
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -273,10 +273,14 @@
 }
 
 std::string
-Caller::ReadAll()
+Caller::ReadAll(bool* aIsReset)
 {
+  errno = 0;
   while (ReadSome()) {
   }
+  if (aIsReset != nullptr) {
+    *aIsReset = errno == ECONNRESET;
+  }
   return std::exchange(mBuffer, {});
 }
 
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -84,8 +84,9 @@
   /** Reads one response up to its length or its last chunk. */
   std::string ReadAnswer();
   /** Reads until the connection is closed or a read times out after two
-   * seconds. */
-  std::string ReadAll();
+   * seconds.
+   * @param aIsReset set to whether it was closed by a reset; may be null */
+  std::string ReadAll(bool* aIsReset = nullptr);
   /** Returns true iff bytes can be read, without waiting. */
   bool HasData();
   /** Waits up to two seconds; returns true iff the peer has closed. */
--- a/test/gateway/HeaderRulesTest.cpp
+++ b/test/gateway/HeaderRulesTest.cpp
@@ -83,11 +83,13 @@
                                         { "Keep-Alive", "timeout=5" },
                                         { "Transfer-Encoding", "chunked" },
                                         { "Content-Length", "3" } } };
-  CHECK(WriteResponseHead(head, 5, true) ==
+  CHECK(WriteResponseHead(head, BodyFraming::kLength, 5, true) ==
         "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\n");
-  CHECK(WriteResponseHead(head, std::nullopt, false) ==
+  CHECK(WriteResponseHead(head, BodyFraming::kChunked, 0, false) ==
         "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nTransfer-Encoding: "
         "chunked\r\nConnection: close\r\n\r\n");
+  CHECK(WriteResponseHead(head, BodyFraming::kConnection, 0, false) ==
+        "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nConnection: close\r\n\r\n");
 }
 
 TEST_CASE("WriteLocalResponseHasRetryAfterAndNoStamp")
