Check what a broken-off run counts as, and the product's own answers

A stream broken off inside its first event, and resumed, is one use, one failure of its upstream and one broken-off stream.

--- a/test/gateway/BrokenOffAnswerTest.cpp
+++ b/test/gateway/BrokenOffAnswerTest.cpp
@@ -158,6 +158,53 @@
 
 } // namespace
 
+// Guards against a broken-off run that isn't counted, is counted twice as it is
+// resumed, or leaves its upstream in good standing.
+TEST_CASE("ABrokenOffStreamCountsAsOneUseAndAsAFailureOfItsUpstream")
+{
+  std::atomic<int> runs{ 0 };
+  const auto answer = [&](const std::string& aRequest) {
+    const AnswerKind kind{ .mRoute = "stream",
+                           .mFraming = BodyFraming::kConnection };
+    const std::string bytes = AnswerBytes(kind, aRequest);
+    // The first answer ends inside its first event.
+    const std::size_t cut = bytes.find("data:");
+    return Script{ .mAnswer = ++runs == 1 ? bytes.substr(0, cut) : bytes,
+                   .mThen = Then::kClose };
+  };
+  ScriptedUpstream one(answer);
+  ScriptedUpstream two(answer);
+  GatewayFixture gateway;
+  gateway.Add("u1", one.Where());
+  gateway.Add("u2", two.Where());
+  gateway.OnRelay([&] {
+    RouteTableSource source = gateway.Core().mTable->Source();
+    source.mCustomers = { { .mName = CustomerName("c"), .mKeys = { "key" } } };
+    LastReason reason;
+    gateway.Core().mTable = std::make_shared<const RouteTable>(
+      *RouteTable::Make(std::move(source), reason));
+  });
+  Caller caller(gateway.Where());
+  std::string request = RequestText("stream", "1");
+  request.insert(request.find("\r\n") + 2, "Authorization: Bearer key\r\n");
+  caller.Send(request);
+  CHECK(ParseAnswer(caller.ReadAnswer()).mComplete);
+  CHECK(runs == 2);
+  gateway.OnRelay([&] {
+    GatewayCore& core = gateway.Core();
+    std::uint64_t uses = 0;
+    for (const UsageWindow& window :
+         core.mUsage.Report(core.mWallClock()).mWindows) {
+      for (const auto& [customer, count] : window.mCounts) {
+        uses += count;
+      }
+    }
+    CHECK(uses == 1);
+    CHECK(core.mCounters.Value(observe::CounterId::kUpstreamEjected) == 1);
+    CHECK(core.mCounters.Value(observe::CounterId::kStreamBrokenOff) == 1);
+  });
+}
+
 // Guards against a stream that reaches a caller of HTTP/1.0 in chunks, which it
 // takes for the body, and whose broken-off end it takes for the end.
 TEST_CASE("ACallerOfHttp10SeesWhetherItsStreamIsComplete")
--- /dev/null
+++ b/test/http/BrokenOffUpstreamTest.cpp
@@ -0,0 +1,138 @@
+// ctest-labels: promise-whole-own-answer promise-at-most-once
+// Answers of engines and services, cut at every byte.
+
+#include "http/CallLog.h"
+#include "http/RawSocket.h"
+#include "peridotspool/http/HttpClient.h"
+#include "peridotspool/http/UpstreamAdapter.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotspool::http {
+
+using routing::UpstreamKind;
+using test::CallLog;
+using test::CallOutcome;
+using test::RawListener;
+
+namespace {
+
+enum class Framing
+{
+  kLength,
+  kChunked,
+  kConnection,
+};
+
+std::string
+InOneChunk(const std::string& aBody)
+{
+  char size[20];
+  std::snprintf(size, sizeof(size), "%zx\r\n", aBody.size());
+  return size + aBody + "\r\n0\r\n\r\n";
+}
+
+std::string
+AnswerOf(const std::string& aBody, Framing aFraming)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  switch (aFraming) {
+    case Framing::kLength:
+      return head + "content-length: " + std::to_string(aBody.size()) +
+             "\r\n\r\n" + aBody;
+    case Framing::kChunked:
+      return head + "transfer-encoding: chunked\r\n\r\n" + InOneChunk(aBody);
+    case Framing::kConnection:
+      break;
+  }
+  return head + "\r\n" + aBody;
+}
+
+std::string
+BodyOf(UpstreamKind aKind)
+{
+  if (aKind == UpstreamKind::kPlainService) {
+    return R"({"request":"r","attempt":1,"result":{"reels":12}})";
+  }
+  return "event: token\ndata: "
+         R"({"request":"r","attempt":1,"index":0,"text":"a"})"
+         "\n\nevent: done\ndata: "
+         R"({"request":"r","attempt":1,"tokens":1})"
+         "\n\n";
+}
+
+/** Returns the outcomes of a call whose answer is closed after these bytes. */
+std::vector<request::UpstreamOutcome>
+OutcomesOf(UpstreamKind aKind, const std::string& aBytes)
+{
+  RawListener listener;
+  CallLog log;
+  AnswerReader reader = MakeAnswerReader(aKind);
+  std::vector<request::UpstreamOutcome> outcomes;
+  const auto collect = log.Handler();
+  HttpClient client({}, [&](ClientCallId aCall, CallEvent aEvent) {
+    for (auto& outcome : std::visit(
+           [&](auto& aReader) { return aReader.Take(aEvent); }, reader)) {
+      outcomes.push_back(std::move(outcome));
+    }
+    collect(aCall, std::move(aEvent));
+  });
+  client.Start(1, listener.LocalAddress(), { .mMethod = "GET", .mPath = "/" });
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  peer->Send(aBytes);
+  peer->Close();
+  REQUIRE(log.WaitFor(1).Ended());
+  client.Stop();
+  return outcomes;
+}
+
+void
+CheckEachByte(UpstreamKind aKind)
+{
+  const std::string body = BodyOf(aKind);
+  for (const Framing framing :
+       { Framing::kLength, Framing::kChunked, Framing::kConnection }) {
+    const std::string answer = AnswerOf(body, framing);
+    const std::size_t bodyEnd = answer.find(body) + body.size();
+    // The last event proves a stream's end, whatever marks the body's end.
+    const bool needsFrame =
+      aKind == UpstreamKind::kPlainService && framing == Framing::kChunked;
+    const std::size_t proof = needsFrame ? answer.size() : bodyEnd;
+    for (std::size_t bytes = 0; bytes <= answer.size(); ++bytes) {
+      const auto outcomes = OutcomesOf(aKind, answer.substr(0, bytes));
+      INFO("closed after " << bytes << " of " << answer.size()
+                           << " bytes, framing " << int(framing));
+      REQUIRE_FALSE(outcomes.empty());
+      const auto& last = outcomes.back();
+      if (bytes >= proof) {
+        CHECK(std::holds_alternative<request::UpstreamDone>(last));
+      } else {
+        const auto* broken = std::get_if<request::UpstreamBroken>(&last);
+        REQUIRE(broken != nullptr);
+        CHECK(broken->mMayHaveRun);
+      }
+    }
+  }
+}
+
+} // namespace
+
+// Guards against an engine's broken-off stream that is kept as its answer.
+TEST_CASE("AnEnginesStreamClosedAtAnyByteBeforeItsLastEventIsBroken")
+{
+  CheckEachByte(UpstreamKind::kModelEngine);
+}
+
+// Guards against a service's broken-off result that is kept as its answer.
+TEST_CASE("AServicesAnswerClosedAtAnyByteBeforeItsEndIsBroken")
+{
+  CheckEachByte(UpstreamKind::kPlainService);
+}
+
+} // namespace peridotspool::http
