Keep requests on open connections while others use tunnels

Since frozen relaying entries are noticed, an entry with a tunnel looked at all requests each 50 ms, and moved those off that waited on a direct connection from before the partition, without the silence that was required until then: a second run, or none, for an answer that was coming. Found by reading the change. ATunnelDoesNotEndRequestsOnOpenConnections failed on it ("no upstream left") and is kept now. Such connections are left after their common silence only, tunnels after their own.

--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -38,8 +38,10 @@
   /** Called when the caller has disconnected. */
   void Cancel();
   /** Sends the request elsewhere if it waits on a connection whose path is lost
-   * and may run again. */
-  void FailIfStalled();
+   * and may run again.
+   * @param aAreOwnSilent connections that no other entry relays carry nothing
+   */
+  void FailIfStalled(bool aAreOwnSilent);
 
   bool OnHead(ResponseHead aHead) override;
   void OnBody(std::string aBytes) override;
@@ -132,6 +134,7 @@
   /** Returns true iff what happens on the connection says nothing about the
    * upstream, as this entry's path is lost. */
   bool IsPathLost() const;
+  bool IsRelaySilent() const;
 
   GatewayCore& mCore;
   std::shared_ptr<CallerConnection> mCaller;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -66,16 +66,22 @@
 Exchange::IsPathLost() const
 {
   return mConnection && mConnection->ActiveAt() &&
-         (!mCore.IsUsable(*mConnection) ||
-          mConnection->IsRelaySilent(mCore.mNow()));
+         (!mCore.IsUsable(*mConnection) || IsRelaySilent());
+}
+
+bool
+Exchange::IsRelaySilent() const
+{
+  return mConnection && mConnection->IsRelaySilent(mCore.mNow());
 }
 
 // A request that may not run again keeps its connection: its response comes if
 // the path is restored in time.
 void
-Exchange::FailIfStalled()
+Exchange::FailIfStalled(bool aAreOwnSilent)
 {
-  if (mEnded || !IsPathLost()) {
+  const bool isStalled = aAreOwnSilent ? IsPathLost() : IsRelaySilent();
+  if (mEnded || !isStalled) {
     return;
   }
   AttemptState state = CurrentState();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -117,8 +117,8 @@
 void
 Gateway::FailStalled(TimePoint aNow)
 {
-  if (!mCore.mUpstreamPath.AreOpenConnectionsSilent(aNow) &&
-      !mCore.mTunnelPeers->HasTunnels()) {
+  const bool areOwnSilent = mCore.mUpstreamPath.AreOpenConnectionsSilent(aNow);
+  if (!areOwnSilent && !mCore.mTunnelPeers->HasTunnels()) {
     return;
   }
   std::vector<std::shared_ptr<Exchange>> exchanges;
@@ -127,7 +127,7 @@
     exchanges.push_back(exchange);
   }
   for (const auto& exchange : exchanges) {
-    exchange->FailIfStalled();
+    exchange->FailIfStalled(areOwnSilent);
   }
 }
 
--- a/test/gateway/BrokenRelayTest.cpp
+++ b/test/gateway/BrokenRelayTest.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <string>
 #include <thread>
 #include <utility>
@@ -51,10 +52,9 @@
     mEntry.OnRelay([&] {
       GatewayCore& core = mEntry.Core();
       core.SetTunnelPeers(peers, {});
-      core.mUpstreamPath.RecordUnreachable(UpstreamName("x"), core.mNow());
-      core.mUpstreamPath.RecordUnreachable(UpstreamName("y"), core.mNow());
       core.mRetryBudget = ServiceRetryBudget({ .mFixedAllowance = 1e6 });
     });
+    Partition();
     mTicking = std::thread([this] { Tick(); });
   }
   ~RelayedEntry()
@@ -65,6 +65,32 @@
   RelayedEntry(const RelayedEntry&) = delete;
   RelayedEntry& operator=(const RelayedEntry&) = delete;
 
+  /** Lets the entry reach no upstream by itself. */
+  void Partition()
+  {
+    mEntry.OnRelay([&] {
+      auto& path = mEntry.Core().mUpstreamPath;
+      path.RecordUnreachable(UpstreamName("x"), mEntry.Core().mNow());
+      path.RecordUnreachable(UpstreamName("y"), mEntry.Core().mNow());
+    });
+  }
+  /** Ends the partition, with one upstream that is reached and no other. */
+  void AddDirect(const std::string& aName, const Address& aWhere)
+  {
+    mEntry.OnRelay([&] {
+      GatewayCore& core = mEntry.Core();
+      // Silence alone is not to move a request.
+      core.mUpstreamPath = routing::UpstreamPathMonitor(
+        { .mMaxSilence = std::chrono::seconds(10),
+          .mMaxLoneSilence = std::chrono::seconds(10) });
+      core.mSelector.Update(UpstreamName("u1"), nullptr, core.mNow());
+      core.mSelector.Update(UpstreamName("u2"), nullptr, core.mNow());
+    });
+    mEntry.Add(aName, aWhere);
+    for (RelayingEntry& relay : mRelays) {
+      relay.mGateway.Add(aName, aWhere);
+    }
+  }
   SeenAnswer Ask(const std::string& aRoute, const std::string& aId)
   {
     Caller caller(mEntry.Where());
@@ -96,10 +122,17 @@
       relay.mLink.Freeze(relay.mLink.Passed() > 0);
     }
   }
-  std::size_t Runs() const
+  /** Returns how often each request has run. */
+  std::map<std::string, int> Runs() const
   {
-    return mUpstreams.first.Requests().size() +
-           mUpstreams.second.Requests().size();
+    std::map<std::string, int> runs;
+    for (const ScriptedUpstream* upstream :
+         { &mUpstreams.first, &mUpstreams.second }) {
+      for (const std::string& request : upstream->Requests()) {
+        ++runs[request.substr(request.rfind("\r\n") + 2)];
+      }
+    }
+    return runs;
   }
 
 private:
@@ -135,14 +168,11 @@
   for (std::size_t bytes = 0; bytes < size; ++bytes) {
     entry.Reset();
     entry.Link().Cut(bytes);
-    const std::size_t before = entry.Runs();
     const SeenAnswer seen = entry.Ask(aRoute, std::to_string(bytes));
-    const std::size_t runs = entry.Runs() - before;
     INFO(ToText(kind) << " through an entry killed after " << bytes
                       << " bytes: the caller got '" << seen.mStatus << "' "
                       << (seen.mComplete ? "complete" : "incomplete")
-                      << " with the body '" << seen.mBody << "' after " << runs
-                      << " runs");
+                      << " with the body '" << seen.mBody << "'");
     const bool isSuccess = seen.mComplete && seen.mStatus == "HTTP/1.1 200";
     if (isSuccess) {
       CHECK(seen.mBody == WholeBody(kind));
@@ -151,6 +181,9 @@
     const bool isUnproven =
       kind.IsStream() && endsByClose && seen.mBody == WholeBody(kind);
     CHECK((isSuccess || !kind.IsRetryable() || isUnproven));
+  }
+  for (const auto& [request, runs] : entry.Runs()) {
+    INFO(ToText(kind) << ", request " << request);
     CHECK(runs <= (kind.IsRetryable() ? 2 : 1));
   }
   INFO("expected the loss of another entry not to count against an upstream");
@@ -212,6 +245,29 @@
   CHECK(entry.Counted(CounterId::kUpstreamEjected) == 0);
 }
 
+// Guards against a request that leaves an open connection which lives on, as
+// soon as another request uses a tunnel.
+TEST_CASE("ATunnelDoesNotEndRequestsOnOpenConnections")
+{
+  std::atomic<int> runs{ 0 };
+  const auto answer = [&](const std::string&) {
+    const bool isFirst = ++runs == 1;
+    std::this_thread::sleep_for(std::chrono::milliseconds(isFirst ? 900 : 300));
+    return Script{ .mAnswer = WholeAnswer("whole") };
+  };
+  RelayedEntry entry(answer);
+  ScriptedUpstream direct(answer);
+  entry.AddDirect("u3", direct.Where());
+  std::string seen;
+  std::thread waiting([&] { seen = entry.Ask("safe", "1").mBody; });
+  CHECK(Eventually([&] { return direct.Requests().size() == 1; }));
+  entry.Partition();
+  CHECK(entry.Ask("safe", "2").mBody == "whole");
+  waiting.join();
+  CHECK(seen == "whole");
+  CHECK(runs == 2);
+}
+
 // Guards against a busy upstream behind a tunnel that is taken for a frozen
 // entry.
 TEST_CASE("ASlowAnswerThroughALivingEntryIsAwaited")
