--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -16,8 +16,6 @@
 
 constexpr std::size_t kReadBytes = 8U << 10;
 constexpr std::uint32_t kHeaderBytes = 64U << 10;
-/** Several times the period in which relaying entries keep tunnels alive. */
-constexpr Duration kMaxRelaySilence = std::chrono::seconds(1);
 /** Bounds the late responses to earlier requests that are skipped before one
  * response. */
 constexpr std::size_t kMaxSkippedResponses = 4;
@@ -201,40 +199,6 @@
   Read();
 }
 
-bool
-UpstreamConnection::ReadRecords(std::size_t aBytes)
-{
-  std::string data;
-  const std::string_view bytes(mRecordBytes.data(), aBytes);
-  if (!mRecords.Read(bytes, data)) {
-    OnRelayLost();
-    return false;
-  }
-  net::buffer_copy(mBuffer.prepare(data.size()), net::buffer(data));
-  mBuffer.commit(data.size());
-  return true;
-}
-
-// The process that relays the connection may have ended. Its connections are
-// closed in order then, which must not be taken for the end of a response.
-void
-UpstreamConnection::OnRelayLost()
-{
-  // Idle tunnels may be closed at any time.
-  if (mListener != nullptr) {
-    mDialer.RecordRelayLost(mTunnel->Peer());
-  }
-  Fail("the relaying entry is lost", { .mPathLost = true });
-}
-
-bool
-UpstreamConnection::IsRelaySilent(TimePoint aNow)
-{
-  // Bytes that have come and wait to be read are no silence.
-  return mTunnel && !mPaused && aNow - *mActiveAt >= kMaxRelaySilence &&
-         !HasEofOrData(mSocket);
-}
-
 // A response without a length ends with its connection. If the connection was
 // reset instead of closed, the response may be truncated and must not be
 // treated as complete.
@@ -368,16 +332,6 @@
   }
 }
 
-void
-UpstreamConnection::FailForLostPath()
-{
-  if (mTunnel) {
-    OnRelayLost();
-    return;
-  }
-  Fail("the path is lost", { .mPathLost = true });
-}
-
 void
 UpstreamConnection::Drop()
 {
--- a/test/gateway/TunnelServerTest.cpp
+++ b/test/gateway/TunnelServerTest.cpp
@@ -35,6 +35,16 @@
   return caller;
 }
 
+/** Opens a tunnel to the upstream "u" and sends a request through it. */
+std::unique_ptr<Caller>
+SendThroughTunnel(const GatewayFixture& aEntry)
+{
+  auto caller = Ask(aEntry, RequestFor("u"));
+  caller->ReadTo(kHeadEnd);
+  caller->Send(RequestText("safe", "1"));
+  return caller;
+}
+
 /** What a tunnel has carried until it ended. */
 struct TunnelContent
 {
@@ -95,9 +105,7 @@
     });
     GatewayFixture entry;
     entry.Add("u", upstream.Where());
-    const auto caller = Ask(entry, RequestFor("u"));
-    caller->ReadTo(kHeadEnd);
-    caller->Send(RequestText("safe", "1"));
+    const auto caller = SendThroughTunnel(entry);
     const TunnelContent content = ReadAll(*caller);
     CHECK(content.mData == "HTTP/1.1 200 OK\r\n\r\n");
     CHECK(content.mEnd == expected);
@@ -112,9 +120,7 @@
     [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
   GatewayFixture entry;
   entry.Add("u", upstream.Where());
-  const auto caller = Ask(entry, RequestFor("u"));
-  caller->ReadTo(kHeadEnd);
-  caller->Send(RequestText("safe", "1"));
+  const auto caller = SendThroughTunnel(entry);
   CHECK(Eventually([&] { return upstream.Requests().size() == 1; }));
   entry.OnRelay([&] { entry.CloseTunnels(); });
   CHECK_FALSE(ReadAll(*caller).mEnd);
@@ -127,9 +133,7 @@
     [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
   GatewayFixture entry;
   entry.Add("u", upstream.Where());
-  const auto caller = Ask(entry, RequestFor("u"));
-  caller->ReadTo(kHeadEnd);
-  caller->Send(RequestText("safe", "1"));
+  const auto caller = SendThroughTunnel(entry);
   CHECK(Eventually([&] {
     entry.OnRelay([&] { entry.TickUpstreamPath(); });
     return caller->HasData();
@@ -145,9 +149,7 @@
   GatewayFixture entry;
   entry.Add("u", upstream.Where());
   {
-    const auto caller = Ask(entry, RequestFor("u"));
-    caller->ReadTo(kHeadEnd);
-    caller->Send(RequestText("safe", "1"));
+    const auto caller = SendThroughTunnel(entry);
     CHECK(Eventually([&] { return upstream.Requests().size() == 1; }));
   }
   CHECK(Eventually([&] { return upstream.ClosedWhileHanging() == 1; }));
