Log whose stream a request goes on with

The line now has the id that the caller names, and the last event that was delivered, each cut to 64 bytes. No decision has changed.

--- a/include/peridotspool/gateway/HeaderNames.h
+++ b/include/peridotspool/gateway/HeaderNames.h
@@ -42,6 +42,9 @@
   std::string mFetchFrom;
   /** Id of the last event that was delivered before a stream is resumed. */
   std::string mLastEvent;
+  /** In a caller's request that resumes a stream: the id of the request that
+   * brought the stream's first event. */
+  std::string mResumes;
   /** Further fields that are removed from callers' requests. */
   std::vector<std::string> mReserved;
 };
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -18,6 +18,7 @@
 /** Prompts with fewer tokens do not delay other requests at an engine. */
 constexpr std::uint64_t kSmallPromptTokens = 3000;
 constexpr double kShortRetryAfterSeconds = 0.3;
+constexpr std::size_t kMaxLoggedField = 64;
 
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -135,6 +136,14 @@
   mEvents.StartResponse();
 }
 
+// A caller's field may be as long as its whole head.
+std::string
+Exchange::LoggedField(std::string_view aName) const
+{
+  return std::string(
+    FieldOf(mRequest.mFields, aName).substr(0, kMaxLoggedField));
+}
+
 void
 Exchange::LogSent(const UpstreamChoice& aChoice, bool aOnOpenConnection)
 {
@@ -148,6 +157,10 @@
       { "upstream", mUpstream },
       { "upstream_version", mVersion },
       { "version_reason", mVersionReason },
+      { "resumes", LoggedField(mCore.mNames.mResumes) },
+      { "last_event",
+        mEvents.LastId().empty() ? LoggedField(mCore.mNames.mLastEvent)
+                                 : mEvents.LastId() },
       { "settings", mTable->Version() },
       { "fullness", aChoice.mFullness },
       { "rank", aChoice.mRank },
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -77,6 +77,8 @@
   void RefuseAsLate(const UpstreamChoice& aChoice, Duration aRetryAfter);
   void SendTo(const UpstreamChoice& aChoice);
   void RecordChoice(const UpstreamChoice& aChoice);
+  /** Returns the beginning of a field of the caller's request. */
+  std::string LoggedField(std::string_view aName) const;
   void LogSent(const UpstreamChoice& aChoice, bool aOnOpenConnection);
   void ReportSent(const UpstreamChoice& aChoice);
   std::uint64_t EngineCacheTokens() const;
--- a/test/gateway/TestNames.h
+++ b/test/gateway/TestNames.h
@@ -23,6 +23,7 @@
            .mPriority = "X-Priority",
            .mFetchFrom = "X-Fetch",
            .mLastEvent = "Last-Event-Id",
+           .mResumes = "X-Resumes",
            .mReserved = { "X-Hold" } };
 }
 
