--- a/test/gateway/EntryGroup.cpp
+++ b/test/gateway/EntryGroup.cpp
@@ -58,10 +58,12 @@
 }
 
 void
-EntryGroup::Add(const std::string& aName, const Address& aWhere)
+EntryGroup::Add(const std::string& aName,
+                const Address& aWhere,
+                const std::string& aVersion)
 {
   for (const auto& entry : mEntries) {
-    entry->Add(aName, aWhere);
+    entry->Add(aName, aWhere, aVersion);
   }
 }
 
--- a/test/gateway/EntryGroup.h
+++ b/test/gateway/EntryGroup.h
@@ -23,7 +23,9 @@
   EntryGroup& operator=(const EntryGroup&) = delete;
 
   /** Registers an upstream of the service at all entries. */
-  void Add(const std::string& aName, const Address& aWhere);
+  void Add(const std::string& aName,
+           const Address& aWhere,
+           const std::string& aVersion = {});
   std::size_t Size() const { return mEntries.size(); }
   GatewayFixture& Entry(std::size_t aIndex) { return *mEntries[aIndex]; }
 
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -400,14 +400,18 @@
 }
 
 void
-GatewayFixture::Add(const std::string& aName, const Address& aWhere)
+GatewayFixture::Add(const std::string& aName,
+                    const Address& aWhere,
+                    const std::string& aVersion)
 {
   OnRelay([&] {
     const membership::KnownUpstream known{ .mReport = {
                                              .mName = UpstreamName(aName),
                                              .mService = ServiceName("s"),
                                              .mAddress = aWhere,
-                                             .mSlots = 8 } };
+                                             .mSlots = 8,
+                                             .mVersion =
+                                               VersionName(aVersion) } };
     mCore->mSelector.Update(UpstreamName(aName), &known, runtime::ReadClock());
   });
 }
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -109,7 +109,9 @@
   ~GatewayFixture();
 
   /** Registers an upstream of the service. */
-  void Add(const std::string& aName, const Address& aWhere);
+  void Add(const std::string& aName,
+           const Address& aWhere,
+           const std::string& aVersion = {});
   /** Runs a function on the relay thread and waits for it. */
   void OnRelay(const std::function<void()>& aCall);
   Address Where() const { return mWhere; }
--- /dev/null
+++ b/test/gateway/StreamVersionTest.cpp
@@ -0,0 +1,98 @@
+// ctest-labels: promise-whole-answers
+#include "gateway/VersionedUpstreams.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+constexpr std::size_t kEntries = 3;
+constexpr int kStreams = 24;
+constexpr int kUpstreamsEach = 2;
+
+/** Entries before upstreams of two versions, neither ordered by a rollout. */
+class TwoVersions
+{
+public:
+  explicit TwoVersions(VersionedUpstreams::Then aThen)
+    : mUpstreams(aThen)
+    , mGroup(kEntries)
+  {
+    for (std::size_t i = 0; i < mGroup.Size(); ++i) {
+      GatewayFixture& entry = mGroup.Entry(i);
+      entry.OnRelay([&] {
+        entry.Core().mRollouts.ApplyUpdate(
+          { .mTerm = 1, .mSequence = 1, .mNumber = 1 }, entry.Core().mNow());
+      });
+    }
+    for (int i = 0; i < kUpstreamsEach; ++i) {
+      mUpstreams.Add(mGroup, "old" + std::to_string(i), "v1");
+      mUpstreams.Add(mGroup, "new" + std::to_string(i), "v2");
+    }
+  }
+
+  Address Entry(int aNumber)
+  {
+    return mGroup.Entry(static_cast<std::size_t>(aNumber) % kEntries).Where();
+  }
+
+private:
+  VersionedUpstreams mUpstreams;
+  EntryGroup mGroup;
+};
+
+} // namespace
+
+// Guards against streams whose caller takes them up at another entry and gets
+// the rest from another software version.
+TEST_CASE("AStreamThatItsCallerTakesUpGoesOnAtItsVersion")
+{
+  TwoVersions system(VersionedUpstreams::Then::kWait);
+  std::set<std::string> begunAt;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    Caller first(system.Entry(i));
+    first.Send(StreamRequest(id));
+    std::string events = first.ReadTo("id: 2");
+    events += first.ReadTo("\n\n");
+    const auto begun = VersionsIn(events);
+    first.Close();
+    INFO("stream " << id);
+    REQUIRE(begun.size() == 2);
+    begunAt.insert(begun.front());
+
+    Caller second(system.Entry(i + 1));
+    second.Send(StreamRequest("b" + std::to_string(i), id));
+    const std::string rest = second.ReadAnswer();
+    CHECK(StatusOf(rest) == "HTTP/1.1 200");
+    CHECK(VersionsIn(rest) == std::vector<std::string>(2, begun.front()));
+  }
+  CHECK(begunAt.size() == 2);
+}
+
+// Guards against streams that an entry resumes at another software version
+// within one response.
+TEST_CASE("AStreamThatItsUpstreamBreaksOffGoesOnAtItsVersion")
+{
+  TwoVersions system(VersionedUpstreams::Then::kReset);
+  std::set<std::string> begunAt;
+  for (int i = 0; i < kStreams; ++i) {
+    Caller caller(system.Entry(i));
+    caller.Send(StreamRequest("a" + std::to_string(i)));
+    const auto versions = VersionsIn(caller.ReadAnswer());
+    INFO("stream " << i);
+    REQUIRE(!versions.empty());
+    CHECK(versions == std::vector<std::string>(4, versions.front()));
+    begunAt.insert(versions.front());
+    // Ejections of the upstreams that broke off have ended.
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  }
+  CHECK(begunAt.size() == 2);
+}
+
+} // namespace peridotspool::gateway
