Keep streams to the software version that began them

Callers that took a stream up got the rest of it from another software version, and so did streams that an entry resumed within one response.

Cause: an exchange chose the versions of each send by rules for new requests (rollouts, and the versions that this entry happened to meet first). Nothing recorded which version a stream began at, so a resumption was a new request. Class: a choice that has to hold for the life of a stream is made anew for each send, from what one process knows.

Change: the origin of a stream (service, version, upstream) is fixed by its first event, recorded at the entry and at three others in different failure domains before that event leaves, and looked up when a caller names the request. Without a known origin the request is refused as not run. Within a response the exchange keeps to the origin.

Ruled out: wrong beliefs of an upstream's version (the upstream checks its name; a version that changes under the same name makes the origin uncertain).

--- a/include/peridotspool/gateway/PeerMessage.h
+++ b/include/peridotspool/gateway/PeerMessage.h
@@ -7,6 +7,7 @@
 #include "peridotspool/rollout/RolloutMessage.h"
 #include "peridotspool/routing/CrashReport.h"
 #include "peridotspool/routing/Quarantine.h"
+#include "peridotspool/streams/OriginMessage.h"
 
 #include <boost/describe/class.hpp>
 #include <compare>
@@ -105,6 +106,10 @@
                                  limits::SendPermitRequest,
                                  limits::SendPermitResponse,
                                  limits::SendPermitReturn,
-                                 limits::BrittleState>;
+                                 limits::BrittleState,
+                                 streams::OriginWrite,
+                                 streams::OriginAck,
+                                 streams::OriginQuery,
+                                 streams::OriginResponse>;
 
 } // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/UpstreamSelector.h
+++ b/include/peridotspool/gateway/UpstreamSelector.h
@@ -231,6 +231,9 @@
   std::map<ServiceName, std::uint64_t> Running() const;
   /** Counts this entry's sends in flight to an upstream. */
   std::uint32_t InFlight(const UpstreamName& aName) const;
+  /** Returns the version that the upstream reports; empty if the upstream is
+   * unknown. */
+  std::optional<VersionName> VersionOf(const UpstreamName& aName) const;
   /** Returns the upstream's current incarnation; empty if it is unknown. */
   std::optional<Incarnation> IncarnationOf(const UpstreamName& aName) const;
   /** Returns the service of an upstream that accepts new work. */
--- a/include/peridotspool/rollout/RolloutGate.h
+++ b/include/peridotspool/rollout/RolloutGate.h
@@ -78,6 +78,15 @@
   VersionChoice ChooseRetry(const ServiceName& aService,
                             const ReadyByVersion& aReady,
                             TimePoint aNow);
+  /**
+   * Returns where a stream that began at a version may be resumed: at upstreams
+   * of that version, or nowhere. Uses one request of the entry's allowance if
+   * the version is still tried.
+   */
+  VersionChoice ChooseResumed(const ServiceName& aService,
+                              const VersionName& aVersion,
+                              const ReadyByVersion& aReady,
+                              TimePoint aNow);
   /** Records the first attempt of a request to an upstream of the service. */
   void RecordSent(const ServiceName& aService);
   /**
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -37,6 +37,7 @@
   , mDeadlineTimer(aCore.mIo)
   , mWaitTimer(aCore.mIo)
   , mLoadQueryTimer(aCore.mIo)
+  , mOriginTimer(aCore.mIo)
 {
 }
 
@@ -46,11 +47,12 @@
   return std::max(Duration(0), mDeadline - mCore.mNow());
 }
 
+// A stream whose version is uncertain can't be resumed anywhere.
 AttemptState
 Exchange::CurrentState() const
 {
   return AttemptState{ .mKind = mRoute->mKind,
-                       .mResumable = mRoute->mResumable,
+                       .mResumable = mRoute->mResumable && (mOrigin || !mBegun),
                        .mRuns = mRuns,
                        .mMaxAttempts = mRoute->mMaxAttempts,
                        .mRefusals = mRefusals,
@@ -110,6 +112,11 @@
     RefuseForBrittleUpstreams();
   } else if (isLimited) {
     RefuseForUpstreamLimit();
+  } else if (mOrigin) {
+    mCore.mCounters.Add(CounterId::kRefusedResumeVersion);
+    SendLocalResponse(kUnavailable,
+                      "no upstream of the stream's version",
+                      kShortRetryAfterSeconds);
   } else {
     mCore.mCounters.Add(CounterId::kRefusedNoUpstream);
     SendLocalResponse(kUnavailable, "no upstream", kShortRetryAfterSeconds);
@@ -131,6 +138,7 @@
     mCore.mCounters.Add(CounterId::kNewVersionSent);
   }
   mSelectionQuery.mTried.insert(mUpstream);
+  mSelectionQuery.mUseLongShortlist = false;
   mHead = ResponseHead{};
   mBody.clear();
   mEvents.StartResponse();
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -7,6 +7,8 @@
 #include "peridotspool/gateway/AttemptPolicy.h"
 #include "peridotspool/gateway/HeaderRules.h"
 #include "peridotspool/gateway/StreamEnd.h"
+#include "peridotspool/streams/ResumePolicy.h"
+#include "peridotspool/streams/StreamOrigin.h"
 
 #include <functional>
 #include <memory>
@@ -49,6 +51,15 @@
   void OnConnectionFailed(const ConnectionFailure& aFailure) override;
 
 private:
+  /** Whether the version that began the stream is recorded. */
+  enum class OriginState
+  {
+    kNone,
+    /** The first events wait until another entry holds the record. */
+    kReplicating,
+    kRecorded,
+  };
+
   bool WaitForStartup();
   void ResumeAfterStartup();
   bool Admit();
@@ -61,6 +72,21 @@
   double Units() const;
   void CountUsage();
   void ChooseService();
+  void Proceed();
+  /** Returns true iff the caller resumes a stream of an earlier request. */
+  bool IsResumption() const;
+  std::string_view ResumedRequest() const;
+  streams::StreamKey StreamKeyFor(std::string_view aRequestId) const;
+  void LookUpOrigin();
+  void OnOriginFound(const streams::OriginAnswer& aAnswer);
+  void LogResume(const streams::OriginAnswer& aAnswer,
+                 streams::ResumeVerdict aVerdict);
+  void RefuseResume(streams::ResumeVerdict aVerdict);
+  bool HoldFirstEvents(std::string_view aEvents);
+  void RecordOrigin();
+  void WaitForReplication();
+  void ReleaseFirstEvents();
+  void CancelOriginCall();
   Duration TimeLeft() const;
   AttemptState CurrentState() const;
   void Dispatch();
@@ -161,6 +187,20 @@
   VersionName mVersion;
   /** Why these versions of the service were chosen; for the log. */
   const char* mVersionReason = "";
+  /** Where the stream began: of a resumed one, or of one whose first event has
+   * come. */
+  std::optional<streams::StreamOrigin> mOrigin;
+  OriginState mOriginState = OriginState::kNone;
+  /** Tag of the pending write or lookup of the origin; 0 for none. */
+  std::uint64_t mOriginTag = 0;
+  http::net::steady_timer mOriginTimer;
+  TimePoint mOriginSentAt;
+  /** How long the first events waited for the origin to be recorded. */
+  Duration mOriginTook{ 0 };
+  /** Events that wait for the origin to be recorded. */
+  std::string mHeldEvents;
+  /** The response ended while its events waited. */
+  bool mHeldEnd = false;
   /** Number of batches of events that the current upstream has sent. */
   std::uint64_t mEventBatches = 0;
   TimePoint mFirstBatchAt;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -180,6 +180,7 @@
   mWaitTimer.cancel();
   CancelLoadQuery();
   CancelPermit();
+  CancelOriginCall();
   const Duration took = mCore.mNow() - mArrivedAt;
   if (aStatus >= 200 && aStatus < kFirstRefusal) {
     mCore.mCounters.Add(CounterId::kAnswered);
@@ -203,6 +204,7 @@
       { "unfinished_bytes", mEvents.Incomplete().size() },
       { "first_ms",
         mBegun ? Duration(mFirstEventAt - mArrivedAt) : Duration(0) },
+      { "origin_ms", mOriginTook },
       { "worst_gap_ms", mMaxGap },
       { "took_ms", took } });
   if (auto call = std::exchange(mOnEnded, {})) {
--- a/src/gateway/ExchangeLoad.cpp
+++ b/src/gateway/ExchangeLoad.cpp
@@ -126,11 +126,11 @@
 }
 
 // Returns empty if the request is to be sent, which includes requests that may
-// have run before and those whose caller already has part of the response.
+// have run before and those whose caller already has part of the stream.
 std::optional<Duration>
 Exchange::LoadSheddingRetryAfter(const UpstreamChoice& aChoice) const
 {
-  if (mRuns > 0 || mBegun) {
+  if (mRuns > 0 || mBegun || mOrigin) {
     return std::nullopt;
   }
   return RetryAfterIfLate({ .mExpectedFirstEvent = aChoice.mExpectedFirstEvent,
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -107,7 +107,8 @@
   }
   CountUsage();
   RelayEvents(mEvents.Append(aBytes));
-  if (!mEnded && mEvents.Incomplete().size() > kMaxHeldBytes) {
+  if (!mEnded &&
+      mEvents.Incomplete().size() + mHeldEvents.size() > kMaxHeldBytes) {
     FailOversized();
   }
 }
@@ -137,8 +138,11 @@
   if (aEvents.empty()) {
     return;
   }
-  const TimePoint now = mCore.mNow();
   ReportPrefillDone();
+  if (HoldFirstEvents(aEvents)) {
+    return;
+  }
+  const TimePoint now = mCore.mNow();
   if (!mBegun) {
     mBegun = true;
     mFirstEventAt = now;
@@ -196,6 +200,10 @@
     FinishBuffered();
     return;
   }
+  if (mOriginState == OriginState::kReplicating) {
+    mHeldEnd = true;
+    return;
+  }
   const StreamEnd end =
     JudgeStreamEnd({ .mFraming = mHead.mFraming,
                      .mHasEvent = mEvents.HasEvent(),
@@ -345,6 +353,7 @@
 void
 Exchange::OnConnectionFailed(const ConnectionFailure& aFailure)
 {
+  ReleaseFirstEvents();
   RecordConnectionLoss(aFailure);
   EndAttempt(aFailure.mPathLost ? SendResult::kPathLost : SendResult::kBroken);
   LogConnectionFailure(aFailure);
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -87,7 +87,6 @@
       .mHost = FieldOf(mRequest.mFields, "host"),
       .mTarget = mRequest.mTarget,
       .mBody = mRequest.mBody });
-  mCore.mRetryBudget.RecordRequest(mService, mArrivedAt);
   mDeadlineTimer.expires_after(wait);
   mDeadlineTimer.async_wait(
     [self = shared_from_this()](http::ErrorCode aError) {
@@ -95,6 +94,17 @@
         self->OnTimeout();
       }
     });
+  if (IsResumption()) {
+    LookUpOrigin();
+  } else {
+    Proceed();
+  }
+}
+
+void
+Exchange::Proceed()
+{
+  mCore.mRetryBudget.RecordRequest(mService, mArrivedAt);
   RequestQuota();
 }
 
--- a/src/gateway/ExchangeVersion.cpp
+++ b/src/gateway/ExchangeVersion.cpp
@@ -34,9 +34,11 @@
   const auto ready = mCore.mSelector.ReadyVersions(mService);
   const bool isFirst = mRuns == 0 && mRefusals == 0;
   const auto choice =
-    isFirst ? mCore.mRollouts.ChooseFirst(
-                mService, mRoute->mName, mSelectionQuery.mSeed, ready, now)
-            : mCore.mRollouts.ChooseRetry(mService, ready, now);
+    mOrigin
+      ? mCore.mRollouts.ChooseResumed(mService, mOrigin->mVersion, ready, now)
+    : isFirst ? mCore.mRollouts.ChooseFirst(
+                  mService, mRoute->mName, mSelectionQuery.mSeed, ready, now)
+              : mCore.mRollouts.ChooseRetry(mService, ready, now);
   mSelectionQuery.mVersions = choice.mFilter;
   mVersionReason = choice.mReason;
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/StreamOrigins.h"
 #include "gateway/UpstreamConnectionPool.h"
 #include "gateway/UpstreamDialer.h"
 #include "http/BeastTypes.h"
@@ -123,6 +124,10 @@
                             .mLogger = mLogger,
                             .mCounters = mCounters,
                             .mNow = mNow } };
+  /** Which version of its service began each stream. */
+  StreamOrigins mOrigins{
+    { .mSendToEntry = mSendToEntry, .mNow = mNow, .mCounters = mCounters }
+  };
   /** Number of the last probe of upstreams; selects which are probed. */
   std::uint64_t mLastProbe = 0;
   /** Exchanges that wait for a permit, by its tag. */
--- a/src/gateway/UpstreamSelector.cpp
+++ b/src/gateway/UpstreamSelector.cpp
@@ -406,6 +406,15 @@
   return found == mTrackedUpstreams.end() ? 0 : found->second.mInFlight;
 }
 
+std::optional<VersionName>
+UpstreamSelector::VersionOf(const UpstreamName& aName) const
+{
+  const auto found = mTrackedUpstreams.find(aName);
+  return found == mTrackedUpstreams.end()
+           ? std::nullopt
+           : std::optional(found->second.mReport.mVersion);
+}
+
 std::optional<Incarnation>
 UpstreamSelector::IncarnationOf(const UpstreamName& aName) const
 {
--- a/src/rollout/RolloutGate.cpp
+++ b/src/rollout/RolloutGate.cpp
@@ -252,6 +252,48 @@
            .mReason = "either version: the lease has run out" };
 }
 
+// A version that no rollout names, or that a completed one has replaced, may
+// still finish the streams that began there.
+VersionChoice
+RolloutGate::ChooseResumed(const ServiceName& aService,
+                           const VersionName& aVersion,
+                           const ReadyByVersion& aReady,
+                           TimePoint aNow)
+{
+  const VersionChoice nowhere{
+    .mFilter = { .mOnly = aVersion, .mExcept = { aVersion } },
+    .mReason = "the stream's version gets no requests"
+  };
+  VersionChoice choice{ .mFilter = { .mOnly = aVersion, .mExcept = {} },
+                        .mReason = "the stream's version" };
+  const ServiceVersions* versions = Find(aService);
+  if (versions == nullptr) {
+    return HasUpdate() || aReady.size() <= 1 ? choice : nowhere;
+  }
+  const auto& rolledBack = versions->mRolledBack;
+  if (std::find(rolledBack.begin(), rolledBack.end(), aVersion) !=
+      rolledBack.end()) {
+    return nowhere;
+  }
+  Run* const run = RunOf(aService);
+  if (run == nullptr || run->mShare.mTo != aVersion ||
+      run->mShare.mShare == kFullShare) {
+    return choice;
+  }
+  if (!HoldsLease(aNow)) {
+    return nowhere;
+  }
+  if (run->mShare.mShare == 0) {
+    if (run->mUsed >= run->mShare.mAllowed) {
+      return nowhere;
+    }
+    ++run->mUsed;
+    run->mUnusedSince = aNow;
+    choice.mFilter.mMaxUpstreams = CanaryUpstreams(ReadyOf(aReady, aVersion));
+  }
+  return choice;
+}
+
 void
 RolloutGate::RecordSent(const ServiceName& aService)
 {
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -155,6 +155,8 @@
 void
 GatewayRelay::MakeServers()
 {
+  mCore->mOrigins.Start(
+    mSettings.mListen.mPeer, mSettings.mRegion, RandomNumber());
   mCore->mDialer.SetOnPathChanged([this] { mCore->OnUpstreamPathChanged(); });
   if (mSettings.mListen.mPeerBind) {
     mCore->mDialer.SetSourceHost(mSettings.mListen.mPeerBind->mHost);
@@ -210,6 +212,7 @@
   mCore->TickQuarantine();
   mCore->TickPermits();
   mCore->TickUpstreamPath();
+  mCore->mOrigins.Tick();
   ReportUsage(now);
   mTraffic.Tick(*mLogger, mCounters, now);
   NoteLostLeader(now);
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -179,6 +179,18 @@
                          [&](const limits::SendPermitReturn& aReturn) {
                            mCore->HandleSendPermitReturn(aFrom, aReturn);
                          },
+                         [&](const streams::OriginWrite& aWrite) {
+                           mCore->mOrigins.Handle(aFrom, aWrite);
+                         },
+                         [&](const streams::OriginAck& aAck) {
+                           mCore->mOrigins.Handle(aFrom, aAck);
+                         },
+                         [&](const streams::OriginQuery& aQuery) {
+                           mCore->mOrigins.Handle(aFrom, aQuery);
+                         },
+                         [&](const streams::OriginResponse& aResponse) {
+                           mCore->mOrigins.Handle(aFrom, aResponse);
+                         },
                          [&](const gateway::PrefillDoneReport& aOne) {
                            mCore->mCoordinator.Handle(aOne, now);
                          },
@@ -297,12 +309,18 @@
   const std::size_t members = aEffect.mMap.mMembers.size();
   // One that is leaving hands its accounts over while it still serves.
   std::vector<gateway::Coordinator> keepers;
+  std::vector<streams::Replica> replicas;
   for (const membership::Member& member : aEffect.mMap.mMembers) {
     if (member.mState == membership::MemberState::kActive) {
       keepers.push_back(
         { .mAddress = member.mPeerAddress, .mDomain = member.mDomain });
+      replicas.push_back({ .mMember = member.mId,
+                           .mAddress = member.mPeerAddress,
+                           .mRegion = member.mRegion,
+                           .mDomain = member.mDomain });
     }
   }
+  mCore->mOrigins.SetMembers(replicas);
   std::vector<gateway::Coordinator> peers = keepers;
   std::erase_if(peers, [this](const gateway::Coordinator& aOne) {
     return aOne.mAddress == mSettings.mListen.mPeer;
--- a/src/runtime/PeerTally.cpp
+++ b/src/runtime/PeerTally.cpp
@@ -30,6 +30,8 @@
                                     CounterId::kSentMessagesQuarantine };
   const PurposeCounters rollout{ CounterId::kSentBytesRollout,
                                  CounterId::kSentMessagesRollout };
+  const PurposeCounters streams{ CounterId::kSentBytesStreams,
+                                 CounterId::kSentMessagesStreams };
   return std::visit(
     Overloaded{ [&](const gateway::QuotaRequest&) { return shared; },
                 [&](const gateway::QuotaResponse&) { return shared; },
@@ -49,6 +51,10 @@
                 [&](const limits::SendPermitResponse&) { return shared; },
                 [&](const limits::SendPermitReturn&) { return shared; },
                 [&](const limits::BrittleState&) { return shared; },
+                [&](const streams::OriginWrite&) { return streams; },
+                [&](const streams::OriginAck&) { return streams; },
+                [&](const streams::OriginQuery&) { return streams; },
+                [&](const streams::OriginResponse&) { return streams; },
                 [&](const auto&) { return load; } },
     aMessage);
 }
@@ -114,6 +120,7 @@
                 { "load", bytes(CounterId::kSentBytesLoad) },
                 { "quarantine", bytes(CounterId::kSentBytesQuarantine) },
                 { "rollout", bytes(CounterId::kSentBytesRollout) },
+                { "streams", bytes(CounterId::kSentBytesStreams) },
                 { "ledger", bytes(CounterId::kSentBytesLedger) } });
 }
 
--- a/test/gateway/EntryGroup.cpp
+++ b/test/gateway/EntryGroup.cpp
@@ -23,6 +23,13 @@
     members.push_back(
       { .mAddress = mEntries.back()->PeerAddress(), .mDomain = {} });
   }
+  std::vector<streams::Replica> replicas;
+  for (const Coordinator& member : members) {
+    replicas.push_back({ .mMember = MemberId(replicas.size() + 1),
+                         .mAddress = member.mAddress,
+                         .mRegion = {},
+                         .mDomain = member.mDomain });
+  }
   for (std::size_t i = 0; i < aCount; ++i) {
     mEntries[i]->OnRelay([&] {
       GatewayCore& core = mEntries[i]->Core();
@@ -30,6 +37,8 @@
       peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
       core.SetTunnelPeers(peers, {});
       core.mCoordinators.Set(members);
+      core.mOrigins.Start(members[i].mAddress, {}, i << 32U);
+      core.mOrigins.SetMembers(replicas);
       core.mTenure.SetSelf(members[i].mAddress);
       core.mTenure.ApplyEpoch(EpochNumber(1),
                               core.mCoordinators,
@@ -116,6 +125,18 @@
       [&](const limits::SendPermitReturn& aReturn) {
         core.HandleSendPermitReturn(aFrom, aReturn);
       },
+      [&](const streams::OriginWrite& aWrite) {
+        core.mOrigins.Handle(aFrom, aWrite);
+      },
+      [&](const streams::OriginAck& aAck) {
+        core.mOrigins.Handle(aFrom, aAck);
+      },
+      [&](const streams::OriginQuery& aQuery) {
+        core.mOrigins.Handle(aFrom, aQuery);
+      },
+      [&](const streams::OriginResponse& aResponse) {
+        core.mOrigins.Handle(aFrom, aResponse);
+      },
       [](const auto&) {} },
     aMessage);
 }
@@ -129,6 +150,7 @@
       entry->OnRelay([&] {
         entry->Core().mTenure.SetConfirmedAt(entry->Core().mNow());
         entry->Core().TickPermits();
+        entry->Core().mOrigins.Tick();
         entry->TickUpstreamPath();
       });
     }
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -60,12 +60,11 @@
            .mResumable = aResumable };
 }
 
-/** Returns a route of streams that may run once, with an objective of 1 s for
- * the first event. */
+/** Returns a route of streams with an objective of 1 s for the first event. */
 Route
-MakePromptRoute()
+MakePromptRoute(const char* aName, bool aResumable)
 {
-  Route route = MakeRoute("prompt", RequestKind::kStreaming, false);
+  Route route = MakeRoute(aName, RequestKind::kStreaming, aResumable);
   route.mTargetLatency = std::chrono::seconds(1);
   route.mSticky = true;
   return route;
@@ -80,7 +79,8 @@
   source.mRoutes = { MakeRoute("safe", RequestKind::kIdempotent, false),
                      MakeRoute("once", RequestKind::kNonIdempotent, false),
                      MakeRoute("stream", RequestKind::kStreaming, true),
-                     MakePromptRoute() };
+                     MakePromptRoute("prompt", false),
+                     MakePromptRoute("draft", true) };
   source.mLimits.mBodyBytes = 10000;
   source.mLimits.mHeaderBytes = 4000;
   LastReason reason;
@@ -405,13 +405,13 @@
                     const std::string& aVersion)
 {
   OnRelay([&] {
-    const membership::KnownUpstream known{ .mReport = {
-                                             .mName = UpstreamName(aName),
-                                             .mService = ServiceName("s"),
-                                             .mAddress = aWhere,
-                                             .mSlots = 8,
-                                             .mVersion =
-                                               VersionName(aVersion) } };
+    const membership::KnownUpstream known{
+      .mReport = { .mName = UpstreamName(aName),
+                   .mService = ServiceName("s"),
+                   .mAddress = aWhere,
+                   .mSlots = 8,
+                   .mVersion = VersionName(aVersion) }
+    };
     mCore->mSelector.Update(UpstreamName(aName), &known, runtime::ReadClock());
   });
 }
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -144,8 +144,8 @@
   std::thread mRelay;
 };
 
-/** Returns a request on the route of a kind: "safe", "once", "stream" or
- * "prompt". */
+/** Returns a request on the route of a kind: "safe", "once", "stream", "prompt"
+ * or "draft". */
 std::string
 RequestText(const std::string& aKind,
             const std::string& aId,
--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -1,4 +1,4 @@
-// ctest-labels: promise-whole-answers
+// ctest-labels: promise-whole-own-answer
 #include "gateway/VersionedUpstreams.h"
 
 #include <catch2/catch.hpp>
@@ -46,6 +46,44 @@
   EntryGroup mGroup;
 };
 
+const Address kCoordinator{ "10.0.0.1", 7000 };
+
+/** Sends an event, and breaks the stream off after it. */
+Script
+BreakOff(const std::string& /*aRequest*/)
+{
+  return { .mAnswer = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Stamp: proof\r\n"
+                      "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      "11\r\nid: 1\ndata: one\n\n\r\n",
+           .mThen = Script::Then::kReset };
+}
+
+/** Makes the coordinator report full upstreams, and free ones from the second
+ * query on. */
+void
+RespondFullAndThenFree(GatewayFixture& aGateway)
+{
+  GatewayCore& core = aGateway.Core();
+  core.mCoordinators.Set({ { .mAddress = kCoordinator, .mDomain = {} } });
+  core.mSendToEntry =
+    [&core, queries = 0](const Address&, const PeerMessage& aMessage) mutable {
+      const auto* query = std::get_if<LoadQuery>(&aMessage);
+      if (query == nullptr) {
+        return;
+      }
+      const bool isFull = queries++ == 0;
+      LoadResponse response{ .mTag = query->mTag, .mLoads = {} };
+      for (const char* name : { "old", "new" }) {
+        response.mLoads.push_back({ .mUpstream = UpstreamName(name),
+                                    .mWaitUs = isFull ? 5000000U : 0U,
+                                    .mRunning = isFull ? 8U : 0U });
+      }
+      http::net::post(core.mIo,
+                      [&core, response] { core.HandleLoadResponse(response); });
+    };
+}
+
 } // namespace
 
 // Guards against streams whose caller takes them up at another entry and gets
@@ -95,4 +133,27 @@
   CHECK(begunAt.size() == 2);
 }
 
+// Guards against a retry that keeps the versions of a selection that was made
+// before the stream began.
+TEST_CASE("AStreamKeepsItsVersionAfterASecondSelectionOfItsUpstream")
+{
+  ScriptedUpstream old(BreakOff);
+  ScriptedUpstream upgraded(BreakOff);
+  GatewayFixture gateway;
+  gateway.OnRelay([&] {
+    GatewayCore& core = gateway.Core();
+    core.mRollouts.ApplyUpdate({ .mTerm = 1, .mSequence = 1, .mNumber = 1 },
+                               core.mNow());
+    RespondFullAndThenFree(gateway);
+  });
+  gateway.Add("old", old.Where(), "v1");
+  gateway.Add("new", upgraded.Where(), "v2");
+  Caller caller(gateway.Where());
+  std::string request = RequestText("draft", "r1");
+  request.insert(request.find("\r\n") + 2, "X-Prefix: aa:12000,bb:3000\r\n");
+  caller.Send(request);
+  CHECK(StatusOf(caller.ReadAll()) == "HTTP/1.1 200");
+  CHECK(old.Requests().size() + upgraded.Requests().size() == 1);
+}
+
 } // namespace peridotspool::gateway
--- a/test/rollout/RolloutGateTest.cpp
+++ b/test/rollout/RolloutGateTest.cpp
@@ -148,4 +148,64 @@
   FAIL("no request went to the new version");
 }
 
+// Guards against a resumed stream that holds events of two versions.
+TEST_CASE("AResumedStreamGoesToItsVersionOnly")
+{
+  RolloutGate gate;
+  gate.ApplyUpdate(Update(1, {}), At(0));
+  // The entry has met the old version first, and leaves the new one out.
+  gate.ChooseFirst(kService, "r", 1, { { kOld, 2 } }, At(0));
+  const auto choice = gate.ChooseResumed(kService, kNew, kBoth, At(1));
+  CHECK(choice.mFilter.Allows(kNew));
+  CHECK_FALSE(choice.mFilter.Allows(kOld));
+  gate.ApplyUpdate(Update(2, { { .mService = kService, .mCurrent = kNew } }),
+                   At(2));
+  CHECK(gate.ChooseResumed(kService, kOld, kBoth, At(3)).mFilter.Allows(kOld));
+}
+
+// Guards against requests to a bad version because streams began there.
+TEST_CASE("AResumedStreamDoesNotGoToAVersionThatWasRolledBack")
+{
+  RolloutGate gate;
+  gate.ApplyUpdate(
+    Update(1, { { .mService = kService, .mRolledBack = { kNew } } }), At(0));
+  const auto choice = gate.ChooseResumed(kService, kNew, kBoth, At(1));
+  CHECK_FALSE(choice.mFilter.Allows(kNew));
+  CHECK_FALSE(choice.mFilter.Allows(kOld));
+}
+
+// Guards against resumed streams that expose a version beyond its bound.
+TEST_CASE("ResumedStreamsUseTheAllowanceOfAVersionOnTrial")
+{
+  RolloutGate gate;
+  gate.ApplyUpdate(Update(1, { Running(0, 3) }), At(0));
+  int resumed = 0;
+  for (int i = 0; i < 10; ++i) {
+    const auto choice = gate.ChooseResumed(kService, kNew, kBoth, At(1));
+    resumed += choice.mFilter.Allows(kNew) ? 1 : 0;
+  }
+  CHECK(resumed == 3);
+  CHECK(SentToNew(gate, 1000, At(2)) == 0);
+  CHECK(gate.ChooseResumed(kService, kOld, kBoth, At(3)).mFilter.Allows(kOld));
+}
+
+TEST_CASE("WithoutTheLeaderAVersionOnTrialResumesNothing")
+{
+  RolloutGate gate;
+  gate.ApplyUpdate(Update(1, { Running(500, 100) }), At(0));
+  CHECK(
+    gate.ChooseResumed(kService, kNew, kBoth, At(1999)).mFilter.Allows(kNew));
+  CHECK_FALSE(
+    gate.ChooseResumed(kService, kNew, kBoth, At(2000)).mFilter.Allows(kNew));
+}
+
+TEST_CASE("WithoutAnyUpdateNoStreamIsResumedAmongSeveralVersions")
+{
+  RolloutGate gate;
+  CHECK_FALSE(
+    gate.ChooseResumed(kService, kOld, kBoth, At(0)).mFilter.Allows(kOld));
+  CHECK(gate.ChooseResumed(kService, kOld, { { kOld, 2 } }, At(0))
+          .mFilter.Allows(kOld));
+}
+
 } // namespace peridotspool::rollout
--- a/test/soak/SoakSystem.h
+++ b/test/soak/SoakSystem.h
@@ -29,6 +29,7 @@
   }
   const Places& Where() const { return mPlaces; }
   SoakOperator& Operator() { return mOperator; }
+  SoakProxy& Links() { return mProxy; }
   Recorder& Seen() { return mRecorder; }
   const std::filesystem::path& Folder() const { return mFolder; }
   /** Its logs are wanted no more. */
--- a/test/soak/SoakUpstream.cpp
+++ b/test/soak/SoakUpstream.cpp
@@ -386,7 +386,9 @@
   const int first = aAfter.empty() ? 1 : std::stoi(aAfter) + 1;
   const bool breaks = Misbehaves(FaultKind::kGarble);
   for (int number = first; number <= kStreamEvents; ++number) {
-    const std::string event = StreamEvent(aId, number);
+    const std::string event =
+      (mMarksEvents ? "version: " + mVersion + "\n" : "") +
+      StreamEvent(aId, number);
     if (!Sleeps(kEventGap)) {
       return false;
     }
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -61,6 +61,9 @@
   /** Of its software; before Start. */
   void UseVersion(const std::string& aVersion) { mVersion = aVersion; }
   const std::string& Version() const { return mVersion; }
+  /** Each event of its streams names its version; before Start. */
+  void MarkEvents() { mMarksEvents = true; }
+  bool IsServing() const { return mRunning && !mDraining; }
   /** Starts again at the same address, for another service. */
   void Become(const std::string& aService);
   const std::string& Service() const { return mService; }
@@ -107,6 +110,7 @@
   const int mNumber;
   std::string mService;
   std::string mVersion = "v1";
+  bool mMarksEvents = false;
   Recorder& mRecorder;
   int mLife = 0;
   std::string mName;
