Copy cached prefixes only between upstreams of one version

The upstream that caches most of a prompt was named as the source to copy from, whatever its software version, though the fallback without a coordinator's answer already kept to one version.

APrefixIsNotCopiedFromAnotherVersion failed before (a source was named, 4,100 instead of 20,100 tokens expected) and passes now.

--- a/src/gateway/UpstreamSelectorChoice.cpp
+++ b/src/gateway/UpstreamSelectorChoice.cpp
@@ -185,8 +185,8 @@
            : aUpstream.mFailurePercent / 100.0;
 }
 
-// Returns null if no upstream is known to cache more of the prompt than the
-// chosen one.
+// Returns null if no upstream of the chosen one's version is known to cache
+// more of the prompt than the chosen one.
 const UpstreamSelector::TrackedUpstream*
 UpstreamSelector::FindLongestCachedPrefix(const TrackedUpstream& aChosen,
                                           const SelectionQuery& aQuery,
@@ -198,7 +198,8 @@
   for (const auto& [name, cached] : aQuery.mCachedTokens) {
     const auto found = mTrackedUpstreams.find(name);
     if (cached > most && found != mTrackedUpstreams.end() &&
-        !found->second.mGone && found->second.mEjectedUntil <= aNow) {
+        !found->second.mGone && found->second.mEjectedUntil <= aNow &&
+        found->second.mReport.mVersion == aChosen.mReport.mVersion) {
       best = &found->second;
       most = cached;
     }
--- a/test/gateway/UpstreamSelectorTest.cpp
+++ b/test/gateway/UpstreamSelectorTest.cpp
@@ -187,6 +187,29 @@
   CHECK(choice.mPrefixSource);
 }
 
+// Guards against a prompt that continues what another version has cached.
+TEST_CASE("APrefixIsNotCopiedFromAnotherVersion")
+{
+  UpstreamSelector selector({ .mDomain = FailureDomain("a") });
+  for (const char* name : { "old", "new" }) {
+    KnownUpstream known = Known(name);
+    known.mReport.mVersion = VersionName(name);
+    selector.Update(known.mReport.mName, &known, At(0));
+  }
+  selector.ApplyCoordinatorLoad(
+    { .mUpstream = UpstreamName("old"), .mWaitUs = 9000000 }, At(0));
+  const SelectionQuery query{
+    .mService = kService,
+    .mPrompt = { .mAffinity = 5, .mSharedTokens = 20000, .mOwnTokens = 100 },
+    .mCachedTokens = { { UpstreamName("old"), 20000 },
+                       { UpstreamName("new"), 0 } }
+  };
+  const auto choice = *selector.Choose(query, At(0));
+  CHECK(choice.mName == UpstreamName("new"));
+  CHECK_FALSE(choice.mPrefixSource);
+  CHECK(choice.mPrefillTokens == 20100);
+}
+
 // Each request holds one of four slots for a second. With six requests there, a
 // seventh waits for three to end, which takes three quarters of a second.
 TEST_CASE("TheWaitForAFullBatchIsIncludedIfSlotsAreReported")
