Continue answers of the own interface at one version only

Upstreams announce their version now, optionally, and a text is continued only at the version that began it. If none takes it within the queue's limit, the text is generated anew under a new lineage, which tells callers to drop what they have.

AnswerOfALostEngineContinuesAtItsVersionOnly failed before in both cases (the other version continued from piece 1) and passes now. A takeover was sound: it resumes the same engine's stream or starts a new text.

--- a/include/peridotspool/routing/RouteChoice.h
+++ b/include/peridotspool/routing/RouteChoice.h
@@ -28,6 +28,7 @@
   Incarnation mIncarnation;
   UpstreamKind mKind = UpstreamKind::kModelEngine;
   Address mAddress;
+  VersionName mVersion;
   std::vector<CandidateScore> mCandidateScores;
 };
 
--- a/include/peridotspool/routing/RouteQuery.h
+++ b/include/peridotspool/routing/RouteQuery.h
@@ -5,6 +5,7 @@
 #include "peridotspool/base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,11 @@
    * for none.
    */
   Duration mFirstTokenTarget{ 0 };
+  /**
+   * Only upstreams of this version may continue the answer; empty while it has
+   * no text.
+   */
+  std::optional<VersionName> mVersion;
 };
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/UpstreamReport.h
+++ b/include/peridotspool/routing/UpstreamReport.h
@@ -67,6 +67,8 @@
    * which it held it.
    */
   Duration mLoadAge{ 0 };
+  /** Version of its software; unset if not reported. */
+  VersionName mVersion;
 
   auto operator<=>(const UpstreamAnnouncement&) const = default;
 };
@@ -90,6 +92,7 @@
                        mTokenGap,
                        mModels,
                        mLease,
-                       mLoadAge))
+                       mLoadAge,
+                       mVersion))
 
 } // namespace peridotspool::routing
--- a/src/http/AnnouncementJson.cpp
+++ b/src/http/AnnouncementJson.cpp
@@ -112,6 +112,12 @@
   aAnnouncement.mIncarnation =
     Incarnation(UnsignedField(aFields, "incarnation").value_or(0));
   aAnnouncement.mSequence = UnsignedField(aFields, "sequence").value_or(0);
+  const std::string version = TextField(aFields, "version").value_or("");
+  if (version.size() > kMaxNameBytes) {
+    aReason.Set("\"version\" must have at most 128 bytes");
+    return false;
+  }
+  aAnnouncement.mVersion = VersionName(version);
   if (!aAnnouncement.mIncarnation.IsSet() || aAnnouncement.mSequence == 0) {
     aReason.Set("\"incarnation\" and \"sequence\" must be above 0");
     return false;
@@ -205,6 +211,7 @@
     { "sequence", aAnnouncement.mSequence },
     { "service", aAnnouncement.mService.Value() },
     { "domain", aAnnouncement.mDomain.Value() },
+    { "version", aAnnouncement.mVersion.Value() },
     { "kind", engine ? "model-engine" : "plain-service" },
     { "state", leaving ? "leaving" : "serving" },
     { "address", ToText(aAnnouncement.mAddress) },
--- a/src/request/Execution.cpp
+++ b/src/request/Execution.cpp
@@ -130,7 +130,8 @@
                         .mUpstream = intent.mUpstream,
                         .mIncarnation = intent.mIncarnation,
                         .mAddress = upstream->mAddress,
-                        .mKind = upstream->mKind };
+                        .mKind = upstream->mKind,
+                        .mVersion = upstream->mVersion };
     mStateMachine->Apply(ExecutionEvent::kDispatch);
     Resume(aContext);
     return true;
@@ -187,6 +188,9 @@
                              .mDeadline = mDeadline,
                              .mPrefixBlocks = mPromptBlocks,
                              .mAvoid = mAvoid };
+  if (mNextIndex > 0) {
+    query.mVersion = mTextVersion;
+  }
   const auto* rules =
     aContext.mAdmission.Rules(mRecord.mKey.mCustomer, mRecord.mTerms.mService);
   if (rules != nullptr) {
@@ -209,10 +213,26 @@
     WakeAt(std::min(aContext.mNow + kQueuePollInterval, giveUpAt));
     return;
   }
+  if (mNextIndex > 0 && !cannotSucceed) {
+    RestartText();
+    mQueuedSince = aContext.mNow;
+    WakeAt(aContext.mNow);
+    return;
+  }
   aContext.Count(TallyOf(aWhy));
   GiveUp(aContext, MakeRefusal(aContext, kStatusUnavailable, ReasonOf(aWhy)));
 }
 
+// Without an upstream of the version that began the text, another one generates
+// it anew; callers are told to drop what they have.
+void
+Execution::RestartText()
+{
+  mAnswer.mText.clear();
+  mAnswer.mLineage = AttemptNumber();
+  mNextIndex = 0;
+}
+
 void
 Execution::BeginAttempt(StepContext& aContext,
                         const routing::RouteChoice& aChoice)
@@ -227,6 +247,7 @@
              .mIncarnation = aChoice.mIncarnation,
              .mAddress = aChoice.mAddress,
              .mKind = aChoice.mKind,
+             .mVersion = aChoice.mVersion,
              .mFromIndex = mNextIndex };
   aContext.mEffects.emplace_back(
     ExplainEffect{ mRecord.mKey, mAttempt->mNumber, aChoice });
--- a/src/request/Execution.h
+++ b/src/request/Execution.h
@@ -75,12 +75,14 @@
     Incarnation mIncarnation;
     Address mAddress;
     routing::UpstreamKind mKind = routing::UpstreamKind::kModelEngine;
+    VersionName mVersion;
     std::uint64_t mFromIndex = 0;
     std::uint32_t mResumes = 0;
   };
 
   void TryDispatch(StepContext& aContext);
   void OnNoRoute(StepContext& aContext, routing::NoRoute aWhy);
+  void RestartText();
   void BeginAttempt(StepContext& aContext, const routing::RouteChoice& aChoice);
   void Send(StepContext& aContext, UpstreamMode aMode);
   bool TryResumeAtStart(StepContext& aContext);
@@ -131,6 +133,8 @@
   TimePoint mDeadline;
   std::unique_ptr<ExecutionStateMachine> mStateMachine;
   Answer mAnswer;
+  /** Version of the upstream that began the text. */
+  VersionName mTextVersion;
   /** Index of the next expected piece. */
   std::uint64_t mNextIndex = 0;
   std::uint32_t mAttempts = 0;
--- a/src/request/ExecutionUpstream.cpp
+++ b/src/request/ExecutionUpstream.cpp
@@ -67,6 +67,7 @@
   }
   if (!mAnswer.mLineage.IsSet()) {
     mAnswer.mLineage = mAttempt->mNumber;
+    mTextVersion = mAttempt->mVersion;
   }
   mStateMachine->Apply(ExecutionEvent::kPiece);
   ++mNextIndex;
--- a/src/routing/RouterState.cpp
+++ b/src/routing/RouterState.cpp
@@ -126,7 +126,9 @@
   const bool expired = stats.mExpires <= aNow;
   if (expired || aEvaluation.mCount == kMaxCandidates ||
       (!aQuery.mAvoid.empty() &&
-       Avoids(aQuery, mTable.Detail(aIndex).mAnnouncement.mName))) {
+       Avoids(aQuery, mTable.Detail(aIndex).mAnnouncement.mName)) ||
+      (aQuery.mVersion &&
+       *aQuery.mVersion != mTable.Detail(aIndex).mAnnouncement.mVersion)) {
     return;
   }
   Candidate& candidate = aEvaluation.mCandidates[aEvaluation.mCount++];
@@ -197,6 +199,7 @@
                       .mIncarnation = chosen.mIncarnation,
                       .mKind = chosen.mKind,
                       .mAddress = chosen.mAddress,
+                      .mVersion = chosen.mVersion,
                       .mCandidateScores = {} };
   choice.mCandidateScores.reserve(aEvaluation.mCount);
   for (std::size_t at = 0; at < aEvaluation.mCount; ++at) {
--- a/test/request/ManagerFixture.cpp
+++ b/test/request/ManagerFixture.cpp
@@ -44,7 +44,8 @@
 
 void
 ManagerFixture::AddUpstream(const std::string& aName,
-                            routing::UpstreamKind aKind)
+                            routing::UpstreamKind aKind,
+                            const std::string& aVersion)
 {
   mUpstreams.push_back(routing::UpstreamAnnouncement{
     .mName = UpstreamName(aName),
@@ -55,7 +56,8 @@
     .mAddress = { "127.0.0.1",
                   static_cast<std::uint16_t>(9000 + mUpstreams.size()) },
     .mSlots = 4,
-    .mLease = std::chrono::hours(1) });
+    .mLease = std::chrono::hours(1),
+    .mVersion = VersionName(aVersion) });
   for (Entry& entry : mEntries) {
     entry.mRouter->Announce(mUpstreams.back(), mNow);
   }
--- a/test/request/ManagerFixture.h
+++ b/test/request/ManagerFixture.h
@@ -36,7 +36,9 @@
     StartUpstreamEffect mStart;
   };
 
-  void AddUpstream(const std::string& aName, routing::UpstreamKind aKind);
+  void AddUpstream(const std::string& aName,
+                   routing::UpstreamKind aKind,
+                   const std::string& aVersion = {});
   /** Submits a request at an entry and returns the caller's exchange. */
   CallId Submit(std::size_t aEntry, bool aIdempotent);
   CallId Attach(std::size_t aEntry, const Caller& aHad);
--- a/test/request/WholeAnswerTest.cpp
+++ b/test/request/WholeAnswerTest.cpp
@@ -122,6 +122,38 @@
   CHECK(fixture.CallerOf(caller).mText == WholeText(4));
 }
 
+// Guards against an answer that two software versions generated.
+TEST_CASE("AnswerOfALostEngineContinuesAtItsVersionOnly")
+{
+  ManagerFixture fixture(1);
+  fixture.AddUpstream("engine-1", UpstreamKind::kModelEngine, "v1");
+  const CallId caller = fixture.Submit(0, true);
+  const auto first = fixture.Calls().front();
+  fixture.Feed(first, PieceFor(first, 0, Token(0)));
+  const bool hasOther = GENERATE(true, false);
+  fixture.AddUpstream("engine-2", UpstreamKind::kModelEngine, "v2");
+  if (hasOther) {
+    fixture.AddUpstream("engine-3", UpstreamKind::kModelEngine, "v1");
+  }
+  fixture.Feed(first, UpstreamBroken{ .mReason = "reset" });
+  fixture.Feed(fixture.Calls().front(),
+               UpstreamBroken{ .mReason = "refused", .mMayHaveRun = false });
+  for (int i = 0; i < 100 && fixture.Calls().empty(); ++i) {
+    fixture.Advance(std::chrono::milliseconds(100));
+  }
+  REQUIRE(fixture.Calls().size() == 1);
+  const auto second = fixture.Calls().front();
+  const auto* mode = std::get_if<GenerateMode>(&second.mStart.mMode);
+  REQUIRE(mode != nullptr);
+  const std::uint16_t chosen = second.mStart.mAddress.mPort;
+  INFO("upstream at port " << chosen << " continues from piece "
+                           << mode->mFromIndex);
+  const bool isOtherVersion = chosen == 9001;
+  CHECK(isOtherVersion == (mode->mFromIndex == 0));
+  FinishCall(fixture, second, 3);
+  CHECK(fixture.CallerOf(caller).mText == WholeText(3));
+}
+
 TEST_CASE("TakeoverResumesTheEnginesStreamAndRecomputesNothing")
 {
   // Guards against restarting answers when an entry is reclaimed without
