Resume streams without a name while their service has one version

Callers that know nothing of versions send no name; refusing them took away what they had before.

They are served while all upstreams of the route's only service have had a single version, at an entry that control has confirmed within 2 s; otherwise refused. A field that is empty or doubled counts as a wrong name, not as none. AStreamWithoutANameGoesOnOnlyWhileThereIsASingleVersion has both cases.

--- a/include/peridotspool/gateway/CoordinatorTenure.h
+++ b/include/peridotspool/gateway/CoordinatorTenure.h
@@ -34,6 +34,8 @@
   {
     mConfirmedAt = aConfirmedAt;
   }
+  /** Returns what SetConfirmedAt has recorded. */
+  std::optional<TimePoint> ConfirmedAt() const { return mConfirmedAt; }
   bool Covers(const UpstreamName& aUpstream,
               const FailureDomain& aDomain,
               TimePoint aNow) const;
--- a/include/peridotspool/streams/ResumePolicy.h
+++ b/include/peridotspool/streams/ResumePolicy.h
@@ -15,7 +15,8 @@
   kResume,
   /** Streams of the route are not resumable. */
   kNotResumable,
-  /** The request doesn't name the request that began the stream. */
+  /** The request doesn't name the request that began the stream, and the
+   * service has several versions. */
   kNotNamed,
   /** No entry knows the origin. */
   kUnknown,
@@ -45,6 +46,8 @@
   bool mIsResumable = false;
   /** The request names the request that began the stream. */
   bool mIsNamed = false;
+  /** For a request that names no stream, known means that the service has a
+   * single version. */
   OriginKnowledge mKnowledge = OriginKnowledge::kUnknown;
   bool mRouteHasService = false;
   /** The upstream that began the stream has announced another version since. */
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -77,6 +77,7 @@
   bool IsResumption() const;
   std::string_view ResumedRequest() const;
   streams::StreamKey StreamKeyFor(std::string_view aRequestId) const;
+  streams::OriginAnswer OriginWithoutName() const;
   void LookUpOrigin();
   void OnOriginFound(const streams::OriginAnswer& aAnswer);
   void LogResume(const streams::OriginAnswer& aAnswer,
--- a/src/gateway/ExchangeOrigin.cpp
+++ b/src/gateway/ExchangeOrigin.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kOriginRetention = std::chrono::seconds(60);
 /** How long the first event waits for another entry to hold the origin. */
 constexpr Duration kReplicationTimeout = std::chrono::milliseconds(30);
+/** An entry that control has not confirmed for so long may be cut off. */
+constexpr Duration kMaxBeliefAge = std::chrono::seconds(2);
 constexpr double kUndeterminedRetryAfterSeconds = 0.5;
 constexpr unsigned kUnavailable = 503;
 
@@ -67,12 +69,31 @@
     mCustomer == nullptr ? CustomerName() : mCustomer->mName, aRequestId);
 }
 
+// Callers that know nothing of versions name no stream. They are served while
+// the service has a single version, which only an entry that is in contact with
+// control can tell.
+streams::OriginAnswer
+Exchange::OriginWithoutName() const
+{
+  const auto confirmedAt = mCore.mTenure.ConfirmedAt();
+  const bool isCurrent =
+    confirmedAt && mCore.mNow() - *confirmedAt < kMaxBeliefAge;
+  const bool hasField =
+    !FieldsOf(mRequest.mFields, mCore.mNames.mResumes).empty();
+  const auto version = mCore.mSelector.OnlyVersionOf(mService);
+  if (hasField || !isCurrent || !version || mRoute->mShares.size() != 1) {
+    return {};
+  }
+  return { .mKnowledge = streams::OriginKnowledge::kKnown,
+           .mOrigin = { .mService = mService, .mVersion = *version } };
+}
+
 void
 Exchange::LookUpOrigin()
 {
   const std::string_view name = ResumedRequest();
   if (name.empty()) {
-    OnOriginFound({});
+    OnOriginFound(OriginWithoutName());
     return;
   }
   const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -171,10 +192,9 @@
   const bool isUncertain = (version && *version != mVersion) ||
                            (incarnation && *incarnation != mSent.mIncarnation);
   const Duration lifetime = TimeLeft() + kOriginRetention;
-  if (mOrigin) {
-    mCore.mOrigins.Record(
-      StreamKeyFor(ResumedRequest()), *mOrigin, lifetime, {});
-  } else if (!isUncertain) {
+  if (const auto name = ResumedRequest(); mOrigin && !name.empty()) {
+    mCore.mOrigins.Record(StreamKeyFor(name), *mOrigin, lifetime, {});
+  } else if (!mOrigin && !isUncertain) {
     mOrigin = streams::StreamOrigin{ .mService = mService,
                                      .mVersion = mVersion,
                                      .mUpstream = mUpstream };
--- a/src/gateway/UpstreamSelector.cpp
+++ b/src/gateway/UpstreamSelector.cpp
@@ -415,6 +415,22 @@
            : std::optional(found->second.mReport.mVersion);
 }
 
+std::optional<VersionName>
+UpstreamSelector::OnlyVersionOf(const ServiceName& aService) const
+{
+  std::optional<VersionName> only;
+  for (const auto& [name, upstream] : mTrackedUpstreams) {
+    if (upstream.mReport.mService != aService) {
+      continue;
+    }
+    if (only && *only != upstream.mReport.mVersion) {
+      return std::nullopt;
+    }
+    only = upstream.mReport.mVersion;
+  }
+  return only;
+}
+
 std::optional<Incarnation>
 UpstreamSelector::IncarnationOf(const UpstreamName& aName) const
 {
--- a/src/streams/ResumePolicy.cpp
+++ b/src/streams/ResumePolicy.cpp
@@ -8,7 +8,7 @@
   if (!aFacts.mIsResumable) {
     return ResumeVerdict::kNotResumable;
   }
-  if (!aFacts.mIsNamed) {
+  if (!aFacts.mIsNamed && aFacts.mKnowledge != OriginKnowledge::kKnown) {
     return ResumeVerdict::kNotNamed;
   }
   switch (aFacts.mKnowledge) {
--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -15,6 +15,16 @@
 constexpr int kStreams = 24;
 constexpr int kUpstreamsEach = 2;
 
+/** Tells an entry that there are no rollouts. */
+void
+LearnRollouts(GatewayFixture& aEntry)
+{
+  aEntry.OnRelay([&] {
+    aEntry.Core().mRollouts.ApplyUpdate(
+      { .mTerm = 1, .mSequence = 1, .mNumber = 1 }, aEntry.Core().mNow());
+  });
+}
+
 /** Entries before upstreams of two versions, neither ordered by a rollout. */
 class TwoVersions
 {
@@ -24,11 +34,7 @@
     , mGroup(kEntries)
   {
     for (std::size_t i = 0; i < mGroup.Size(); ++i) {
-      GatewayFixture& entry = mGroup.Entry(i);
-      entry.OnRelay([&] {
-        entry.Core().mRollouts.ApplyUpdate(
-          { .mTerm = 1, .mSequence = 1, .mNumber = 1 }, entry.Core().mNow());
-      });
+      LearnRollouts(mGroup.Entry(i));
     }
     for (int i = 0; i < kUpstreamsEach; ++i) {
       mUpstreams.Add(mGroup, "old" + std::to_string(i), "v1");
@@ -113,6 +119,29 @@
   CHECK(begunAt.size() == 2);
 }
 
+// Guards against callers without a name for their stream that get the rest from
+// another version, and against their refusal where there is one version.
+TEST_CASE("AStreamWithoutANameGoesOnOnlyWhileThereIsASingleVersion")
+{
+  const bool hasTwoVersions = GENERATE(true, false);
+  VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
+  EntryGroup group(kEntries);
+  upstreams.Add(group, "old", "v1");
+  upstreams.Add(group, "other", hasTwoVersions ? "v2" : "v1");
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    LearnRollouts(group.Entry(i));
+  }
+  Caller caller(group.Entry(0).Where());
+  std::string request = StreamRequest("b1", "unused");
+  const std::string name = "X-Resumes: unused\r\n";
+  request.erase(request.find(name), name.size());
+  // The group's control confirms the epoch every 50 ms.
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  caller.Send(request);
+  CHECK(StatusOf(caller.ReadAnswer()) ==
+        (hasTwoVersions ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+}
+
 // Guards against streams that an entry resumes at another software version
 // within one response.
 TEST_CASE("AStreamThatItsUpstreamBreaksOffGoesOnAtItsVersion")
@@ -140,12 +169,8 @@
   ScriptedUpstream old(BreakOff);
   ScriptedUpstream upgraded(BreakOff);
   GatewayFixture gateway;
-  gateway.OnRelay([&] {
-    GatewayCore& core = gateway.Core();
-    core.mRollouts.ApplyUpdate({ .mTerm = 1, .mSequence = 1, .mNumber = 1 },
-                               core.mNow());
-    RespondFullAndThenFree(gateway);
-  });
+  LearnRollouts(gateway);
+  gateway.OnRelay([&] { RespondFullAndThenFree(gateway); });
   gateway.Add("old", old.Where(), "v1");
   gateway.Add("new", upgraded.Where(), "v2");
   Caller caller(gateway.Where());
--- a/test/streams/ResumePolicyTest.cpp
+++ b/test/streams/ResumePolicyTest.cpp
@@ -38,8 +38,14 @@
         ResumeVerdict::kAmbiguous);
   CHECK(JudgeResume(WithKnowledge(OriginKnowledge::kUndetermined)) ==
         ResumeVerdict::kUndetermined);
+}
+
+TEST_CASE("AStreamWithoutANameIsResumedWhileThereIsASingleVersion")
+{
   ResumeFacts facts = kGranted;
   facts.mIsNamed = false;
+  CHECK(JudgeResume(facts) == ResumeVerdict::kResume);
+  facts.mKnowledge = OriginKnowledge::kUnknown;
   CHECK(JudgeResume(facts) == ResumeVerdict::kNotNamed);
 }
 
