Don't relay events of an upstream whose version has changed meanwhile

An upstream that is upgraded in place may answer a request that was sent under an old belief of its version. A stream that began there has no origin; one that was to go on there got the new version's events. The first events of each response are checked against what is known of the upstream by then; where it differs they are dropped, and the stream goes on elsewhere or is broken off.

The users' upstreams check their name, which is new in each life, so this guards upstreams that keep a name, and the window before their announcement remains (docs/design/stream-versions.md).

The hash over parts stood twice (contents, streams): one function now.

--- a/src/base/ContentId.cpp
+++ b/src/base/ContentId.cpp
@@ -1,12 +1,10 @@
 #include "peridotspool/base/ContentId.h"
 
+#include "peridotspool/base/PartsHash.h"
+
 #include <charconv>
 #include <cstdio>
 
-// The hash's running state is a plain value then, on the stack.
-#define XXH_STATIC_LINKING_ONLY
-#include <xxhash.h>
-
 namespace peridotspool {
 
 namespace {
@@ -25,25 +23,15 @@
 
 } // namespace
 
-// Each part goes in with its length before it: "/a" with "bc" is not "/ab"
-// with "c".
 ContentId
 ContentOf(const RequestContent& aContent)
 {
-  XXH3_state_t state;
-  XXH3_128bits_reset(&state);
-  const std::string_view customer = aContent.mCustomer.Value();
-  for (const std::string_view part : { customer,
-                                       aContent.mMethod,
-                                       aContent.mHost,
-                                       aContent.mTarget,
-                                       aContent.mBody }) {
-    const std::uint64_t size = part.size();
-    XXH3_128bits_update(&state, &size, sizeof size);
-    XXH3_128bits_update(&state, part.data(), part.size());
-  }
-  const XXH128_hash_t hash = XXH3_128bits_digest(&state);
-  return { .mHigh = hash.high64, .mLow = hash.low64 };
+  const PartsHash hash = HashParts({ aContent.mCustomer.Value(),
+                                     aContent.mMethod,
+                                     aContent.mHost,
+                                     aContent.mTarget,
+                                     aContent.mBody });
+  return { .mHigh = hash.mHigh, .mLow = hash.mLow };
 }
 
 std::string
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -84,6 +84,8 @@
                  streams::ResumeVerdict aVerdict);
   void RefuseResume(streams::ResumeVerdict aVerdict);
   bool HoldFirstEvents(std::string_view aEvents);
+  bool IsVersionUncertain() const;
+  void DropUncertainEvents();
   void RecordOrigin();
   void WaitForReplication();
   void ReleaseFirstEvents();
--- a/src/gateway/ExchangeOrigin.cpp
+++ b/src/gateway/ExchangeOrigin.cpp
@@ -183,18 +183,34 @@
 }
 
 // An upstream that announced another version after the request was sent may
-// have run either one. Its stream has no known origin.
-void
-Exchange::RecordOrigin()
+// have run either one.
+bool
+Exchange::IsVersionUncertain() const
 {
   const auto version = mCore.mSelector.VersionOf(mUpstream);
   const auto incarnation = mCore.mSelector.IncarnationOf(mUpstream);
-  const bool isUncertain = (version && *version != mVersion) ||
-                           (incarnation && *incarnation != mSent.mIncarnation);
+  return (version && *version != mVersion) ||
+         (incarnation && *incarnation != mSent.mIncarnation);
+}
+
+void
+Exchange::DropUncertainEvents()
+{
+  mConnection->Drop();
+  ++mRuns;
+  EndAttempt(SendResult::kAnswered);
+  ApplyNextStep(AfterLostResponse(CurrentState()),
+                "the upstream's version is uncertain",
+                CounterId::kRetryCrossedAnswer);
+}
+
+void
+Exchange::RecordOrigin()
+{
   const Duration lifetime = TimeLeft() + kOriginRetention;
   if (const auto name = ResumedRequest(); mOrigin && !name.empty()) {
     mCore.mOrigins.Record(StreamKeyFor(name), *mOrigin, lifetime, {});
-  } else if (!mOrigin && !isUncertain) {
+  } else if (!mOrigin && !IsVersionUncertain()) {
     mOrigin = streams::StreamOrigin{ .mService = mService,
                                      .mVersion = mVersion,
                                      .mUpstream = mUpstream };
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -139,6 +139,10 @@
     return;
   }
   ReportPrefillDone();
+  if (mOrigin && mEventBatches == 0 && IsVersionUncertain()) {
+    DropUncertainEvents();
+    return;
+  }
   if (HoldFirstEvents(aEvents)) {
     return;
   }
--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -162,6 +162,35 @@
   CHECK(begunAt.size() == 2);
 }
 
+// Guards against streams that go on where an upstream was upgraded in place
+// before the entry has heard of it.
+TEST_CASE("AStreamOfAnUpstreamThatIsUpgradedMeanwhileGoesOnNowhere")
+{
+  const bool isTakenUp = GENERATE(true, false);
+  GatewayFixture gateway;
+  Address upgradedAt;
+  ScriptedUpstream upgraded([&](const std::string& aRequest) {
+    gateway.Add("upgraded", upgradedAt, "v2");
+    return BreakOff(aRequest);
+  });
+  upgradedAt = upgraded.Where();
+  LearnRollouts(gateway);
+  gateway.Add("upgraded", upgradedAt, "v1");
+  gateway.OnRelay([&] {
+    gateway.Core().mOrigins.Record(
+      streams::StreamKeyOf(CustomerName(), "a1"),
+      { .mService = ServiceName("s"), .mVersion = VersionName("v1") },
+      std::chrono::seconds(60),
+      {});
+  });
+  Caller caller(gateway.Where());
+  caller.Send(StreamRequest("b1", isTakenUp ? "a1" : ""));
+  const std::string answer = caller.ReadAnswer();
+  CHECK((answer.find("data: one") == std::string::npos) == isTakenUp);
+  CHECK(answer.find("\r\n0\r\n\r\n") == std::string::npos);
+  CHECK(upgraded.Requests().size() == 1);
+}
+
 // Guards against a retry that keeps the versions of a selection that was made
 // before the stream began.
 TEST_CASE("AStreamKeepsItsVersionAfterASecondSelectionOfItsUpstream")
