--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -1,4 +1,5 @@
 // ctest-labels: promise-whole-own-answer
+#include "gateway/UpstreamLink.h"
 #include "gateway/VersionedUpstreams.h"
 
 #include <catch2/catch.hpp>
@@ -162,6 +163,44 @@
   CHECK(begunAt.size() == 2);
 }
 
+// Guards against streams of two versions at an entry whose connections others
+// relay.
+TEST_CASE("AStreamGoesOnAtItsVersionThroughATunnel")
+{
+  VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
+  EntryGroup group(kEntries);
+  std::vector<std::unique_ptr<UpstreamLink>> links;
+  for (const char* name : { "old", "new" }) {
+    const std::string version = name == std::string("old") ? "v1" : "v2";
+    upstreams.Add(group, name, version);
+    links.push_back(
+      std::make_unique<UpstreamLink>(upstreams.Where(links.size())));
+    group.Entry(0).Add(name, links.back()->Where(), version);
+    links.back()->Set(LinkState::kReset);
+  }
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    LearnRollouts(group.Entry(i));
+  }
+  REQUIRE(Eventually([&] {
+    Caller caller(group.Entry(0).Where());
+    caller.Send(StreamRequest("w"));
+    return StatusOf(caller.ReadTo("\n\n")) == "HTTP/1.1 200";
+  }));
+  for (int i = 0; i < kStreams / 2; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    Caller first(group.Entry(1).Where());
+    first.Send(StreamRequest(id));
+    const auto begun = VersionsIn(first.ReadTo("\n\n") + "\n");
+    first.Close();
+    REQUIRE(begun.size() == 1);
+    Caller second(group.Entry(0).Where());
+    second.Send(StreamRequest("b" + std::to_string(i), id));
+    INFO("stream " << id);
+    CHECK(VersionsIn(second.ReadAnswer()) ==
+          std::vector<std::string>(2, begun.front()));
+  }
+}
+
 // Guards against streams that go on where an upstream was upgraded in place
 // before the entry has heard of it.
 TEST_CASE("AStreamOfAnUpstreamThatIsUpgradedMeanwhileGoesOnNowhere")
--- a/test/gateway/VersionedUpstreams.h
+++ b/test/gateway/VersionedUpstreams.h
@@ -41,6 +41,11 @@
            const std::string& aName,
            const std::string& aVersion);
   std::vector<VersionedRun> Runs() const;
+  /** Returns the address of the upstream that was added at this place. */
+  Address Where(std::size_t aPlace) const
+  {
+    return mUpstreams.at(aPlace)->Where();
+  }
 
 private:
   Script Answer(const std::string& aVersion, const std::string& aRequest);
