--- a/test/gateway/VersionedUpstreams.cpp
+++ b/test/gateway/VersionedUpstreams.cpp
@@ -79,8 +79,9 @@
 std::string
 StreamRequest(const std::string& aId, const std::string& aResumes)
 {
-  std::string text = "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Id: " +
-                     aId + "\r\nX-Deadline: 1000\r\nContent-Length: 0\r\n";
+  std::string text =
+    "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Id: " + aId +
+    "\r\nX-Deadline: 1000\r\nContent-Length: 0\r\n";
   if (!aResumes.empty()) {
     text += "X-Resumes: " + aResumes +
             "\r\nLast-Event-Id: " + std::to_string(kFirstEvents) + "\r\n";
