End a response whose first events are of uncertain version, without a retry

A retry would have gone on after the events that were dropped, so the caller's stream would have missed them. Found by reading the change; the response is ended now. A connection that fails while its first events wait for the record is not handled twice, if releasing them has ended the exchange.

--- a/src/gateway/ExchangeOrigin.cpp
+++ b/src/gateway/ExchangeOrigin.cpp
@@ -193,13 +193,15 @@
          (incarnation && *incarnation != mSent.mIncarnation);
 }
 
+// The request isn't retried: the last event's id is that of an event that the
+// caller doesn't get.
 void
 Exchange::DropUncertainEvents()
 {
   mConnection->Drop();
   ++mRuns;
   EndAttempt(SendResult::kAnswered);
-  ApplyNextStep(AfterLostResponse(CurrentState()),
+  ApplyNextStep(mBegun ? NextStep::kAbort : NextStep::kFail,
                 "the upstream's version is uncertain",
                 CounterId::kRetryCrossedAnswer);
 }
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -358,6 +358,9 @@
 Exchange::OnConnectionFailed(const ConnectionFailure& aFailure)
 {
   ReleaseFirstEvents();
+  if (mEnded) {
+    return;
+  }
   RecordConnectionLoss(aFailure);
   EndAttempt(aFailure.mPathLost ? SendResult::kPathLost : SendResult::kBroken);
   LogConnectionFailure(aFailure);
--- a/src/rollout/RolloutGate.cpp
+++ b/src/rollout/RolloutGate.cpp
@@ -260,10 +260,9 @@
                            const ReadyByVersion& aReady,
                            TimePoint aNow)
 {
-  const VersionChoice nowhere{
-    .mFilter = { .mOnly = aVersion, .mExcept = { aVersion } },
-    .mReason = "the stream's version gets no requests"
-  };
+  VersionChoice nowhere{ .mFilter = { .mOnly = aVersion,
+                                      .mExcept = { aVersion } },
+                         .mReason = "the stream's version gets no requests" };
   VersionChoice choice{ .mFilter = { .mOnly = aVersion, .mExcept = {} },
                         .mReason = "the stream's version" };
   const ServiceVersions* versions = Find(aService);
