--- a/src/gateway/StreamOrigins.cpp
+++ b/src/gateway/StreamOrigins.cpp
@@ -1,5 +1,7 @@
 #include "gateway/StreamOrigins.h"
 
+#include "peridotspool/base/Overloaded.h"
+
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -128,6 +130,22 @@
   mClient.CancelLookup(aTag);
 }
 
+void
+StreamOrigins::HandlePeerMessage(const Address& aFrom,
+                                 const PeerMessage& aMessage)
+{
+  std::visit(
+    Overloaded{
+      [&](const streams::OriginWrite& aWrite) { Handle(aFrom, aWrite); },
+      [&](const streams::OriginAck& aAck) { Handle(aFrom, aAck); },
+      [&](const streams::OriginQuery& aQuery) { Handle(aFrom, aQuery); },
+      [&](const streams::OriginResponse& aResponse) {
+        Handle(aFrom, aResponse);
+      },
+      [](const auto& /*aOther*/) {} },
+    aMessage);
+}
+
 void
 StreamOrigins::Handle(const Address& aFrom, const streams::OriginWrite& aWrite)
 {
--- a/src/gateway/StreamOrigins.h
+++ b/src/gateway/StreamOrigins.h
@@ -64,14 +64,16 @@
   /** Cancels the call for a write or a lookup; writes go on. */
   void Cancel(std::uint64_t aTag);
 
-  void Handle(const Address& aFrom, const streams::OriginWrite& aWrite);
-  void Handle(const Address& aFrom, const streams::OriginAck& aAck);
-  void Handle(const Address& aFrom, const streams::OriginQuery& aQuery);
-  void Handle(const Address& aFrom, const streams::OriginResponse& aResponse);
+  /** Handles a message of another entry if it is about origins. */
+  void HandlePeerMessage(const Address& aFrom, const PeerMessage& aMessage);
   /** Called every 50 ms. */
   void Tick();
 
 private:
+  void Handle(const Address& aFrom, const streams::OriginWrite& aWrite);
+  void Handle(const Address& aFrom, const streams::OriginAck& aAck);
+  void Handle(const Address& aFrom, const streams::OriginQuery& aQuery);
+  void Handle(const Address& aFrom, const streams::OriginResponse& aResponse);
   std::vector<Address> HoldersOf(const streams::StreamKey& aKey) const;
   std::vector<Address> PossibleHoldersOf(const streams::StreamKey& aKey) const;
   void AddOthers(std::vector<Address>& aAddresses,
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -132,6 +132,7 @@
                          const gateway::PeerMessage& aMessage)
 {
   const TimePoint now = ReadClock();
+  mCore->mOrigins.HandlePeerMessage(aFrom, aMessage);
   std::visit(Overloaded{ [&](const gateway::QuotaResponse& aGrant) {
                           Decide(mCore->mQuota.HandleResponse(aGrant));
                         },
@@ -179,18 +180,6 @@
                          [&](const limits::SendPermitReturn& aReturn) {
                            mCore->HandleSendPermitReturn(aFrom, aReturn);
                          },
-                         [&](const streams::OriginWrite& aWrite) {
-                           mCore->mOrigins.Handle(aFrom, aWrite);
-                         },
-                         [&](const streams::OriginAck& aAck) {
-                           mCore->mOrigins.Handle(aFrom, aAck);
-                         },
-                         [&](const streams::OriginQuery& aQuery) {
-                           mCore->mOrigins.Handle(aFrom, aQuery);
-                         },
-                         [&](const streams::OriginResponse& aResponse) {
-                           mCore->mOrigins.Handle(aFrom, aResponse);
-                         },
                          [&](const gateway::PrefillDoneReport& aOne) {
                            mCore->mCoordinator.Handle(aOne, now);
                          },
--- a/test/gateway/EntryGroup.cpp
+++ b/test/gateway/EntryGroup.cpp
@@ -97,6 +97,7 @@
 {
   GatewayCore& core = mEntries[aIndex]->Core();
   const TimePoint now = core.mNow();
+  core.mOrigins.HandlePeerMessage(aFrom, aMessage);
   std::visit(
     Overloaded{
       [&](const LoadQuery& aQuery) { core.HandleLoadQuery(aFrom, aQuery); },
@@ -125,18 +126,6 @@
       [&](const limits::SendPermitReturn& aReturn) {
         core.HandleSendPermitReturn(aFrom, aReturn);
       },
-      [&](const streams::OriginWrite& aWrite) {
-        core.mOrigins.Handle(aFrom, aWrite);
-      },
-      [&](const streams::OriginAck& aAck) {
-        core.mOrigins.Handle(aFrom, aAck);
-      },
-      [&](const streams::OriginQuery& aQuery) {
-        core.mOrigins.Handle(aFrom, aQuery);
-      },
-      [&](const streams::OriginResponse& aResponse) {
-        core.mOrigins.Handle(aFrom, aResponse);
-      },
       [](const auto&) {} },
     aMessage);
 }
--- a/test/streams/OriginSimulation.cpp
+++ b/test/streams/OriginSimulation.cpp
@@ -1,9 +1,6 @@
 #include "streams/OriginSimulation.h"
 
-#include "peridotspool/base/Overloaded.h"
-
 #include <utility>
-#include <variant>
 
 namespace peridotspool::streams {
 
@@ -176,16 +173,7 @@
     At(to.mFrozenUntil, [=, this] { Deliver(aTo, aLife, aFrom, aMessage); });
     return;
   }
-  std::visit(
-    Overloaded{
-      [&](const OriginWrite& aWrite) { to.mOrigins->Handle(aFrom, aWrite); },
-      [&](const OriginAck& aAck) { to.mOrigins->Handle(aFrom, aAck); },
-      [&](const OriginQuery& aQuery) { to.mOrigins->Handle(aFrom, aQuery); },
-      [&](const OriginResponse& aResponse) {
-        to.mOrigins->Handle(aFrom, aResponse);
-      },
-      [](const auto&) {} },
-    aMessage);
+  to.mOrigins->HandlePeerMessage(aFrom, aMessage);
 }
 
 // Each entry learns of a change at a time of its own.
