Log the parts of prompts that were running when upstreams crash

Callers saw upstream after upstream crash under requests that share one part of their prompts. UpstreamEnded named contents only, and what the leader received was in no line: which parts the crashes have in common had to be joined from RequestSent lines of all entries. No decision changes.

--- a/include/peridotspool/routing/CrashDetector.h
+++ b/include/peridotspool/routing/CrashDetector.h
@@ -3,6 +3,7 @@
 #include "peridotspool/base/Address.h"
 #include "peridotspool/base/ContentId.h"
 #include "peridotspool/base/Ids.h"
+#include "peridotspool/base/PromptPartId.h"
 #include "peridotspool/base/Time.h"
 
 #include <compare>
@@ -29,6 +30,8 @@
   TimePoint mLostAt;
   /** The run held the permit of a content that runs one at a time. */
   bool mHadPermit = false;
+  /** Parts of its prompt that other requests may share. */
+  std::vector<PromptPartId> mParts;
 
   auto operator<=>(const LostResponse&) const = default;
 };
--- a/include/peridotspool/routing/CrashReport.h
+++ b/include/peridotspool/routing/CrashReport.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/ContentId.h"
 #include "peridotspool/base/Ids.h"
+#include "peridotspool/base/PromptPartId.h"
 
 #include <boost/describe/class.hpp>
 #include <compare>
@@ -21,13 +22,20 @@
   std::uint32_t mLostAgeMs = 0;
   /** The run held the permit of a content that runs one at a time. */
   bool mHadPermit = false;
+  /** Parts of the request's prompt that other requests may share. */
+  std::vector<PromptPartId> mParts;
 
   auto operator<=>(const ReportedCrash&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(
-  ReportedCrash,
-  (),
-  (mContent, mUpstream, mIncarnation, mSentAgeMs, mLostAgeMs, mHadPermit))
+BOOST_DESCRIBE_STRUCT(ReportedCrash,
+                      (),
+                      (mContent,
+                       mUpstream,
+                       mIncarnation,
+                       mSentAgeMs,
+                       mLostAgeMs,
+                       mHadPermit,
+                       mParts))
 
 /** Sent by an entry to the control leader until acknowledged. */
 struct CrashReport
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -176,6 +176,8 @@
   ServiceName mService;
   std::string mId;
   ContentId mContent;
+  /** Parts of the prompt that other requests may share. */
+  std::vector<PromptPartId> mSharedParts;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   http::net::steady_timer mDeadlineTimer;
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -315,7 +315,8 @@
                                               { .mContent = mContent,
                                                 .mSentAt = mSent.mSentAt,
                                                 .mLostAt = mCore.mNow(),
-                                                .mHadPermit = mPermit != 0 });
+                                                .mHadPermit = mPermit != 0,
+                                                .mParts = mSharedParts });
   mCore.mQuarantineGate.Lost(std::exchange(mPermit, 0), mCore.mNow());
   if (ended) {
     mCore.OnUpstreamEnded(*ended);
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -3,6 +3,7 @@
 #include "gateway/Exchange.h"
 
 #include "peridotspool/base/Invariant.h"
+#include "peridotspool/gateway/SharedParts.h"
 #include "peridotspool/gateway/TokenCounts.h"
 
 #include <xxhash.h>
@@ -87,6 +88,8 @@
       .mHost = FieldOf(mRequest.mFields, "host"),
       .mTarget = mRequest.mTarget,
       .mBody = mRequest.mBody });
+  mSharedParts =
+    ParseSharedParts(FieldOf(mRequest.mFields, mCore.mNames.mPrefix));
   mDeadlineTimer.expires_after(wait);
   mDeadlineTimer.async_wait(
     [self = shared_from_this()](http::ErrorCode aError) {
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -8,6 +8,8 @@
 
 /** Bounds the contents named in one log line. */
 constexpr std::size_t kMaxLoggedContents = 8;
+/** Bounds the parts of prompts named in one log line. */
+constexpr std::size_t kMaxLoggedParts = 32;
 /** Bounds the contents named in one report. Others are reported when they are
  * resubmitted later. */
 constexpr std::size_t kMaxResubmitted = 16;
@@ -23,6 +25,24 @@
   return text;
 }
 
+// Separates parts by commas and requests by semicolons.
+std::string
+PartsOf(const routing::UpstreamCrash& aEnded)
+{
+  std::string text;
+  std::size_t named = 0;
+  for (const routing::LostResponse& lost : aEnded.mLost) {
+    for (std::size_t i = 0; i < lost.mParts.size(); ++i) {
+      if (++named > kMaxLoggedParts) {
+        return text;
+      }
+      text += (i == 0 ? "" : ",") + ToText(lost.mParts[i]);
+    }
+    text += ';';
+  }
+  return text;
+}
+
 } // namespace
 
 void
@@ -46,7 +66,8 @@
           ? "its next incarnation"
           : "a refused connection" },
       { "lost", aEnded.mLost.size() },
-      { "contents", ContentsOf(aEnded) } });
+      { "contents", ContentsOf(aEnded) },
+      { "parts", PartsOf(aEnded) } });
   mCrashReporter.Add(aEnded);
   ReportCrashes();
 }
--- a/src/routing/CrashReporter.cpp
+++ b/src/routing/CrashReporter.cpp
@@ -62,7 +62,8 @@
                               .mIncarnation = crash.mUpstream.mIncarnation,
                               .mSentAgeMs = AgeMs(crash.mLost.mSentAt, aNow),
                               .mLostAgeMs = AgeMs(crash.mLost.mLostAt, aNow),
-                              .mHadPermit = crash.mLost.mHadPermit });
+                              .mHadPermit = crash.mLost.mHadPermit,
+                              .mParts = crash.mLost.mParts });
   }
   if (report.mLines.empty()) {
     return std::nullopt;
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -95,6 +95,7 @@
         TakeAsk(aFrom, aAsk, aNode, aNow);
       },
       [&](const routing::CrashReport& aReport) {
+        LogReport(aFrom, aReport);
         mTell(aFrom, mQuarantine.HandleReport(aFrom, aReport, table, aNow));
       },
       [&](const routing::PermitRequest& aAsk) {
@@ -200,6 +201,28 @@
   }
 }
 
+void
+DutyRunner::LogReport(const Address& aFrom, const routing::CrashReport& aReport)
+{
+  constexpr std::size_t kMaxLoggedParts = 16;
+  for (const routing::ReportedCrash& crash : aReport.mLines) {
+    std::string parts;
+    const std::size_t named = std::min(kMaxLoggedParts, crash.mParts.size());
+    for (std::size_t i = 0; i < named; ++i) {
+      parts += (i == 0 ? "" : ",") + ToText(crash.mParts[i]);
+    }
+    mLogger.Log(observe::EventId::kCrashReported,
+                { { "content", ToText(crash.mContent) },
+                  { "parts", parts },
+                  { "upstream", crash.mUpstream },
+                  { "incarnation", crash.mIncarnation },
+                  { "entry", ToText(aFrom) },
+                  { "sent_age_ms", crash.mSentAgeMs },
+                  { "lost_age_ms", crash.mLostAgeMs },
+                  { "permit", crash.mHadPermit } });
+  }
+}
+
 void
 DutyRunner::LogChange(const routing::QuarantineChange& aChange)
 {
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -92,6 +92,7 @@
                     const Heard& aHeard,
                     const control::ControlNode& aNode);
   void LogNotice(const rollout::RolloutNotice& aNotice);
+  void LogReport(const Address& aFrom, const routing::CrashReport& aReport);
   void LogChange(const routing::QuarantineChange& aChange);
   void OfferLeases(const control::ControlNode& aNode, TimePoint aNow);
   void LogLimits(TimePoint aNow);
