--- a/test/soak/SoakRecord.h
+++ b/test/soak/SoakRecord.h
@@ -55,6 +55,15 @@
   Time mAt;
 };
 
+/** A request with parts of a prompt reached an upstream, run there or not. */
+struct SeenArrival
+{
+  std::string mId;
+  /** Its prompt holds the part of which the upstream dies. */
+  bool mDeadly = false;
+  Time mAt;
+};
+
 /** An upstream answered with a failure of its own. */
 struct SeenFailure
 {
@@ -124,6 +133,7 @@
   std::vector<SeenLimited> mLimited;
   std::vector<SeenFailure> mFailures;
   std::vector<SeenEnd> mEnds;
+  std::vector<SeenArrival> mArrivals;
   std::vector<SeenChange> mChanges;
   /** Versions in force at entries, and versions read back. */
   std::vector<SeenVersion> mInForce;
--- a/test/soak/SoakUpstream.cpp
+++ b/test/soak/SoakUpstream.cpp
@@ -284,11 +284,28 @@
   }
 }
 
+bool
+SoakUpstream::IsDeadly(const HttpText& aRequest) const
+{
+  if (!mDeadlyPart.empty()) {
+    const std::string prompt = "," + aRequest.Field("peridotspool-prefix-hash");
+    const std::size_t at = prompt.find("," + mDeadlyPart + ":");
+    return at != std::string::npos && at < prompt.rfind(',');
+  }
+  return !mDeadly.empty() && aRequest.mTarget == mDeadly;
+}
+
 bool
 SoakUpstream::Answer(Wire& aWire, const HttpText& aRequest)
 {
   const std::string id = aRequest.Field("peridotspool-request-id");
   const std::string echo = "Peridotspool-Request-Id: " + id + "\r\n";
+  if (!mDeadlyPart.empty()) {
+    mRecorder.With([&](Record& aRecord) {
+      aRecord.mArrivals.push_back(
+        { .mId = id, .mDeadly = IsDeadly(aRequest), .mAt = Clock::now() });
+    });
+  }
   if (aRequest.Field("peridotspool-expect-instance") != mName) {
     return aWire.Send(Short(421, echo));
   }
@@ -304,7 +321,7 @@
                               .mPath = aRequest.mTarget,
                               .mAt = Clock::now() });
   });
-  if (!mDeadly.empty() && aRequest.mTarget == mDeadly) {
+  if (IsDeadly(aRequest)) {
     DieAnswering(aWire, id);
     return false;
   }
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -74,6 +74,9 @@
   std::string Name() const { return mName; }
   /** From now on it dies of each request with this target that it begins. */
   void DieOf(const std::string& aTarget) { mDeadly = aTarget; }
+  /** From now on it dies of each request that it begins whose prompt holds this
+   * part, unless it is the last. */
+  void DieOfPart(const std::string& aPart) { mDeadlyPart = aPart; }
   /** Returns true iff a request has ended this life; Start begins the next. */
   bool HasDied() const { return mDied; }
 
@@ -98,6 +101,7 @@
   bool AnswerStream(Wire& aWire,
                     const std::string& aId,
                     const std::string& aAfter);
+  bool IsDeadly(const HttpText& aRequest) const;
   /** Sends the head of an answer, and is gone before its first event. */
   void DieAnswering(Wire& aWire, const std::string& aId);
   std::string Head(const std::string& aId) const;
@@ -121,6 +125,7 @@
   std::atomic<unsigned> mCounted{ 0 };
   std::atomic<int> mBusy{ 0 };
   std::string mDeadly;
+  std::string mDeadlyPart;
   mutable std::mutex mLimitMutex;
   std::string mLimit;
   std::atomic<bool> mDied{ false };
