Refuse requests by the crashing part of their prompts

Cause: the quarantine names a request by its whole content. Requests that share a crashing part and differ in anything else were different contents with one crash each, so nothing was ever listed. Ruled out: crashes that go unreported (all ten were reported by all entries concerned), and the entries' own retries (one run each).

Change: the leader keeps the crashes of each shared part. A part that was running in a crash is listed at once, so that entries tell when they answered it last and when they do next, which clears it. A part is refused for the customer whose requests crashed upstreams; another crash refuses it for all. Rows are in the replicated log. An answer counts for a part only if it is whole and successful. Inconclusive probes of a lost upstream are repeated.

--- a/include/peridotspool/base/ContentId.h
+++ b/include/peridotspool/base/ContentId.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Ids.h"
+#include "peridotspool/base/PromptPartId.h"
 
 #include <boost/describe/class.hpp>
 #include <compare>
@@ -41,6 +42,17 @@
 ContentId
 ContentOf(const RequestContent& aContent);
 
+/**
+ * Returns the id that stands for a part of prompts where contents are listed;
+ * no request's content has it.
+ */
+ContentId
+ContentOf(PromptPartId aPart);
+
+/** Returns the part that an id stands for; empty for a request's content. */
+std::optional<PromptPartId>
+PartOf(const ContentId& aContent);
+
 /** Returns 32 hexadecimal digits, as in log lines. */
 std::string
 ToText(const ContentId& aContent);
--- a/include/peridotspool/gateway/SharedParts.h
+++ b/include/peridotspool/gateway/SharedParts.h
@@ -13,7 +13,7 @@
  *
  * Ids are hexadecimal numbers, so that leading zeros and the case of digits
  * don't matter; any other text is an id by its hash. Entries that are empty are
- * skipped, and so are all after the first few thousand.
+ * skipped, and so are all after the first two thousand.
  */
 std::vector<PromptPartId>
 ParseSharedParts(std::string_view aText);
--- a/include/peridotspool/routing/CrashDetector.h
+++ b/include/peridotspool/routing/CrashDetector.h
@@ -5,23 +5,16 @@
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/base/PromptPartId.h"
 #include "peridotspool/base/Time.h"
+#include "peridotspool/routing/UpstreamIncarnation.h"
 
 #include <compare>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace peridotspool::routing {
 
-/** One incarnation of an upstream's process. */
-struct UpstreamIncarnation
-{
-  UpstreamName mName;
-  Incarnation mIncarnation;
-
-  auto operator<=>(const UpstreamIncarnation&) const = default;
-};
-
 /** A request that was running when the connection for its response was lost. */
 struct LostResponse
 {
@@ -32,6 +25,8 @@
   bool mHadPermit = false;
   /** Parts of its prompt that other requests may share. */
   std::vector<PromptPartId> mParts;
+  /** Empty where no key is needed. */
+  CustomerName mCustomer;
 
   auto operator<=>(const LostResponse&) const = default;
 };
@@ -77,10 +72,16 @@
                                     const Address& aAddress,
                                     const LostResponse& aLost);
   /**
-   * Returns true iff a connection is to be tried; once for each pending
+   * Returns true iff a connection is to be tried now; once for each pending
    * incarnation.
    */
-  bool ShouldProbe(const UpstreamIncarnation& aIncarnation);
+  bool ShouldProbe(const UpstreamIncarnation& aIncarnation, TimePoint aNow);
+  /**
+   * Returns the pending incarnations whose last probe was inconclusive and is
+   * to be repeated now, with their addresses.
+   */
+  std::vector<std::pair<UpstreamIncarnation, Address>> DueProbes(
+    TimePoint aNow);
 
   /** Called when a connection to the incarnation's address was refused. */
   std::optional<UpstreamCrash> Refused(const UpstreamIncarnation& aIncarnation,
@@ -102,7 +103,8 @@
   {
     Address mAddress;
     std::vector<LostResponse> mLost;
-    bool mProbed = false;
+    int mProbes = 0;
+    TimePoint mProbedAt;
   };
 
   std::optional<UpstreamCrash> RecordCrash(
--- a/include/peridotspool/routing/CrashReport.h
+++ b/include/peridotspool/routing/CrashReport.h
@@ -5,6 +5,7 @@
 #include "peridotspool/base/PromptPartId.h"
 
 #include <boost/describe/class.hpp>
+#include <boost/describe/enum.hpp>
 #include <compare>
 #include <cstdint>
 #include <vector>
@@ -24,6 +25,8 @@
   bool mHadPermit = false;
   /** Parts of the request's prompt that other requests may share. */
   std::vector<PromptPartId> mParts;
+  /** Empty where no key is needed. */
+  CustomerName mCustomer;
 
   auto operator<=>(const ReportedCrash&) const = default;
 };
@@ -35,7 +38,8 @@
                        mSentAgeMs,
                        mLostAgeMs,
                        mHadPermit,
-                       mParts))
+                       mParts,
+                       mCustomer))
 
 /** Sent by an entry to the control leader until acknowledged. */
 struct CrashReport
@@ -57,41 +61,58 @@
 };
 BOOST_DESCRIBE_STRUCT(CrashReportAck, (), (mNumber))
 
-/** Asks the leader for permission to run a request of this content now. */
+/** Asks the leader for permission to run a request now. */
 struct PermitRequest
 {
-  ContentId mContent;
+  /** The request's content and parts that run one at a time. */
+  std::vector<ContentId> mContents;
   /** Identifies the request at the entry. */
   std::uint64_t mTag = 0;
   /** Maximum time that the permit is needed for, in milliseconds. */
   std::uint32_t mForMs = 0;
+  /** Empty where no key is needed. */
+  CustomerName mCustomer;
 
   auto operator<=>(const PermitRequest&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(PermitRequest, (), (mContent, mTag, mForMs))
+BOOST_DESCRIBE_STRUCT(PermitRequest, (), (mContents, mTag, mForMs, mCustomer))
+
+enum class PermitVerdict
+{
+  /** Another request holds the permit; it may be asked for again. */
+  kDenied,
+  kGranted,
+  /** The request isn't run, however long it waits. */
+  kRefused,
+};
+BOOST_DESCRIBE_ENUM(PermitVerdict, kDenied, kGranted, kRefused)
 
 struct PermitResponse
 {
   std::uint64_t mTag = 0;
-  bool mGranted = false;
+  PermitVerdict mVerdict = PermitVerdict::kDenied;
 
   auto operator<=>(const PermitResponse&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(PermitResponse, (), (mTag, mGranted))
+BOOST_DESCRIBE_STRUCT(PermitResponse, (), (mTag, mVerdict))
 
-/** Notifies the leader that a request of a listed content is over. */
+/** Notifies the leader that a request with listed contents or parts is over. */
 struct RunEnded
 {
-  ContentId mContent;
-  /** The permit, or 0 if the request was sent before the content was listed. */
+  std::vector<ContentId> mContents;
+  /** The permit, or 0 if the request was sent without one. */
   std::uint64_t mTag = 0;
   /** An upstream has answered the request completely. */
   bool mAnswered = false;
   /** Age of the answer when this was sent, in milliseconds. */
   std::uint32_t mAgeMs = 0;
+  /** Whose request it was; empty where no key is needed. */
+  CustomerName mCustomer;
 
   auto operator<=>(const RunEnded&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(RunEnded, (), (mContent, mTag, mAnswered, mAgeMs))
+BOOST_DESCRIBE_STRUCT(RunEnded,
+                      (),
+                      (mContents, mTag, mAnswered, mAgeMs, mCustomer))
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/Quarantine.h
+++ b/include/peridotspool/routing/Quarantine.h
@@ -6,6 +6,7 @@
 #include <boost/describe/class.hpp>
 #include <boost/describe/enum.hpp>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,8 +14,8 @@
 namespace peridotspool::routing {
 
 /**
- * How entries treat a content (see ContentId) that was running when upstreams
- * crashed.
+ * How entries treat a content, or a part of prompts (see ContentId), that was
+ * running when upstreams crashed.
  */
 enum class QuarantineStage
 {
@@ -24,8 +25,13 @@
   kOneAtATime,
   /** Is not run any more. */
   kRefused,
+  /** Runs without restriction, and entries report its complete answers. */
+  kWatched,
 };
-BOOST_DESCRIBE_ENUM(QuarantineStage, kCleared, kOneAtATime, kRefused)
+BOOST_DESCRIBE_ENUM(QuarantineStage, kCleared, kOneAtATime, kRefused, kWatched)
+
+/** Crashes named in a row, for operators and for the next leader. */
+inline constexpr std::size_t kMaxRecordedCrashes = 8;
 
 /** An upstream incarnation that crashed while it ran a content. */
 struct CrashRecord
@@ -39,7 +45,7 @@
 };
 BOOST_DESCRIBE_STRUCT(CrashRecord, (), (mUpstream, mIncarnation, mSeenBy))
 
-/** A change of the stage of one content. */
+/** A change of the stage of one content or part. */
 struct QuarantineChange
 {
   ContentId mContent;
@@ -47,12 +53,28 @@
   /** Crashes that count as independent evidence; see QuarantineManager. */
   std::uint32_t mCounted = 0;
   std::vector<CrashRecord> mCrashes;
+  /** Of a part: whose requests were running; more than two are left out. */
+  std::vector<CustomerName> mCustomers;
+  /** Of a part: it was refused, and answered for another customer. */
+  bool mOthersAllowed = false;
+  /** Of a part: it was answered completely before the first crash. */
+  bool mAnsweredBefore = false;
+  /** Of a part: permits given after it had counted enough crashes to be
+   * refused. */
+  std::uint32_t mLatePermits = 0;
 
   auto operator<=>(const QuarantineChange&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(QuarantineChange,
                       (),
-                      (mContent, mStage, mCounted, mCrashes))
+                      (mContent,
+                       mStage,
+                       mCounted,
+                       mCrashes,
+                       mCustomers,
+                       mOthersAllowed,
+                       mAnsweredBefore,
+                       mLatePermits))
 
 /**
  * The committed state of one content. Its number is that of its last change.
@@ -66,15 +88,28 @@
 };
 BOOST_DESCRIBE_STRUCT(QuarantineRow, (), (mNumber, mChange))
 
-/** The stage of one content as sent to entries. */
+/** The stage of one content or part as sent to entries. */
 struct QuarantineStatus
 {
   ContentId mContent;
   QuarantineStage mStage = QuarantineStage::kCleared;
+  /** A refused part is refused for this customer only; empty: for all. */
+  CustomerName mOnlyFor;
+  /** For others, a part that is refused for one customer runs without
+   * restriction, rather than one at a time. */
+  bool mOthersAllowed = false;
+
+  /** Returns how to treat a customer's request. */
+  QuarantineStage StageFor(const CustomerName& aCustomer) const;
 
   auto operator<=>(const QuarantineStatus&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(QuarantineStatus, (), (mContent, mStage))
+BOOST_DESCRIBE_STRUCT(QuarantineStatus,
+                      (),
+                      (mContent, mStage, mOnlyFor, mOthersAllowed))
+
+QuarantineStatus
+StatusOf(const QuarantineChange& aChange);
 
 /**
  * Sent to an entry: the changes after mFrom, up to and including mTo. With
--- a/include/peridotspool/routing/QuarantineGate.h
+++ b/include/peridotspool/routing/QuarantineGate.h
@@ -3,6 +3,8 @@
 #include "peridotspool/base/Time.h"
 #include "peridotspool/routing/CompletionCache.h"
 #include "peridotspool/routing/CrashReport.h"
+#include "peridotspool/routing/GateRequest.h"
+#include "peridotspool/routing/PartCompletions.h"
 #include "peridotspool/routing/Quarantine.h"
 
 #include <cstddef>
@@ -26,7 +28,7 @@
   kHasPermit,
   /** A permit was requested from the leader; a GateDecision follows. */
   kWaitsForPermit,
-  /** The content is refused: it was running in three consecutive crashes. */
+  /** The content or a part is refused, as it crashes upstreams. */
   kRefused,
   /** The permit was not granted in time. */
   kPermitTimeout,
@@ -39,6 +41,8 @@
   std::uint64_t mTag = 0;
   /** The request to send to the leader; set with kWaitsForPermit. */
   PermitRequest mPermitRequest;
+  /** The content or part that is refused; set with kRefused. */
+  std::optional<ContentId> mRefused;
 };
 
 /** The outcome for a request that waited for a permit. */
@@ -71,15 +75,27 @@
   /** Number of the last change known here; 0 if there is none. */
   std::uint64_t KnownNumber() const { return mKnownNumber; }
   bool HasTable() const { return mKnownNumber != 0; }
-  QuarantineStage StageOf(const ContentId& aContent) const;
+  QuarantineStage StageOf(const ContentId& aContent,
+                          const CustomerName& aCustomer = {}) const;
   std::size_t ListedCount() const { return mListed.size(); }
 
+  /** Returns true iff the content or a part of the request is refused. */
+  bool IsRefused(const GateRequest& aRequest) const
+  {
+    return StandingOf(aRequest).mRefused.has_value();
+  }
+
   /**
    * Returns the decisions for requests that no longer need to wait, and reports
    * of recent complete answers to contents that are listed from now on.
    */
   GateActions ApplyUpdate(const QuarantineUpdate& aUpdate, TimePoint aNow);
-  GateResult Check(const ContentId& aContent,
+  /**
+   * Returns reports of the remembered answers to all that is listed, for a
+   * leader that has received none from this entry.
+   */
+  std::vector<RunEnded> RememberedAnswers(TimePoint aNow) const;
+  GateResult Check(const GateRequest& aRequest,
                    Duration aTimeLeft,
                    TimePoint aNow);
   std::optional<GateDecision> OnPermitResponse(const PermitResponse& aResponse);
@@ -90,12 +106,13 @@
   /** Called when the request that holds this permit was not run. */
   RunEnded Ended(std::uint64_t aTag);
   /**
-   * Called when an upstream has answered a request completely. aTag is its
-   * permit, or 0 for none. Returns the report for the leader, if one is needed.
+   * Called when an upstream has answered a request. aTag is its permit, or 0
+   * for none. Returns the reports for the leader.
    */
-  std::optional<RunEnded> Answered(std::uint64_t aTag,
-                                   const ContentId& aContent,
-                                   TimePoint aNow);
+  std::vector<RunEnded> Answered(std::uint64_t aTag,
+                                 const GateRequest& aRequest,
+                                 AnswerEvidence aEvidence,
+                                 TimePoint aNow);
   /**
    * Called when the response was lost and it is not known yet whether the
    * upstream crashed.
@@ -103,26 +120,49 @@
   void Lost(std::uint64_t aTag, TimePoint aNow);
 
 private:
+  struct Listed
+  {
+    QuarantineStatus mStatus;
+    /** When the leader was last told of an answer. */
+    std::optional<TimePoint> mReportedAt;
+  };
+  /** What the table says of a request. */
+  struct Standing
+  {
+    std::optional<ContentId> mRefused;
+    /** Those that run one at a time. */
+    std::vector<ContentId> mSerialized;
+  };
   struct Waiting
   {
-    ContentId mContent;
+    GateRequest mRequest;
+    /** For which a permit was last requested. */
+    std::vector<ContentId> mSerialized;
     TimePoint mSince;
     TimePoint mUntil;
     TimePoint mRequestedAt;
   };
   struct Permit
   {
-    ContentId mContent;
+    std::vector<ContentId> mContents;
+    CustomerName mCustomer;
     /** When the permit is released; unset while its request runs. */
     std::optional<TimePoint> mReleaseAt;
   };
 
+  Standing StandingOf(const GateRequest& aRequest) const;
+  std::optional<Duration> LastAnswerAge(const ContentId& aContent,
+                                        TimePoint aNow) const;
+  bool ShouldReport(const ContentId& aContent, TimePoint aNow);
+  void DecideWaiting(GateActions& aActions);
+
   std::uint64_t mKnownNumber = 0;
-  std::unordered_map<ContentId, QuarantineStage> mListed;
+  std::unordered_map<ContentId, Listed> mListed;
   std::uint64_t mLastTag = 0;
   std::map<std::uint64_t, Waiting> mWaiting;
   std::map<std::uint64_t, Permit> mPermits;
   CompletionCache mCompletions;
+  PartCompletions mPartCompletions;
 };
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/QuarantineManager.h
+++ b/include/peridotspool/routing/QuarantineManager.h
@@ -38,10 +38,12 @@
                               const CrashReport& aReport,
                               const QuarantineTable& aCommitted,
                               TimePoint aNow);
+  /** Decides on the contents of a request; ignores its parts. */
   PermitResponse HandlePermitRequest(const Address& aFrom,
                                      const PermitRequest& aRequest,
                                      const QuarantineTable& aCommitted,
                                      TimePoint aNow);
+  /** Applies a report on contents and parts; ignores the parts. */
   void HandleRunEnded(const Address& aFrom,
                       const RunEnded& aEnded,
                       TimePoint aNow);
@@ -97,6 +99,15 @@
                    const ReportedCrash& aReported,
                    const QuarantineTable& aCommitted,
                    TimePoint aNow);
+  PermitVerdict HandlePermitRequest(const Address& aFrom,
+                                    const ContentId& aContent,
+                                    const PermitRequest& aRequest,
+                                    const QuarantineTable& aCommitted,
+                                    TimePoint aNow);
+  void HandleRunEnded(const Address& aFrom,
+                      const ContentId& aContent,
+                      const RunEnded& aEnded,
+                      TimePoint aNow);
   void Touch(const ContentId& aContent, Suspect& aSuspect, TimePoint aNow);
   void EvictSuspects();
   void SyncCommitted(const QuarantineTable& aCommitted);
--- a/src/base/ContentId.cpp
+++ b/src/base/ContentId.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kDigitsOfHalf = 16;
+/** The upper half of ids that stand for parts of prompts. */
+constexpr std::uint64_t kPartTag = 0x70726f6d70742d70;
 
 std::optional<std::uint64_t>
 ReadHalf(std::string_view aDigits)
@@ -34,6 +36,19 @@
   return { .mHigh = hash.mHigh, .mLow = hash.mLow };
 }
 
+ContentId
+ContentOf(PromptPartId aPart)
+{
+  return { .mHigh = kPartTag, .mLow = aPart.Value() };
+}
+
+std::optional<PromptPartId>
+PartOf(const ContentId& aContent)
+{
+  return aContent.mHigh == kPartTag ? std::optional(PromptPartId(aContent.mLow))
+                                    : std::nullopt;
+}
+
 std::string
 ToText(const ContentId& aContent)
 {
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -159,7 +159,7 @@
   mCore.mLogger.Log(
     EventId::kRequestSent,
     { { "request", mId },
-      { "content", ToText(mContent) },
+      { "content", ToText(mGateRequest.mContent) },
       { "route", mRoute->mName },
       { "service", mService },
       { "upstream", mUpstream },
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -7,6 +7,7 @@
 #include "peridotspool/gateway/AttemptPolicy.h"
 #include "peridotspool/gateway/HeaderRules.h"
 #include "peridotspool/gateway/StreamEnd.h"
+#include "peridotspool/routing/GateRequest.h"
 #include "peridotspool/streams/ResumePolicy.h"
 #include "peridotspool/streams/StreamOrigin.h"
 
@@ -72,6 +73,8 @@
   double Units() const;
   void CountUsage();
   void ChooseService();
+  /** Fills in what the quarantine knows the request by. */
+  void DescribeToGate();
   void Proceed();
   /** Returns true iff the caller resumes a stream of an earlier request. */
   bool IsResumption() const;
@@ -143,13 +146,16 @@
   /** How the current upstream's response is framed; for the log. */
   const char* FramingText() const;
   void LogConnectionFailure(const ConnectionFailure& aFailure);
+  routing::LostResponse LostResponseNow() const;
   void RecordConnectionLoss(const ConnectionFailure& aFailure);
   bool RequestPermit();
   void OnGateOutcome(std::uint64_t aTag, routing::GateOutcome aOutcome);
   void ResumeAfterGate();
-  void RefuseQuarantined(routing::GateOutcome aOutcome);
+  void RefuseQuarantined(routing::GateOutcome aOutcome,
+                         const ContentId& aRefused);
   void LeaveQuarantineGate();
-  void RecordAnswered();
+  void ReleasePermit();
+  void RecordAnswered(routing::AnswerEvidence aEvidence);
   void LogPermit(const char* aOutcome);
   void FinishBuffered();
   void FinishStream();
@@ -175,9 +181,7 @@
   const Customer* mCustomer = nullptr;
   ServiceName mService;
   std::string mId;
-  ContentId mContent;
-  /** Parts of the prompt that other requests may share. */
-  std::vector<PromptPartId> mSharedParts;
+  routing::GateRequest mGateRequest;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   http::net::steady_timer mDeadlineTimer;
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -189,7 +189,7 @@
   mCore.mLogger.Log(
     EventId::kRequestEnded,
     { { "request", mId },
-      { "content", ToText(mContent) },
+      { "content", ToText(mGateRequest.mContent) },
       { "route", mRoute == nullptr ? "none" : mRoute->mName },
       { "customer", mCustomer == nullptr ? "none" : mCustomer->mName.Value() },
       { "units", mCustomer == nullptr ? 0.0 : Units() },
--- a/src/gateway/ExchangeQuarantine.cpp
+++ b/src/gateway/ExchangeQuarantine.cpp
@@ -28,16 +28,19 @@
 bool
 Exchange::RequestPermit()
 {
-  if (mPermit != 0) {
+  if (mPermit != 0 && !mCore.mQuarantineGate.IsRefused(mGateRequest)) {
     return true;
   }
+  ReleasePermit();
   const TimePoint now = mCore.mNow();
-  const auto answer = mCore.mQuarantineGate.Check(mContent, TimeLeft(), now);
+  const auto answer =
+    mCore.mQuarantineGate.Check(mGateRequest, TimeLeft(), now);
   if (answer.mOutcome == GateOutcome::kAllowed) {
     return true;
   }
   if (answer.mOutcome != GateOutcome::kWaitsForPermit) {
-    RefuseQuarantined(answer.mOutcome);
+    RefuseQuarantined(answer.mOutcome,
+                      answer.mRefused.value_or(mGateRequest.mContent));
     return false;
   }
   mGateTag = answer.mTag;
@@ -64,7 +67,7 @@
     ResumeAfterGate();
   } else {
     LogPermit("not granted");
-    RefuseQuarantined(aOutcome);
+    RefuseQuarantined(aOutcome, mGateRequest.mContent);
   }
 }
 
@@ -81,7 +84,7 @@
 }
 
 void
-Exchange::RefuseQuarantined(GateOutcome aOutcome)
+Exchange::RefuseQuarantined(GateOutcome aOutcome, const ContentId& aRefused)
 {
   const bool refused = aOutcome == GateOutcome::kRefused;
   const char* const reason = refused
@@ -96,14 +99,15 @@
     return;
   }
   if (refused) {
-    mCore.RecordResubmitted(mContent);
+    mCore.RecordResubmitted(aRefused);
   }
   mCore.mCounters.Add(refused ? CounterId::kRefusedQuarantine
                               : CounterId::kRefusedNoTurn);
   mCore.mLogger.Log(EventId::kRequestRefused,
                     { { "request", mId },
                       { "reason", refused ? "quarantine" : "no_turn" },
-                      { "content", ToText(mContent) },
+                      { "content", ToText(mGateRequest.mContent) },
+                      { "refused", ToText(aRefused) },
                       { "service", mService },
                       { "quarantine", mCore.mQuarantineGate.KnownNumber() },
                       { "asked_ms", mCore.mNow() - mArrivedAt } });
@@ -118,7 +122,7 @@
 {
   mCore.mLogger.Log(EventId::kTurnTaken,
                     { { "request", mId },
-                      { "content", ToText(mContent) },
+                      { "content", ToText(mGateRequest.mContent) },
                       { "outcome", aOutcome },
                       { "waited_ms", mCore.mNow() - mGateWaitStart } });
 }
@@ -130,6 +134,12 @@
     mCore.mGateWaiters.erase(mGateTag);
     mCore.mQuarantineGate.Cancel(std::exchange(mGateTag, 0));
   }
+  ReleasePermit();
+}
+
+void
+Exchange::ReleasePermit()
+{
   if (mPermit != 0) {
     mCore.mSendToLeader(mCore.mQuarantineGate.Ended(std::exchange(mPermit, 0)));
   }
@@ -138,12 +148,12 @@
 // An upstream has responded and is still running, so the content is not what
 // crashed other upstreams.
 void
-Exchange::RecordAnswered()
+Exchange::RecordAnswered(routing::AnswerEvidence aEvidence)
 {
-  const auto ended = mCore.mQuarantineGate.Answered(
-    std::exchange(mPermit, 0), mContent, mCore.mNow());
-  if (ended) {
-    mCore.mSendToLeader(*ended);
+  const auto reports = mCore.mQuarantineGate.Answered(
+    std::exchange(mPermit, 0), mGateRequest, aEvidence, mCore.mNow());
+  for (const routing::RunEnded& report : reports) {
+    mCore.mSendToLeader(report);
   }
 }
 
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -192,6 +192,7 @@
 {
   if (IsNotRun()) {
     ++mRefusals;
+    ReleasePermit();
     EndAttempt(mHead.mStatus == kMisdirected ? SendResult::kWrongUpstream
                                              : SendResult::kFull);
     ApplyNextStep(AfterNotExecuted(CurrentState()),
@@ -243,7 +244,7 @@
 {
   RecordVersionAnswer(false);
   EndAttempt(SendResult::kAnswered);
-  RecordAnswered();
+  RecordAnswered(routing::AnswerEvidence::kComplete);
   if (!mBegun) {
     BeginStream();
   }
@@ -268,7 +269,9 @@
   if (stamped) {
     CountUsage();
   }
-  RecordAnswered();
+  RecordAnswered(IsSuccess(mHead.mStatus)
+                   ? routing::AnswerEvidence::kComplete
+                   : routing::AnswerEvidence::kUpstreamAlive);
   const bool failed = mHead.mStatus >= kFirstServerError;
   RecordVersionAnswer(failed);
   EndAttempt(failed ? SendResult::kFailed : SendResult::kAnswered);
@@ -292,6 +295,17 @@
   End(mHead.mStatus, "whole");
 }
 
+routing::LostResponse
+Exchange::LostResponseNow() const
+{
+  return { .mContent = mGateRequest.mContent,
+           .mSentAt = mSent.mSentAt,
+           .mLostAt = mCore.mNow(),
+           .mHadPermit = mPermit != 0,
+           .mParts = mGateRequest.mParts,
+           .mCustomer = mGateRequest.mCustomer };
+}
+
 // Either the connection or the upstream process may have ended. An upstream
 // that has announced its leave may end at any time, so its end is not reported
 // as a crash.
@@ -310,17 +324,12 @@
   if (!aFailure.mMayHaveBeenSent || !mCore.mSelector.IsReady(mUpstream)) {
     return;
   }
-  const auto ended = mCore.mCrashWitness.Lost(life,
-                                              mUpstreamAddress,
-                                              { .mContent = mContent,
-                                                .mSentAt = mSent.mSentAt,
-                                                .mLostAt = mCore.mNow(),
-                                                .mHadPermit = mPermit != 0,
-                                                .mParts = mSharedParts });
+  const auto ended =
+    mCore.mCrashWitness.Lost(life, mUpstreamAddress, LostResponseNow());
   mCore.mQuarantineGate.Lost(std::exchange(mPermit, 0), mCore.mNow());
   if (ended) {
     mCore.OnUpstreamEnded(*ended);
-  } else if (mCore.mCrashWitness.ShouldProbe(life)) {
+  } else if (mCore.mCrashWitness.ShouldProbe(life, mCore.mNow())) {
     ProbeIncarnation(mCore, life, mUpstreamAddress);
   }
 }
@@ -342,7 +351,7 @@
   mCore.mLogger.Log(
     EventId::kRequestRetried,
     { { "request", mId },
-      { "content", ToText(mContent) },
+      { "content", ToText(mGateRequest.mContent) },
       { "upstream", mUpstream },
       { "cause", aFailure.mReason },
       { "may_have_run", aFailure.mMayHaveBeenSent },
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -82,14 +82,7 @@
   }
   mDeadline = mArrivedAt + wait;
   ChooseService();
-  mContent = ContentOf(
-    { .mCustomer = mCustomer == nullptr ? CustomerName() : mCustomer->mName,
-      .mMethod = mRequest.mMethod,
-      .mHost = FieldOf(mRequest.mFields, "host"),
-      .mTarget = mRequest.mTarget,
-      .mBody = mRequest.mBody });
-  mSharedParts =
-    ParseSharedParts(FieldOf(mRequest.mFields, mCore.mNames.mPrefix));
+  DescribeToGate();
   mDeadlineTimer.expires_after(wait);
   mDeadlineTimer.async_wait(
     [self = shared_from_this()](http::ErrorCode aError) {
@@ -104,6 +97,22 @@
   }
 }
 
+void
+Exchange::DescribeToGate()
+{
+  const CustomerName customer =
+    mCustomer == nullptr ? CustomerName() : mCustomer->mName;
+  mGateRequest = {
+    .mContent = ContentOf({ .mCustomer = customer,
+                            .mMethod = mRequest.mMethod,
+                            .mHost = FieldOf(mRequest.mFields, "host"),
+                            .mTarget = mRequest.mTarget,
+                            .mBody = mRequest.mBody }),
+    .mParts = ParseSharedParts(FieldOf(mRequest.mFields, mCore.mNames.mPrefix)),
+    .mCustomer = customer
+  };
+}
+
 void
 Exchange::Proceed()
 {
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayCore.h"
 
+#include "gateway/IncarnationProbe.h"
+
 #include <algorithm>
 
 namespace peridotspool::gateway {
@@ -91,6 +93,9 @@
 void
 GatewayCore::TickQuarantine()
 {
+  for (const auto& [incarnation, address] : mCrashWitness.DueProbes(mNow())) {
+    ProbeIncarnation(*this, incarnation, address);
+  }
   mCrashReporter.Forget(mNow());
   ReportCrashes();
   ApplyGateTick(mQuarantineGate.Tick(mNow()));
--- a/src/gateway/SharedParts.cpp
+++ b/src/gateway/SharedParts.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** As many as fit into the longest header that callers may send. */
-constexpr std::size_t kMaxParts = 4096;
+constexpr std::size_t kMaxParts = 2048;
 constexpr int kHexadecimal = 16;
 
 std::string_view
--- a/src/routing/CrashDetector.cpp
+++ b/src/routing/CrashDetector.cpp
@@ -13,6 +13,9 @@
  * same time, well within this time.
  */
 constexpr Duration kCrashRetention = std::chrono::seconds(60);
+/** A probe has its result before the next one. */
+constexpr Duration kProbeInterval = std::chrono::milliseconds(600);
+constexpr int kMaxProbes = 5;
 /** Bounds of the state kept while crashes are undecided. */
 constexpr std::size_t kMaxPending = 256;
 constexpr std::size_t kMaxLostPerIncarnation = 256;
@@ -40,11 +43,31 @@
 }
 
 bool
-CrashDetector::ShouldProbe(const UpstreamIncarnation& aIncarnation)
+CrashDetector::ShouldProbe(const UpstreamIncarnation& aIncarnation,
+                           TimePoint aNow)
 {
   const auto pending = mPending.find(aIncarnation);
-  return pending != mPending.end() &&
-         !std::exchange(pending->second.mProbed, true);
+  if (pending == mPending.end() || pending->second.mProbes > 0) {
+    return false;
+  }
+  pending->second.mProbes = 1;
+  pending->second.mProbedAt = aNow;
+  return true;
+}
+
+std::vector<std::pair<UpstreamIncarnation, Address>>
+CrashDetector::DueProbes(TimePoint aNow)
+{
+  std::vector<std::pair<UpstreamIncarnation, Address>> due;
+  for (auto& [incarnation, pending] : mPending) {
+    if (pending.mProbes > 0 && pending.mProbes < kMaxProbes &&
+        aNow - pending.mProbedAt >= kProbeInterval) {
+      ++pending.mProbes;
+      pending.mProbedAt = aNow;
+      due.emplace_back(incarnation, pending.mAddress);
+    }
+  }
+  return due;
 }
 
 std::optional<UpstreamCrash>
--- a/src/routing/CrashReporter.cpp
+++ b/src/routing/CrashReporter.cpp
@@ -63,7 +63,8 @@
                               .mSentAgeMs = AgeMs(crash.mLost.mSentAt, aNow),
                               .mLostAgeMs = AgeMs(crash.mLost.mLostAt, aNow),
                               .mHadPermit = crash.mLost.mHadPermit,
-                              .mParts = crash.mLost.mParts });
+                              .mParts = crash.mLost.mParts,
+                              .mCustomer = crash.mLost.mCustomer });
   }
   if (report.mLines.empty()) {
     return std::nullopt;
--- a/src/routing/Quarantine.cpp
+++ b/src/routing/Quarantine.cpp
@@ -6,10 +6,8 @@
 
 namespace {
 
-/** A row takes about 200 bytes. Cleared rows are evicted first. */
+/** A row takes about 200 bytes. */
 constexpr std::size_t kMaxRows = 512;
-/** Crashed incarnations listed in a row, for operators. */
-constexpr std::size_t kMaxCrashes = 8;
 
 auto
 RowOf(const std::vector<QuarantineRow>& aRows, const ContentId& aContent)
@@ -19,8 +17,48 @@
   });
 }
 
+// Rows that restrict nothing are evicted first.
+int
+EvictionRank(QuarantineStage aStage)
+{
+  switch (aStage) {
+    case QuarantineStage::kCleared:
+      return 0;
+    case QuarantineStage::kWatched:
+      return 1;
+    case QuarantineStage::kOneAtATime:
+      return 2;
+    case QuarantineStage::kRefused:
+      return 3;
+  }
+  return 0;
+}
+
 } // namespace
 
+QuarantineStage
+QuarantineStatus::StageFor(const CustomerName& aCustomer) const
+{
+  if (mStage != QuarantineStage::kRefused || !mOnlyFor.IsSet() ||
+      mOnlyFor == aCustomer) {
+    return mStage;
+  }
+  return mOthersAllowed ? QuarantineStage::kWatched
+                        : QuarantineStage::kOneAtATime;
+}
+
+QuarantineStatus
+StatusOf(const QuarantineChange& aChange)
+{
+  QuarantineStatus status{ .mContent = aChange.mContent,
+                           .mStage = aChange.mStage,
+                           .mOthersAllowed = aChange.mOthersAllowed };
+  if (aChange.mCustomers.size() == 1) {
+    status.mOnlyFor = aChange.mCustomers.front();
+  }
+  return status;
+}
+
 const QuarantineRow*
 QuarantineTable::Find(const ContentId& aContent) const
 {
@@ -42,15 +80,19 @@
     mRows.erase(before);
   }
   auto& crashes = next.mChange.mCrashes;
-  crashes.resize(std::min(crashes.size(), kMaxCrashes));
+  crashes.resize(std::min(crashes.size(), kMaxRecordedCrashes));
   mRows.push_back(std::move(next));
   if (mRows.size() > kMaxRows) {
-    const auto cleared =
-      std::find_if(mRows.begin(), mRows.end(), [](const auto& aRow) {
-        return aRow.mChange.mStage == QuarantineStage::kCleared;
+    const auto evicted = std::min_element(
+      mRows.begin(), mRows.end(), [](const auto& aOne, const auto& aOther) {
+        return EvictionRank(aOne.mChange.mStage) <
+               EvictionRank(aOther.mChange.mStage);
       });
-    mRows.erase(cleared == mRows.end() ? mRows.begin() : cleared);
-    mMinDeltaBase = mNumber;
+    // Entries that know of it need no change where it restricts nothing.
+    const bool isCleared = evicted->mChange.mStage == QuarantineStage::kCleared;
+    mMinDeltaBase =
+      isCleared ? std::max(mMinDeltaBase, evicted->mNumber) : mNumber;
+    mRows.erase(evicted);
   }
 }
 
@@ -66,8 +108,7 @@
                           ? row.mChange.mStage != QuarantineStage::kCleared
                           : row.mNumber > update.mFrom;
     if (listed) {
-      update.mLines.push_back(
-        { .mContent = row.mChange.mContent, .mStage = row.mChange.mStage });
+      update.mLines.push_back(StatusOf(row.mChange));
     }
   }
   return update;
--- a/src/routing/QuarantineGate.cpp
+++ b/src/routing/QuarantineGate.cpp
@@ -1,6 +1,8 @@
 #include "peridotspool/routing/QuarantineGate.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace peridotspool::routing {
 
@@ -18,6 +20,9 @@
  */
 constexpr Duration kPermitReleaseDelay = std::chrono::milliseconds(1000);
 
+/** One report of an answer clears a content; it may be lost. */
+constexpr Duration kAnswerReportInterval = std::chrono::milliseconds(500);
+
 std::uint32_t
 ToMs(Duration aDuration)
 {
@@ -29,10 +34,42 @@
 } // namespace
 
 QuarantineStage
-QuarantineGate::StageOf(const ContentId& aContent) const
+QuarantineGate::StageOf(const ContentId& aContent,
+                        const CustomerName& aCustomer) const
 {
   const auto listed = mListed.find(aContent);
-  return listed == mListed.end() ? QuarantineStage::kCleared : listed->second;
+  return listed == mListed.end() ? QuarantineStage::kCleared
+                                 : listed->second.mStatus.StageFor(aCustomer);
+}
+
+QuarantineGate::Standing
+QuarantineGate::StandingOf(const GateRequest& aRequest) const
+{
+  Standing standing;
+  if (mListed.empty()) {
+    return standing;
+  }
+  const auto look = [&](const ContentId& aContent) {
+    const QuarantineStage stage = StageOf(aContent, aRequest.mCustomer);
+    if (stage == QuarantineStage::kRefused && !standing.mRefused) {
+      standing.mRefused = aContent;
+    } else if (stage == QuarantineStage::kOneAtATime) {
+      standing.mSerialized.push_back(aContent);
+    }
+  };
+  look(aRequest.mContent);
+  for (const PromptPartId part : aRequest.mParts) {
+    look(ContentOf(part));
+  }
+  return standing;
+}
+
+std::optional<Duration>
+QuarantineGate::LastAnswerAge(const ContentId& aContent, TimePoint aNow) const
+{
+  const auto part = PartOf(aContent);
+  return part ? mPartCompletions.AgeOf(*part, aNow)
+              : mCompletions.AgeOf(aContent, aNow);
 }
 
 // Ignores changes that don't follow the last known one: the next report to the
@@ -56,48 +93,70 @@
       mListed.erase(status.mContent);
       continue;
     }
-    mListed[status.mContent] = status.mStage;
-    if (const auto age = mCompletions.AgeOf(status.mContent, aNow)) {
-      actions.mEnded.push_back({ .mContent = status.mContent,
+    mListed[status.mContent] = { .mStatus = status,
+                                 .mReportedAt = std::nullopt };
+    if (const auto age = LastAnswerAge(status.mContent, aNow)) {
+      actions.mEnded.push_back({ .mContents = { status.mContent },
                                  .mTag = 0,
                                  .mAnswered = true,
                                  .mAgeMs = ToMs(*age) });
     }
   }
+  DecideWaiting(actions);
+  return actions;
+}
+
+std::vector<RunEnded>
+QuarantineGate::RememberedAnswers(TimePoint aNow) const
+{
+  std::vector<RunEnded> answers;
+  for (const auto& [content, listed] : mListed) {
+    if (const auto age = LastAnswerAge(content, aNow)) {
+      answers.push_back({ .mContents = { content },
+                          .mTag = 0,
+                          .mAnswered = true,
+                          .mAgeMs = ToMs(*age) });
+    }
+  }
+  return answers;
+}
+
+void
+QuarantineGate::DecideWaiting(GateActions& aActions)
+{
   std::erase_if(mWaiting, [&](const auto& aPair) {
-    const QuarantineStage stage = StageOf(aPair.second.mContent);
-    if (stage == QuarantineStage::kOneAtATime) {
+    const Standing standing = StandingOf(aPair.second.mRequest);
+    if (!standing.mRefused && !standing.mSerialized.empty()) {
       return false;
     }
-    actions.mDecisions.push_back(
-      { .mTag = aPair.first,
-        .mOutcome = stage == QuarantineStage::kRefused
-                      ? GateOutcome::kRefused
-                      : GateOutcome::kAllowed });
+    aActions.mDecisions.push_back({ .mTag = aPair.first,
+                                    .mOutcome = standing.mRefused
+                                                  ? GateOutcome::kRefused
+                                                  : GateOutcome::kAllowed });
     return true;
   });
-  return actions;
 }
 
 GateResult
-QuarantineGate::Check(const ContentId& aContent,
+QuarantineGate::Check(const GateRequest& aRequest,
                       Duration aTimeLeft,
                       TimePoint aNow)
 {
-  switch (StageOf(aContent)) {
-    case QuarantineStage::kCleared:
-      return {};
-    case QuarantineStage::kRefused:
-      return { .mOutcome = GateOutcome::kRefused };
-    case QuarantineStage::kOneAtATime:
-      break;
+  const Standing standing = StandingOf(aRequest);
+  if (standing.mRefused) {
+    return { .mOutcome = GateOutcome::kRefused, .mRefused = standing.mRefused };
+  }
+  if (standing.mSerialized.empty()) {
+    return {};
   }
   GateResult result{ .mOutcome = GateOutcome::kWaitsForPermit,
                      .mTag = ++mLastTag };
-  result.mPermitRequest = { .mContent = aContent,
+  result.mPermitRequest = { .mContents = standing.mSerialized,
                             .mTag = result.mTag,
-                            .mForMs = ToMs(aTimeLeft) };
-  mWaiting[result.mTag] = { .mContent = aContent,
+                            .mForMs = ToMs(aTimeLeft),
+                            .mCustomer = aRequest.mCustomer };
+  mWaiting[result.mTag] = { .mRequest = aRequest,
+                            .mSerialized = standing.mSerialized,
                             .mSince = aNow,
                             .mUntil = aNow + aTimeLeft,
                             .mRequestedAt = aNow };
@@ -109,14 +168,21 @@
 QuarantineGate::OnPermitResponse(const PermitResponse& aResponse)
 {
   const auto waiting = mWaiting.find(aResponse.mTag);
-  if (!aResponse.mGranted || waiting == mWaiting.end()) {
+  if (aResponse.mVerdict == PermitVerdict::kDenied ||
+      waiting == mWaiting.end()) {
     return std::nullopt;
   }
-  mPermits[aResponse.mTag] = { .mContent = waiting->second.mContent,
-                               .mReleaseAt = std::nullopt };
+  const bool isGranted = aResponse.mVerdict == PermitVerdict::kGranted;
+  if (isGranted) {
+    mPermits[aResponse.mTag] = { .mContents = waiting->second.mSerialized,
+                                 .mCustomer =
+                                   waiting->second.mRequest.mCustomer,
+                                 .mReleaseAt = std::nullopt };
+  }
   mWaiting.erase(waiting);
   return GateDecision{ .mTag = aResponse.mTag,
-                       .mOutcome = GateOutcome::kHasPermit };
+                       .mOutcome = isGranted ? GateOutcome::kHasPermit
+                                             : GateOutcome::kRefused };
 }
 
 GateActions
@@ -130,18 +196,21 @@
     if (late) {
       actions.mDecisions.push_back(
         { .mTag = aPair.first, .mOutcome = GateOutcome::kPermitTimeout });
-      actions.mEnded.push_back(
-        { .mContent = waiting.mContent, .mTag = aPair.first });
+      actions.mEnded.push_back({ .mContents = waiting.mSerialized,
+                                 .mTag = aPair.first,
+                                 .mCustomer = waiting.mRequest.mCustomer });
     }
     return late;
   });
   for (auto& [tag, waiting] : mWaiting) {
     if (aNow - waiting.mRequestedAt >= kPermitRetryInterval) {
       waiting.mRequestedAt = aNow;
+      waiting.mSerialized = StandingOf(waiting.mRequest).mSerialized;
       actions.mPermitRequests.push_back(
-        { .mContent = waiting.mContent,
+        { .mContents = waiting.mSerialized,
           .mTag = tag,
-          .mForMs = ToMs(waiting.mUntil - aNow) });
+          .mForMs = ToMs(waiting.mUntil - aNow),
+          .mCustomer = waiting.mRequest.mCustomer });
     }
   }
   std::erase_if(mPermits, [&](const auto& aPair) {
@@ -149,8 +218,10 @@
     if (!permit.mReleaseAt || aNow < *permit.mReleaseAt) {
       return false;
     }
-    actions.mEnded.push_back(
-      { .mContent = permit.mContent, .mTag = aPair.first, .mAnswered = false });
+    actions.mEnded.push_back({ .mContents = permit.mContents,
+                               .mTag = aPair.first,
+                               .mAnswered = false,
+                               .mCustomer = permit.mCustomer });
     return true;
   });
   return actions;
@@ -164,23 +235,71 @@
 {
   const auto waiting = mWaiting.find(aTag);
   if (waiting != mWaiting.end()) {
-    mPermits[aTag] = { .mContent = waiting->second.mContent,
+    mPermits[aTag] = { .mContents = waiting->second.mSerialized,
+                       .mCustomer = waiting->second.mRequest.mCustomer,
                        .mReleaseAt = TimePoint() };
     mWaiting.erase(waiting);
   }
 }
 
-std::optional<RunEnded>
+bool
+QuarantineGate::ShouldReport(const ContentId& aContent, TimePoint aNow)
+{
+  const auto found = mListed.find(aContent);
+  if (found == mListed.end()) {
+    return false;
+  }
+  auto& reportedAt = found->second.mReportedAt;
+  if (reportedAt && aNow - *reportedAt < kAnswerReportInterval) {
+    return false;
+  }
+  reportedAt = aNow;
+  return true;
+}
+
+// A failure of the upstream's own shows nothing about parts of the prompt,
+// which may not even have been read.
+std::vector<RunEnded>
 QuarantineGate::Answered(std::uint64_t aTag,
-                         const ContentId& aContent,
+                         const GateRequest& aRequest,
+                         AnswerEvidence aEvidence,
                          TimePoint aNow)
 {
-  mCompletions.Record(aContent, aNow);
-  mPermits.erase(aTag);
-  if (aTag == 0 && StageOf(aContent) == QuarantineStage::kCleared) {
-    return std::nullopt;
+  const bool isComplete = aEvidence == AnswerEvidence::kComplete;
+  mCompletions.Record(aRequest.mContent, aNow);
+  if (isComplete) {
+    mPartCompletions.Record(aRequest.mParts, aNow);
+  }
+  RunEnded answered{ .mTag = aTag,
+                     .mAnswered = true,
+                     .mCustomer = aRequest.mCustomer };
+  RunEnded released{ .mTag = aTag, .mCustomer = aRequest.mCustomer };
+  if (const auto permit = mPermits.extract(aTag)) {
+    for (const ContentId& content : permit.mapped().mContents) {
+      const bool isShown = isComplete || !PartOf(content);
+      (isShown ? answered : released).mContents.push_back(content);
+    }
+  }
+  const auto add = [&](const ContentId& aContent) {
+    const auto& known = answered.mContents;
+    if (std::find(known.begin(), known.end(), aContent) == known.end() &&
+        ShouldReport(aContent, aNow)) {
+      answered.mContents.push_back(aContent);
+    }
+  };
+  if (!mListed.empty()) {
+    add(aRequest.mContent);
+    for (std::size_t i = 0; isComplete && i < aRequest.mParts.size(); ++i) {
+      add(ContentOf(aRequest.mParts[i]));
+    }
+  }
+  std::vector<RunEnded> reports;
+  for (RunEnded& report : std::array{ answered, released }) {
+    if (!report.mContents.empty()) {
+      reports.push_back(std::move(report));
+    }
   }
-  return RunEnded{ .mContent = aContent, .mTag = aTag, .mAnswered = true };
+  return reports;
 }
 
 RunEnded
@@ -189,7 +308,8 @@
   RunEnded ended{ .mTag = aTag };
   const auto permit = mPermits.find(aTag);
   if (permit != mPermits.end()) {
-    ended.mContent = permit->second.mContent;
+    ended.mContents = permit->second.mContents;
+    ended.mCustomer = permit->second.mCustomer;
     mPermits.erase(permit);
   }
   return ended;
--- a/src/routing/QuarantineManager.cpp
+++ b/src/routing/QuarantineManager.cpp
@@ -69,7 +69,8 @@
   : mAppliedNumber(aCommitted.mNumber)
 {
   for (const QuarantineRow& row : aCommitted.mRows) {
-    if (row.mChange.mStage == QuarantineStage::kCleared) {
+    if (row.mChange.mStage == QuarantineStage::kCleared ||
+        PartOf(row.mChange.mContent)) {
       continue;
     }
     Suspect& suspect = mSuspects[row.mChange.mContent];
@@ -209,37 +210,64 @@
                                        const QuarantineTable& aCommitted,
                                        TimePoint aNow)
 {
-  PermitResponse response{ .mTag = aRequest.mTag, .mGranted = true };
-  const QuarantineRow* row = aCommitted.Find(aRequest.mContent);
-  const auto suspect = mSuspects.find(aRequest.mContent);
+  PermitResponse response{ .mTag = aRequest.mTag,
+                           .mVerdict = PermitVerdict::kGranted };
+  for (const ContentId& content : aRequest.mContents) {
+    if (!PartOf(content) && response.mVerdict == PermitVerdict::kGranted) {
+      response.mVerdict =
+        HandlePermitRequest(aFrom, content, aRequest, aCommitted, aNow);
+    }
+  }
+  return response;
+}
+
+PermitVerdict
+QuarantineManager::HandlePermitRequest(const Address& aFrom,
+                                       const ContentId& aContent,
+                                       const PermitRequest& aRequest,
+                                       const QuarantineTable& aCommitted,
+                                       TimePoint aNow)
+{
+  const QuarantineRow* row = aCommitted.Find(aContent);
+  const auto suspect = mSuspects.find(aContent);
   const bool listed =
     row != nullptr && row->mChange.mStage != QuarantineStage::kCleared;
   if (!listed || suspect == mSuspects.end() || suspect->second.mAnswered) {
-    return response;
+    return PermitVerdict::kGranted;
   }
   auto& permit = suspect->second.mPermit;
   const bool held = permit && permit->mUntil > aNow &&
                     (permit->mFrom != aFrom || permit->mTag != aRequest.mTag);
   if (held || row->mChange.mStage == QuarantineStage::kRefused ||
       StageOf(suspect->second) == QuarantineStage::kRefused) {
-    response.mGranted = false;
-    return response;
+    return PermitVerdict::kDenied;
   }
   const Duration wanted = std::chrono::milliseconds(aRequest.mForMs);
   permit = Permit{ .mFrom = aFrom,
                    .mTag = aRequest.mTag,
                    .mUntil = aNow + std::min(wanted, kMaxPermitTime) };
-  return response;
+  return PermitVerdict::kGranted;
+}
+
+void
+QuarantineManager::HandleRunEnded(const Address& aFrom,
+                                  const RunEnded& aEnded,
+                                  TimePoint aNow)
+{
+  for (const ContentId& content : aEnded.mContents) {
+    HandleRunEnded(aFrom, content, aEnded, aNow);
+  }
 }
 
 // A complete answer shows that the content does not crash upstreams, so that
 // crashes before it had another cause.
 void
 QuarantineManager::HandleRunEnded(const Address& aFrom,
+                                  const ContentId& aContent,
                                   const RunEnded& aEnded,
                                   TimePoint aNow)
 {
-  const auto found = mSuspects.find(aEnded.mContent);
+  const auto found = mSuspects.find(aContent);
   if (found == mSuspects.end()) {
     return;
   }
@@ -252,9 +280,9 @@
     const TimePoint answeredAt =
       aNow - std::chrono::milliseconds(CapAgeMs(aEnded.mAgeMs));
     DropCrashesBefore(answeredAt, suspect);
-    mDirty.insert(aEnded.mContent);
+    mDirty.insert(aContent);
   }
-  Touch(aEnded.mContent, suspect, aNow);
+  Touch(aContent, suspect, aNow);
 }
 
 void
@@ -347,7 +375,7 @@
 QuarantineManager::SyncCommitted(const QuarantineTable& aCommitted)
 {
   for (const QuarantineRow& row : aCommitted.mRows) {
-    if (row.mNumber <= mAppliedNumber) {
+    if (row.mNumber <= mAppliedNumber || PartOf(row.mChange.mContent)) {
       continue;
     }
     const ContentId& content = row.mChange.mContent;
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -231,11 +231,19 @@
     ends += (ends.empty() ? "" : ",") + crash.mUpstream.Value() + "/" +
             std::to_string(crash.mIncarnation.Value()) + " by " + crash.mSeenBy;
   }
+  const auto part = PartOf(aChange.mContent);
+  const bool isWatched = aChange.mStage == routing::QuarantineStage::kWatched;
   mLogger.Log(
-    observe::EventId::kQuarantineChanged,
+    isWatched ? observe::EventId::kPromptPartWatched
+              : observe::EventId::kQuarantineChanged,
     { { "content", ToText(aChange.mContent) },
+      { "part", part ? ToText(*part) : "" },
       { "stage", boost::describe::enum_to_string(aChange.mStage, "") },
       { "counted", aChange.mCounted },
+      { "customers", aChange.mCustomers.size() },
+      { "answered_before", aChange.mAnsweredBefore },
+      { "others_allowed", aChange.mOthersAllowed },
+      { "late_permits", aChange.mLatePermits },
       { "ends", ends } });
 }
 
@@ -261,7 +269,7 @@
                                     aNode.CurrentTerm().Value(),
                                     aNode.State().mQuotaFloors,
                                     aNow);
-    mQuarantine = routing::QuarantineManager(aNode.State().mQuarantine, aNow);
+    mQuarantine = routing::QuarantineLeader(aNode.State().mQuarantine, aNow);
     mRollouts = rollout::RolloutController(mOptions.mRollout);
     mHeard.clear();
   }
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -7,7 +7,7 @@
 #include "peridotspool/membership/UpstreamDirectory.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/rollout/RolloutController.h"
-#include "peridotspool/routing/QuarantineManager.h"
+#include "peridotspool/routing/QuarantineLeader.h"
 #include "peridotspool/runtime/ControlHostOptions.h"
 
 #include <functional>
@@ -117,7 +117,7 @@
   Tell mTell;
   fleet::LeaderTaskManager mTasks;
   gateway::QuotaAllocator mBank;
-  routing::QuarantineManager mQuarantine;
+  routing::QuarantineLeader mQuarantine;
   rollout::RolloutController mRollouts;
   /** The last start or end of a rollout that all entries were told of. */
   std::uint64_t mRolloutsTold = 0;
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -120,6 +120,10 @@
   mLeader = aLeader;
   mLeaderHeardAt = ReadClock();
   mCore->mCrashReporter.OnNewLeader();
+  for (const auto& answer :
+       mCore->mQuarantineGate.RememberedAnswers(mLeaderHeardAt)) {
+    mCore->mSendToLeader(answer);
+  }
   if (auto again = mCore->mQuota.PendingRequest(); !again.mItems.empty()) {
     mCore->mSendToLeader(std::move(again));
   }
