Don't take a crash for the end of an answer without framing

An answer with neither a length nor chunks ends with its connection, which a crash ends as well. Recorded as complete, it cleared the content and the part that had crashed the upstream; its own loss was no evidence either. Such an answer now shows nothing until the upstream accepts a connection, which is tried where the content or a part is listed; a crash within two seconds counts it as lost.

--- a/include/peridotspool/routing/CrashDetector.h
+++ b/include/peridotspool/routing/CrashDetector.h
@@ -15,7 +15,10 @@
 
 namespace peridotspool::routing {
 
-/** A request that was running when the connection for its response was lost. */
+/**
+ * A request that was running when the connection for its response was lost, or
+ * whose response ended with its connection.
+ */
 struct LostResponse
 {
   ContentId mContent;
@@ -27,6 +30,9 @@
   std::vector<PromptPartId> mParts;
   /** Empty where no key is needed. */
   CustomerName mCustomer;
+  /** The response looked complete, but only its connection's end marked its
+   * end. */
+  bool mSeemedComplete = false;
 
   auto operator<=>(const LostResponse&) const = default;
 };
@@ -86,8 +92,11 @@
   /** Called when a connection to the incarnation's address was refused. */
   std::optional<UpstreamCrash> Refused(const UpstreamIncarnation& aIncarnation,
                                        TimePoint aNow);
-  /** Called when the probe connected: the incarnation is still alive. */
-  void Accepted(const UpstreamIncarnation& aIncarnation);
+  /**
+   * Called when the probe connected: the incarnation is still alive. Returns
+   * the responses that were complete, as they seemed to be.
+   */
+  std::vector<LostResponse> Accepted(const UpstreamIncarnation& aIncarnation);
   /**
    * Called when an incarnation announces itself. Returns the crashes of others
    * that had the same address.
--- a/include/peridotspool/routing/QuarantineGate.h
+++ b/include/peridotspool/routing/QuarantineGate.h
@@ -79,6 +79,8 @@
                           const CustomerName& aCustomer = {}) const;
   std::size_t ListedCount() const { return mListed.size(); }
 
+  /** Returns true iff the content or a part of the request is listed. */
+  bool IsListed(const GateRequest& aRequest) const;
   /** Returns true iff the content or a part of the request is refused. */
   bool IsRefused(const GateRequest& aRequest) const
   {
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -156,6 +156,8 @@
   void LeaveQuarantineGate();
   void ReleasePermit();
   void RecordAnswered(routing::AnswerEvidence aEvidence);
+  /** Records a whole successful response for the quarantine. */
+  void RecordCompletion();
   void LogPermit(const char* aOutcome);
   void FinishBuffered();
   void FinishStream();
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -244,7 +244,7 @@
 {
   RecordVersionAnswer(false);
   EndAttempt(SendResult::kAnswered);
-  RecordAnswered(routing::AnswerEvidence::kComplete);
+  RecordCompletion();
   if (!mBegun) {
     BeginStream();
   }
@@ -269,9 +269,11 @@
   if (stamped) {
     CountUsage();
   }
-  RecordAnswered(IsSuccess(mHead.mStatus)
-                   ? routing::AnswerEvidence::kComplete
-                   : routing::AnswerEvidence::kUpstreamAlive);
+  if (IsSuccess(mHead.mStatus)) {
+    RecordCompletion();
+  } else {
+    RecordAnswered(routing::AnswerEvidence::kUpstreamAlive);
+  }
   const bool failed = mHead.mStatus >= kFirstServerError;
   RecordVersionAnswer(failed);
   EndAttempt(failed ? SendResult::kFailed : SendResult::kAnswered);
@@ -334,6 +336,33 @@
   }
 }
 
+// A response that only the end of its connection marks as complete may have
+// been cut by a crash. It shows nothing until the upstream is seen alive.
+void
+Exchange::RecordCompletion()
+{
+  if (mHead.mFraming != BodyFraming::kConnection) {
+    RecordAnswered(routing::AnswerEvidence::kComplete);
+    return;
+  }
+  const TimePoint now = mCore.mNow();
+  routing::LostResponse response = LostResponseNow();
+  response.mSeemedComplete = true;
+  mCore.mQuarantineGate.Lost(std::exchange(mPermit, 0), now);
+  if (!mCore.mSelector.IsReady(mUpstream)) {
+    return;
+  }
+  const routing::UpstreamIncarnation life{ .mName = mUpstream,
+                                           .mIncarnation = mSent.mIncarnation };
+  const auto crash = mCore.mCrashWitness.Lost(life, mUpstreamAddress, response);
+  if (crash) {
+    mCore.OnUpstreamEnded(*crash);
+  } else if (mCore.mQuarantineGate.IsListed(mGateRequest) &&
+             mCore.mCrashWitness.ShouldProbe(life, now)) {
+    ProbeIncarnation(mCore, life, mUpstreamAddress);
+  }
+}
+
 const char*
 Exchange::FramingText() const
 {
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -55,6 +55,20 @@
   }
 }
 
+void
+GatewayCore::OnUpstreamAlive(const routing::UpstreamIncarnation& aLife)
+{
+  for (const routing::LostResponse& response : mCrashWitness.Accepted(aLife)) {
+    const routing::GateRequest request{ .mContent = response.mContent,
+                                        .mParts = response.mParts,
+                                        .mCustomer = response.mCustomer };
+    for (const routing::RunEnded& report : mQuarantineGate.Answered(
+           0, request, routing::AnswerEvidence::kComplete, mNow())) {
+      mSendToLeader(report);
+    }
+  }
+}
+
 void
 GatewayCore::OnUpstreamEnded(const routing::UpstreamCrash& aEnded)
 {
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -202,6 +202,8 @@
 
   /** A connection to the address of an upstream's incarnation was refused. */
   void OnConnectionRefused(const routing::UpstreamIncarnation& aLife);
+  /** A connection to the address of an upstream's incarnation was accepted. */
+  void OnUpstreamAlive(const routing::UpstreamIncarnation& aLife);
   /** Logs and reports the end of an upstream's incarnation. */
   void OnUpstreamEnded(const routing::UpstreamCrash& aEnded);
   /** Records that a request with a quarantined content was refused. */
--- a/src/gateway/IncarnationProbe.cpp
+++ b/src/gateway/IncarnationProbe.cpp
@@ -25,7 +25,7 @@
                        http::ErrorCode ignored;
                        aResult.mSocket.close(ignored);
                        if (!aResult.mFailure) {
-                         aCore.mCrashWitness.Accepted(life);
+                         aCore.OnUpstreamAlive(life);
                        } else if (aResult.mFailure->mRefused) {
                          aCore.OnConnectionRefused(life);
                        }
--- a/src/routing/CrashDetector.cpp
+++ b/src/routing/CrashDetector.cpp
@@ -13,6 +13,9 @@
  * same time, well within this time.
  */
 constexpr Duration kCrashRetention = std::chrono::seconds(60);
+/** A crash that is noticed later has hardly cut a response that looked
+ * complete. */
+constexpr Duration kSeemedCompleteTimeout = std::chrono::seconds(2);
 /** A probe has its result before the next one. */
 constexpr Duration kProbeInterval = std::chrono::milliseconds(600);
 constexpr int kMaxProbes = 5;
@@ -21,6 +24,15 @@
 constexpr std::size_t kMaxLostPerIncarnation = 256;
 constexpr std::size_t kMaxCrashed = 4096;
 
+void
+DropExpired(std::vector<LostResponse>& aLost, TimePoint aNow)
+{
+  std::erase_if(aLost, [&](const LostResponse& aOne) {
+    return aNow - aOne.mLostAt >=
+           (aOne.mSeemedComplete ? kSeemedCompleteTimeout : kPendingTimeout);
+  });
+}
+
 } // namespace
 
 std::optional<UpstreamCrash>
@@ -76,10 +88,17 @@
   return RecordCrash(aIncarnation, CrashEvidence::kConnectionRefused, aNow);
 }
 
-void
+std::vector<LostResponse>
 CrashDetector::Accepted(const UpstreamIncarnation& aIncarnation)
 {
-  mPending.erase(aIncarnation);
+  auto pending = mPending.extract(aIncarnation);
+  if (!pending) {
+    return {};
+  }
+  std::vector<LostResponse> complete = std::move(pending.mapped().mLost);
+  std::erase_if(complete,
+                [](const LostResponse& aOne) { return !aOne.mSeemedComplete; });
+  return complete;
 }
 
 std::vector<UpstreamCrash>
@@ -120,16 +139,18 @@
                        .mCrashEvidence = aCrashEvidence,
                        .mLost = std::move(pending->second.mLost) };
   mPending.erase(pending);
-  return crash;
+  DropExpired(crash.mLost, aNow);
+  return crash.mLost.empty() ? std::nullopt : std::optional(std::move(crash));
 }
 
 void
 CrashDetector::Forget(TimePoint aNow)
 {
-  std::erase_if(mPending, [&](const auto& aPair) {
-    const auto& lost = aPair.second.mLost;
-    return aNow - lost.front().mLostAt >= kPendingTimeout;
-  });
+  for (auto& [incarnation, pending] : mPending) {
+    DropExpired(pending.mLost, aNow);
+  }
+  std::erase_if(mPending,
+                [](const auto& aPair) { return aPair.second.mLost.empty(); });
   std::erase_if(mCrashed, [&](const auto& aPair) {
     return aNow - aPair.second >= kCrashRetention;
   });
--- a/src/routing/QuarantineGate.cpp
+++ b/src/routing/QuarantineGate.cpp
@@ -42,6 +42,18 @@
                                  : listed->second.mStatus.StageFor(aCustomer);
 }
 
+bool
+QuarantineGate::IsListed(const GateRequest& aRequest) const
+{
+  const auto isListed = [&](PromptPartId aPart) {
+    return mListed.contains(ContentOf(aPart));
+  };
+  return !mListed.empty() &&
+         (mListed.contains(aRequest.mContent) ||
+          std::any_of(
+            aRequest.mParts.begin(), aRequest.mParts.end(), isListed));
+}
+
 QuarantineGate::Standing
 QuarantineGate::StandingOf(const GateRequest& aRequest) const
 {
--- a/test/routing/CrashDetectorTest.cpp
+++ b/test/routing/CrashDetectorTest.cpp
@@ -104,4 +104,49 @@
   CHECK(detector.Refused(kIncarnation, At(15001)) == std::nullopt);
 }
 
+// Guards against crashes that are noticed seconds late, when the first probe
+// found out nothing.
+TEST_CASE("InconclusiveProbeIsRepeatedAFewTimes")
+{
+  CrashDetector detector;
+  detector.Lost(kIncarnation, kAddress, Lost(1, 0));
+  CHECK(detector.DueProbes(At(1000)).empty());
+  REQUIRE(detector.ShouldProbe(kIncarnation, At(0)));
+  CHECK(detector.DueProbes(At(500)).empty());
+  int probes = 0;
+  for (int now = 600; now < 10000; now += 50) {
+    probes += static_cast<int>(detector.DueProbes(At(now)).size());
+  }
+  CHECK(probes == 4);
+}
+
+TEST_CASE("ResponseThatSeemedCompleteWasCompleteIfTheUpstreamIsAlive")
+{
+  CrashDetector detector;
+  LostResponse response = Lost(1, 0);
+  response.mSeemedComplete = true;
+  detector.Lost(kIncarnation, kAddress, response);
+  detector.Lost(kIncarnation, kAddress, Lost(2, 0));
+  CHECK(detector.Accepted(kIncarnation) == std::vector{ response });
+  CHECK(detector.Refused(kIncarnation, At(10)) == std::nullopt);
+}
+
+TEST_CASE("ResponseThatSeemedCompleteIsLostToACrashRightAfterIt")
+{
+  CrashDetector detector;
+  LostResponse response = Lost(1, 0);
+  response.mSeemedComplete = true;
+  detector.Lost(kIncarnation, kAddress, response);
+  SECTION("right after it")
+  {
+    const auto crash = detector.Refused(kIncarnation, At(500));
+    REQUIRE(crash.has_value());
+    CHECK(crash->mLost == std::vector{ response });
+  }
+  SECTION("but not to a later one")
+  {
+    CHECK(detector.Refused(kIncarnation, At(2500)) == std::nullopt);
+  }
+}
+
 } // namespace peridotspool::routing
