--- a/include/peridotspool/routing/PromptPartSuspects.h
+++ b/include/peridotspool/routing/PromptPartSuspects.h
@@ -93,7 +93,7 @@
     std::optional<QuarantineChange> mProposed;
     TimePoint mProposedAt;
   };
-  /** Committed rows by part. */
+  /** Committed rows of parts that are listed. */
   using Rows = std::map<PromptPartId, const QuarantineChange*>;
 
   Suspect* Find(const ContentId& aContent);
@@ -121,6 +121,10 @@
   void Evict();
   std::vector<std::pair<PromptPartId, QuarantineChange>> Differences(
     const Rows& aRows) const;
+  std::vector<PromptPartId> WatchedParts(const Rows& aRows) const;
+  bool MakeRoom(std::size_t aCrashes,
+                const Rows& aRows,
+                std::vector<PromptPartId>& aWatched);
   static QuarantineChange ChangeOf(PromptPartId aPart, const Suspect& aSuspect);
 
   std::map<PromptPartId, Suspect> mSuspects;
@@ -132,6 +136,7 @@
   bool mIsUnripe = false;
   /** Some changes are not committed yet. */
   bool mIsUnsettled = false;
+  TimePoint mExpiredAt;
   /** Number of the last committed change that was applied here. */
   std::uint64_t mAppliedNumber = 0;
 };
--- a/src/routing/PromptPartSuspects.cpp
+++ b/src/routing/PromptPartSuspects.cpp
@@ -8,34 +8,15 @@
 
 namespace {
 
-constexpr Duration kMaxPermitTime = std::chrono::seconds(30);
-constexpr Duration kProposalRetryInterval = std::chrono::seconds(1);
 /** A crashing part may come once in hours. */
 constexpr Duration kRetention = std::chrono::hours(24);
-/**
- * A request with several parts that the crashes don't tell apart shows little,
- * so it waits for this long while requests with one of them go first.
- */
-constexpr Duration kSeparationTime = std::chrono::seconds(5);
-/** Requests with a part may be sent so often once it has counted enough
- * crashes to be refused, and once more if one of them showed nothing. */
-constexpr std::uint32_t kMaxLatePermits = 2;
-/** Late permits are given when the upstreams that crashed are back and the
- * requests that were in flight are over. */
-constexpr Duration kQuietBeforeLatePermit = std::chrono::milliseconds(1500);
-constexpr Duration kLatePermitInterval = std::chrono::seconds(3);
-/** A crash may be known to nobody, as the entry that saw it failed too. */
-constexpr std::uint32_t kMissedCrashes = 1;
+constexpr Duration kExpiryInterval = std::chrono::minutes(1);
 /** By then entries have told of the answers that they remember. */
 constexpr Duration kAnswerWindow = std::chrono::milliseconds(400);
 /** A suspect takes some 300 bytes. */
 constexpr std::size_t kMaxSuspects = 8192;
 constexpr std::size_t kMaxPromptCrashes = 256;
 constexpr std::uint32_t kMaxAgeMs = 600000;
-/** Bounds what a crash of many upstreams makes the log write and entries
- * receive. */
-constexpr std::size_t kMaxChanges = 128;
-constexpr std::size_t kMaxListed = 256;
 
 TimePoint
 Ago(TimePoint aNow, std::uint32_t aAgeMs)
@@ -61,13 +42,6 @@
   return { std::move(crashes), aChange.mCounted, aNow };
 }
 
-bool
-IsLate(const PartVerdict& aVerdict)
-{
-  return aVerdict.mStage == QuarantineStage::kRefused ||
-         aVerdict.mCrashes + kMissedCrashes >= kMaxPartCrashes;
-}
-
 } // namespace
 
 PromptPartSuspects::PromptPartSuspects(const QuarantineTable& aCommitted,
@@ -209,124 +183,6 @@
   }
 }
 
-PermitVerdict
-PromptPartSuspects::CheckPermit(const Address& aFrom,
-                                const PermitRequest& aRequest,
-                                const QuarantineTable& aCommitted,
-                                TimePoint aNow)
-{
-  PermitVerdict worst = CheckGroup(aRequest, aNow);
-  for (const ContentId& content : aRequest.mContents) {
-    Suspect* const suspect = Find(content);
-    const QuarantineRow* row = aCommitted.Find(content);
-    if (suspect == nullptr || row == nullptr ||
-        row->mChange.mStage == QuarantineStage::kCleared ||
-        worst != PermitVerdict::kGranted) {
-      continue;
-    }
-    worst =
-      CheckPermit(*suspect, aFrom, aRequest, row->mChange.mLatePermits, aNow);
-  }
-  return worst;
-}
-
-// Of parts that the crashes don't tell apart, at least one crashes upstreams,
-// and so does a request with all of them.
-PermitVerdict
-PromptPartSuspects::CheckGroup(const PermitRequest& aRequest, TimePoint aNow)
-{
-  std::map<std::uint64_t, std::size_t> members;
-  PermitVerdict verdict = PermitVerdict::kGranted;
-  for (const ContentId& content : aRequest.mContents) {
-    const Suspect* const suspect = Find(content);
-    if (suspect == nullptr || suspect->mVerdict.mGroup == 0 ||
-        ++members[suspect->mVerdict.mGroup] < 2) {
-      continue;
-    }
-    if (IsLate(suspect->mVerdict)) {
-      return PermitVerdict::kRefused;
-    }
-    if (aNow - suspect->mSerializedAt.value_or(aNow) < kSeparationTime) {
-      verdict = PermitVerdict::kDenied;
-    }
-  }
-  return verdict;
-}
-
-PermitVerdict
-PromptPartSuspects::CheckPermit(Suspect& aSuspect,
-                                const Address& aFrom,
-                                const PermitRequest& aRequest,
-                                std::uint32_t aCommittedPermits,
-                                TimePoint aNow)
-{
-  const auto customers = aSuspect.mCase.mEvidence.Customers();
-  const bool isOthers = customers.size() == 1 && customers.front().IsSet() &&
-                        customers.front() != aRequest.mCustomer;
-  if (aSuspect.mVerdict.mStage == QuarantineStage::kRefused && !isOthers) {
-    return PermitVerdict::kRefused;
-  }
-  const auto& permit = aSuspect.mPermit;
-  if (permit && permit->mUntil > aNow &&
-      (permit->mFrom != aFrom || permit->mTag != aRequest.mTag)) {
-    return PermitVerdict::kDenied;
-  }
-  if (!IsLate(aSuspect.mVerdict) || (permit && permit->mUntil > aNow)) {
-    return PermitVerdict::kGranted;
-  }
-  return CheckLatePermit(aSuspect, aCommittedPermits, aNow);
-}
-
-// A late permit is committed before it is given, so that the next leader
-// doesn't give it again.
-PermitVerdict
-PromptPartSuspects::CheckLatePermit(Suspect& aSuspect,
-                                    std::uint32_t aCommittedPermits,
-                                    TimePoint aNow)
-{
-  if (aSuspect.mLatePermitsUsed < aCommittedPermits) {
-    return PermitVerdict::kGranted;
-  }
-  const std::uint32_t most =
-    kMaxLatePermits + (aSuspect.mHadInconclusiveRun ? 1 : 0);
-  if (aSuspect.mLatePermitsUsed >= most) {
-    return PermitVerdict::kRefused;
-  }
-  const auto& crashes = aSuspect.mCase.mEvidence.Crashes();
-  const bool isQuiet =
-    crashes.empty() || aNow - crashes.back().mLostAt >= kQuietBeforeLatePermit;
-  if (isQuiet && aNow - aSuspect.mLatePermitAt >= kLatePermitInterval) {
-    aSuspect.mLatePermitsWanted = aSuspect.mLatePermitsUsed + 1;
-    mIsDirty = true;
-  }
-  return PermitVerdict::kDenied;
-}
-
-void
-PromptPartSuspects::Grant(const Address& aFrom,
-                          const PermitRequest& aRequest,
-                          TimePoint aNow)
-{
-  const Duration wanted = std::chrono::milliseconds(aRequest.mForMs);
-  for (const ContentId& content : aRequest.mContents) {
-    Suspect* const suspect = Find(content);
-    if (suspect == nullptr) {
-      continue;
-    }
-    const bool isRepeated = suspect->mPermit &&
-                            suspect->mPermit->mFrom == aFrom &&
-                            suspect->mPermit->mTag == aRequest.mTag;
-    if (IsLate(suspect->mVerdict) && !isRepeated) {
-      ++suspect->mLatePermitsUsed;
-      suspect->mLatePermitAt = aNow;
-    }
-    suspect->mPermit =
-      Permit{ .mFrom = aFrom,
-              .mTag = aRequest.mTag,
-              .mUntil = aNow + std::min(wanted, kMaxPermitTime) };
-  }
-}
-
 void
 PromptPartSuspects::RecordResubmission(PromptPartId aPart, TimePoint aNow)
 {
@@ -378,7 +234,7 @@
   mIsUnripe = false;
   for (const auto& [part, suspect] : mSuspects) {
     const bool isRipe = IsRipe(suspect, aNow);
-    mIsUnripe = mIsUnripe || (!isRipe && !suspect.mCase.mEvidence.IsEmpty());
+    mIsUnripe = mIsUnripe || (!isRipe && suspect.mListedAt);
     if (isRipe && suspect.mCase.mEvidence.Crashes().size() > 1) {
       cases[part] = suspect.mCase;
     }
@@ -401,44 +257,13 @@
   }
 }
 
-// Applies changes committed since the last call, by this leader or by an
-// operator who lifted a quarantine.
-void
-PromptPartSuspects::SyncCommitted(const QuarantineTable& aCommitted,
-                                  TimePoint aNow)
-{
-  for (const QuarantineRow& row : aCommitted.mRows) {
-    if (row.mNumber <= mAppliedNumber) {
-      continue;
-    }
-    const auto part = PartOf(row.mChange.mContent);
-    if (!part) {
-      continue;
-    }
-    mIsDirty = true;
-    const auto found = mSuspects.find(*part);
-    if (found == mSuspects.end()) {
-      continue;
-    }
-    const auto& proposed = found->second.mProposed;
-    const bool isOwn = proposed && proposed->mStage == row.mChange.mStage;
-    found->second.mProposed.reset();
-    found->second.mCommittedStage = row.mChange.mStage;
-    if (row.mChange.mStage == QuarantineStage::kCleared) {
-      found->second.mListedAt.reset();
-    } else if (!found->second.mListedAt) {
-      found->second.mListedAt = aNow;
-    }
-    if (row.mChange.mStage == QuarantineStage::kCleared && !isOwn) {
-      mSuspects.erase(found);
-    }
-  }
-  mAppliedNumber = aCommitted.mNumber;
-}
-
 void
 PromptPartSuspects::Expire(TimePoint aNow)
 {
+  if (aNow - mExpiredAt < kExpiryInterval) {
+    return;
+  }
+  mExpiredAt = aNow;
   std::erase_if(mSuspects, [&](const auto& aPair) {
     return aNow - aPair.second.mTouchedAt >= kRetention;
   });
@@ -467,96 +292,4 @@
   }
 }
 
-QuarantineChange
-PromptPartSuspects::ChangeOf(PromptPartId aPart, const Suspect& aSuspect)
-{
-  const PartEvidence& evidence = aSuspect.mCase.mEvidence;
-  QuarantineChange change{ .mContent = ContentOf(aPart),
-                           .mStage = aSuspect.mVerdict.mStage,
-                           .mCounted = evidence.CountConsecutive({}),
-                           .mCustomers = evidence.Customers(),
-                           .mOthersAllowed = aSuspect.mOthersAllowed,
-                           .mAnsweredBefore = aSuspect.mCase.mAnsweredBefore,
-                           .mLatePermits = aSuspect.mLatePermitsWanted };
-  for (const PartCrash& crash : evidence.Crashes()) {
-    if (change.mCrashes.size() < kMaxRecordedCrashes) {
-      change.mCrashes.push_back({ .mUpstream = crash.mUpstream.mName,
-                                  .mIncarnation = crash.mUpstream.mIncarnation,
-                                  .mSeenBy = crash.mSeenBy });
-    }
-  }
-  return change;
-}
-
-// Returns the suspects whose rows differ from the table, the most suspect
-// first.
-std::vector<std::pair<PromptPartId, QuarantineChange>>
-PromptPartSuspects::Differences(const Rows& aRows) const
-{
-  std::vector<std::pair<PromptPartId, QuarantineChange>> changes;
-  for (const auto& [part, suspect] : mSuspects) {
-    const auto row = aRows.find(part);
-    const QuarantineStage committed =
-      row == aRows.end() ? QuarantineStage::kCleared : row->second->mStage;
-    if (committed == QuarantineStage::kCleared &&
-        suspect.mVerdict.mStage == QuarantineStage::kCleared) {
-      continue;
-    }
-    QuarantineChange change = ChangeOf(part, suspect);
-    if (row == aRows.end() || *row->second != change) {
-      changes.emplace_back(part, std::move(change));
-    }
-  }
-  std::stable_sort(
-    changes.begin(), changes.end(), [](const auto& aOne, const auto& aOther) {
-      return aOne.second.mCrashes.size() > aOther.second.mCrashes.size();
-    });
-  return changes;
-}
-
-std::vector<QuarantineChange>
-PromptPartSuspects::PendingChanges(const QuarantineTable& aCommitted,
-                                   TimePoint aNow)
-{
-  Expire(aNow);
-  SyncCommitted(aCommitted, aNow);
-  if (!std::exchange(mIsDirty, false) && !mIsUnsettled && !mIsUnripe) {
-    return {};
-  }
-  Judge(aNow);
-  Rows rows;
-  std::size_t listed = 0;
-  std::vector<QuarantineChange> due;
-  for (const QuarantineRow& row : aCommitted.mRows) {
-    const auto part = PartOf(row.mChange.mContent);
-    if (!part) {
-      continue;
-    }
-    rows[*part] = &row.mChange;
-    if (row.mChange.mStage != QuarantineStage::kCleared) {
-      ++listed;
-      if (!mSuspects.contains(*part) && due.size() < kMaxChanges) {
-        due.push_back({ .mContent = row.mChange.mContent });
-      }
-    }
-  }
-  auto differences = Differences(rows);
-  mIsUnsettled = !differences.empty() || !due.empty();
-  for (auto& [part, change] : differences) {
-    const bool isNew = !rows.contains(part);
-    Suspect& suspect = mSuspects.at(part);
-    const bool isProposed = suspect.mProposed == change &&
-                            aNow - suspect.mProposedAt < kProposalRetryInterval;
-    if (isProposed || due.size() >= kMaxChanges ||
-        (isNew && change.mCrashes.size() == 1 && listed >= kMaxListed)) {
-      continue;
-    }
-    listed += isNew ? 1 : 0;
-    suspect.mProposed = change;
-    suspect.mProposedAt = aNow;
-    due.push_back(std::move(change));
-  }
-  return due;
-}
-
 } // namespace peridotspool::routing
--- a/test/routing/PromptPartSuspectsTest.cpp
+++ b/test/routing/PromptPartSuspectsTest.cpp
@@ -274,6 +274,7 @@
     leader.Commit(5000 + prompt);
   }
   leader.CommitUntil(6000, 9000);
+  CHECK(leader.mSuspects.PendingChanges(leader.mTable, At(9100)).empty());
   CHECK(leader.mSuspects.Size() <= 8192);
   CHECK(leader.mTable.mRows.size() <= 512);
   CHECK(leader.Stage() == QuarantineStage::kRefused);
