--- a/test/soak/CrashingPromptPartTest.cpp
+++ b/test/soak/CrashingPromptPartTest.cpp
@@ -331,7 +331,7 @@
 // to upstream after upstream.
 TEST_CASE("RequestsThatShareACrashingPartAreHeldBackByAllEntries")
 {
-  PlayAndCheck({ .mSeed = 1, .mBlock = 78 });
+  PlayAndCheck({ .mSeed = 1, .mBlock = 80 });
 }
 
 // Guards against the loss of what was learned of a crashing part that comes
@@ -339,7 +339,7 @@
 TEST_CASE("ASeldomCrashingPartStaysKnownWhenAllProcessesAreKilled")
 {
   PlayAndCheck({ .mSeed = 2,
-                 .mBlock = 79,
+                 .mBlock = 81,
                  .mFor = Ms(24000),
                  .mDeadlyPause = Ms(3000),
                  .mDisturbed = false,
@@ -354,7 +354,7 @@
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     PlayAndCheck(
       { .mSeed = seed,
-        .mBlock = static_cast<int>(NumberFrom("SOAK_BLOCK", 0)),
+        .mBlock = static_cast<int>(NumberFrom("SOAK_BLOCK", 82)),
         .mFor = Ms(1000 * static_cast<int>(NumberFrom("SOAK_SECONDS", 20))),
         .mDeadlyPause = Ms(seed % 2 == 0 ? 150 : 1500),
         .mDisturbed = seed % 3 != 0,
--- a/test/soak/StreamVersionTest.cpp
+++ b/test/soak/StreamVersionTest.cpp
@@ -232,7 +232,7 @@
 // their streams up, while entries fail and versions replace each other.
 TEST_CASE("StreamsThatCallersTakeUpKeepTheirVersion")
 {
-  PlayAndCheck(1, 77, Ms(12000));
+  PlayAndCheck(1, 83, Ms(12000));
 }
 
 // By hand: SOAK_CASE="[.byhand-versions]" scripts/soak FROM COUNT [SECONDS].
@@ -242,7 +242,7 @@
   const std::uint64_t count = NumberFrom("SOAK_COUNT", 1);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     PlayAndCheck(seed,
-                 static_cast<int>(NumberFrom("SOAK_BLOCK", 0)),
+                 static_cast<int>(NumberFrom("SOAK_BLOCK", 84)),
                  Ms(1000 * static_cast<int>(NumberFrom("SOAK_SECONDS", 20))));
   }
 }
