Log what upstreams ask for when they turn requests away

No line said that an answer asked for anything, so that the hypotheses of the incident could not be told apart. UpstreamTurnedAway has the status, whether the request ran, Retry-After as written, the rest known before and the age of the send; UpstreamWithdrawn says that an entry knows of a rest or a leave; RequestSent has rest_left_ms.

--- a/include/peridotspool/gateway/HeaderNames.h
+++ b/include/peridotspool/gateway/HeaderNames.h
@@ -31,6 +31,8 @@
   /** In an upstream's response: the rejections in a second that it survives, as
    * long as it is brittle. */
   std::string mBrittle;
+  /** In an upstream's response: "1" if the upstream leaves. */
+  std::string mLeaving;
   /** "PROMPT,ANSWER": prompt tokens and the maximum of generated tokens. */
   std::string mTokenCounts;
   /** Parts of the prompt in order, each as ID:TOKENS. */
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -186,6 +186,7 @@
         limit == nullptr ? Duration(-1000)
                          : Duration(mCore.mNow() - limit->mStatedAt) },
       { "permit", mSendPermit.has_value() },
+      { "rest_left_ms", RestLeft() },
       { "connection", aOnOpenConnection ? "open" : "new" },
       { "runs", mRuns },
       { "refusals", mRefusals },
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -119,6 +119,10 @@
   void RecordLoad();
   void RecordStatedLimit();
   void RecordBrittleness();
+  void RecordWithdrawal();
+  void RecordRest();
+  void LogTurnedAway();
+  Duration RestLeft() const;
   void LogInvalidLimit(const std::vector<std::string_view>& aValues);
   void ReportLimit(double aPerSecond);
   Duration MaxPermitWait(const UpstreamChoice& aChoice) const;
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -85,6 +85,7 @@
     return false;
   }
   mHead = std::move(aHead);
+  RecordWithdrawal();
   RecordLoad();
   RecordStatedLimit();
   RecordBrittleness();
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -22,6 +22,7 @@
 #include "peridotspool/limits/PermitAllocator.h"
 #include "peridotspool/limits/PermitClient.h"
 #include "peridotspool/limits/UpstreamLimits.h"
+#include "peridotspool/limits/WithdrawnUpstreams.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/rollout/RolloutGate.h"
@@ -115,6 +116,8 @@
   /** The same for the upstreams that this entry coordinates, with the
    * rejections that all entries report. */
   limits::BrittleUpstreams mCoordinatedBrittle;
+  /** Upstreams whose responses asked this entry to send nothing. */
+  limits::WithdrawnUpstreams mWithdrawn{ 0 };
   routing::UpstreamPathMonitor mUpstreamPath;
   /** Entries that can relay connections to upstreams. */
   std::shared_ptr<TunnelPeers> mTunnelPeers = std::make_shared<TunnelPeers>(0);
@@ -178,6 +181,12 @@
   /** Applies that an upstream is brittle, as it or its coordinator states.
    * Returns true iff that was not known. */
   bool ApplyBrittleState(const limits::BrittleState& aState);
+  /** Records that an upstream wants no requests from this entry for a time. */
+  void RecordRest(const UpstreamName& aUpstream,
+                  Incarnation aIncarnation,
+                  Duration aRest);
+  /** Records that an upstream leaves, as its response states. */
+  void RecordLeaving(const UpstreamName& aUpstream, Incarnation aIncarnation);
   /** Logs a limit that has changed, and updates what depends on it. */
   void OnLimitChanged(const UpstreamName& aUpstream, const char* aSource);
   /** Decides on a send to a brittle upstream, as its coordinator. */
--- a/test/gateway/TestNames.h
+++ b/test/gateway/TestNames.h
@@ -18,6 +18,7 @@
            .mLoad = "X-Load",
            .mRateLimit = "X-Rate-Limit",
            .mBrittle = "X-Brittle",
+           .mLeaving = "X-Leaving",
            .mTokenCounts = "X-Tokens",
            .mPrefix = "X-Prefix",
            .mPriority = "X-Priority",
