--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -46,7 +46,8 @@
                  "RC_PARAMS=seed=20261202")
     if(folder_name STREQUAL "process"
        OR unit STREQUAL "SoakTest"
-       OR test_name STREQUAL "soak/UpstreamLimitTest")
+       OR test_name STREQUAL "soak/UpstreamLimitTest"
+       OR test_name STREQUAL "soak/RestingUpstreamTest")
       # Each starts a whole system of ten processes and more; one at a time, so
       # that they do not take the processor from each other's leases.
       set_tests_properties(${test_name} PROPERTIES RESOURCE_LOCK system)
--- a/test/soak/SoakRecord.h
+++ b/test/soak/SoakRecord.h
@@ -64,6 +64,20 @@
   Time mAt;
 };
 
+/** A request reached an upstream that may ask for rest or leave. */
+struct SeenVisit
+{
+  std::string mId;
+  std::string mUpstream;
+  /** Address of the machine that sent it. */
+  std::string mFrom;
+  Time mAt;
+  /** It was turned away, and the machine asked for this much rest. */
+  std::optional<Ms> mRest;
+  /** The answer states that the upstream leaves. */
+  bool mLeaving = false;
+};
+
 /** An upstream answered with a failure of its own. */
 struct SeenFailure
 {
@@ -134,6 +148,7 @@
   std::vector<SeenFailure> mFailures;
   std::vector<SeenEnd> mEnds;
   std::vector<SeenArrival> mArrivals;
+  std::vector<SeenVisit> mVisits;
   std::vector<SeenChange> mChanges;
   /** Versions in force at entries, and versions read back. */
   std::vector<SeenVersion> mInForce;
--- a/test/soak/SoakUpstream.cpp
+++ b/test/soak/SoakUpstream.cpp
@@ -99,6 +99,7 @@
   ++mLife;
   mName = "u" + std::to_string(mNumber) + "-" + std::to_string(mLife);
   mDraining = false;
+  mStatesLeaving = false;
   mListening = ListenAt(mPlaces.Upstream(mNumber), kUpstreamPort);
   mAccepting = std::thread([this] { Accept(); });
   mBeating = std::thread([this] { Beat(); });
@@ -254,7 +255,63 @@
 {
   return "Peridotspool-Request-Id: " + aId +
          "\r\nPeridotspool-Response-Stamp: " + mName + "." + aId +
-         "\r\nKeep-Alive: timeout=20\r\n" + LimitField();
+         "\r\nKeep-Alive: timeout=20\r\n" + LimitField() + LeavingField();
+}
+
+std::string
+SoakUpstream::LeavingField() const
+{
+  return mStatesLeaving ? "Server-Leaving: 1\r\n" : "";
+}
+
+void
+SoakUpstream::AskForRest(const std::string& aRetryAfter)
+{
+  const std::lock_guard lock(mLimitMutex);
+  mRetryAfter = aRetryAfter;
+}
+
+std::string
+SoakUpstream::RetryAfter() const
+{
+  const std::lock_guard lock(mLimitMutex);
+  return mRetryAfter;
+}
+
+void
+SoakUpstream::RecordVisit(const Wire& aWire,
+                          const std::string& aId,
+                          const std::string& aRetryAfter)
+{
+  if (!mRecordsVisits) {
+    return;
+  }
+  const double seconds = std::atof(aRetryAfter.c_str());
+  mRecorder.With([&](Record& aRecord) {
+    aRecord.mVisits.push_back(
+      { .mId = aId,
+        .mUpstream = mName,
+        .mFrom = aWire.PeerHost(),
+        .mAt = Clock::now(),
+        .mRest = seconds > 0
+                   ? std::optional(Ms(static_cast<int>(seconds * 1000)))
+                   : std::nullopt,
+        .mLeaving = mStatesLeaving });
+  });
+}
+
+bool
+SoakUpstream::TurnAway(Wire& aWire, const std::string& aId)
+{
+  const std::string retryAfter = RetryAfter();
+  RecordVisit(aWire, aId, retryAfter);
+  if (retryAfter.empty()) {
+    return false;
+  }
+  aWire.Send(Short(503,
+                   "Peridotspool-Request-Id: " + aId + "\r\nRetry-After: " +
+                     retryAfter + "\r\n" + LeavingField() + kNotRun));
+  return true;
 }
 
 void
@@ -310,8 +367,12 @@
     return aWire.Send(Short(421, echo));
   }
   NoteLimited();
+  if (TurnAway(aWire, id)) {
+    return true;
+  }
   if (mBusy >= kSlots || Misbehaves(FaultKind::kReject)) {
-    return aWire.Send(Short(503, echo + LimitField() + kNotRun));
+    return aWire.Send(
+      Short(503, echo + LimitField() + LeavingField() + kNotRun));
   }
   mRecorder.With([&](Record& aRecord) {
     aRecord.mRuns.push_back({ .mId = id,
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -71,6 +71,13 @@
   void Misbehave(std::optional<FaultKind> aHow);
   /** States this limit in its answers, as written; empty: states none. */
   void StateLimit(const std::string& aValue);
+  /** Turns all requests away from now on and states this in Retry-After, as
+   * written; empty: accepts requests again. */
+  void AskForRest(const std::string& aRetryAfter);
+  /** States in its answers that it leaves, until the end of its life. */
+  void StateLeaving() { mStatesLeaving = true; }
+  /** Records each request that reaches it. */
+  void RecordVisits() { mRecordsVisits = true; }
   std::string Name() const { return mName; }
   /** From now on it dies of each request with this target that it begins. */
   void DieOf(const std::string& aTarget) { mDeadly = aTarget; }
@@ -106,6 +113,14 @@
   void DieAnswering(Wire& aWire, const std::string& aId);
   std::string Head(const std::string& aId) const;
   std::string LimitField() const;
+  std::string LeavingField() const;
+  std::string RetryAfter() const;
+  /** Turns the request away if it asks for rest. Returns false if it doesn't.
+   */
+  bool TurnAway(Wire& aWire, const std::string& aId);
+  void RecordVisit(const Wire& aWire,
+                   const std::string& aId,
+                   const std::string& aRetryAfter);
   void NoteLimited();
   bool Misbehaves(FaultKind aHow);
   bool Sleeps(Ms aFor) const;
@@ -128,6 +143,9 @@
   std::string mDeadlyPart;
   mutable std::mutex mLimitMutex;
   std::string mLimit;
+  std::string mRetryAfter;
+  std::atomic<bool> mStatesLeaving{ false };
+  std::atomic<bool> mRecordsVisits{ false };
   std::atomic<bool> mDied{ false };
   int mListening = -1;
   std::mutex mMutex;
--- a/test/soak/SoakWire.cpp
+++ b/test/soak/SoakWire.cpp
@@ -212,6 +212,19 @@
   ::shutdown(mSocket, SHUT_RDWR);
 }
 
+std::string
+Wire::PeerHost() const
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  char text[INET_ADDRSTRLEN] = "";
+  if (::getpeername(mSocket, reinterpret_cast<sockaddr*>(&address), &size) ==
+      0) {
+    ::inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+  }
+  return text;
+}
+
 int
 ListenAt(const std::string& aHost, std::uint16_t aPort)
 {
--- a/test/soak/SoakWire.h
+++ b/test/soak/SoakWire.h
@@ -53,6 +53,8 @@
   std::optional<HttpText> ReadRequest(Ms aPatience);
   /** Ends with a reset, as a process that dies does. */
   void Reset();
+  /** Returns the address of the other end; empty once it is gone. */
+  std::string PeerHost() const;
   /** Wakes a thread that reads, from another one. */
   void Shut() const;
 
