Apply rests to the own interface's upstreams and to calls to the cloud

The product's own interface made the request that was turned away wait for the whole of Retry-After, also while another upstream was idle, and sent other requests to the same upstream meanwhile; the refusal counted towards ejection; fractions were cut, dates and unreadable values read as none.

Calls to the cloud dropped Retry-After of 429 and 503 and were repeated a second later; none is made before that time now, at most 30 s.

--- a/include/peridotspool/fleet/LeaderTaskManager.h
+++ b/include/peridotspool/fleet/LeaderTaskManager.h
@@ -76,8 +76,12 @@
   void RecordReport(const gateway::UsageReport& aReport, TimePoint aNow);
   /**
    * Records the HTTP status of a call; aStatus is 0 when there was no response.
+   * @param aRetryAfter how long the cloud wants no further call of any kind
    */
-  void HandleResult(std::uint64_t aNumber, unsigned aStatus, TimePoint aNow);
+  void HandleResult(std::uint64_t aNumber,
+                    unsigned aStatus,
+                    Duration aRetryAfter,
+                    TimePoint aNow);
   std::vector<LeaderTaskEffect> Tick(const LeaderTaskView& aView,
                                      TimePoint aNow);
   /**
@@ -111,6 +115,9 @@
 
   void UpdateLeadership(const LeaderTaskView& aView, TimePoint aNow);
   void ExpireCalls(TimePoint aNow);
+  void CommitDueUsage(const LeaderTaskView& aView,
+                      TimePoint aNow,
+                      std::vector<LeaderTaskEffect>& aEffects);
   void DeliverUsage(const LeaderTaskView& aView,
                     TimePoint aNow,
                     std::vector<LeaderTaskEffect>& aEffects);
@@ -134,6 +141,8 @@
   std::map<ServiceName, PoolPlanner> mPlanners;
   std::map<std::uint64_t, PendingCall> mPendingCalls;
   std::uint64_t mLastCallNumber = 0;
+  /** The cloud wants no call before. */
+  TimePoint mNoCallBefore;
   std::uint64_t mTerm = 0;
   std::optional<TimePoint> mLeadingSince;
   std::optional<std::uint64_t> mProposedWindow;
--- a/include/peridotspool/limits/RetryAfter.h
+++ b/include/peridotspool/limits/RetryAfter.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <compare>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -38,11 +39,11 @@
  *
  * @param aSentAt the response's Date field, from the same clock as a date in
  *   aValues; if it is no date, aNow is used
- * @param aNow the local wall clock
+ * @param aNow the local wall clock; without it and aSentAt, dates are invalid
  */
 RetryAfterStatement
 ParseRetryAfter(const std::vector<std::string_view>& aValues,
                 std::string_view aSentAt,
-                std::chrono::sys_seconds aNow);
+                std::optional<std::chrono::sys_seconds> aNow);
 
 } // namespace peridotspool::limits
--- a/include/peridotspool/routing/RouteChoice.h
+++ b/include/peridotspool/routing/RouteChoice.h
@@ -39,11 +39,14 @@
   kAllEjected,
   kDeadlineTooNear,
   kQueueFull,
+  /** All upstreams of the service have asked for rest. */
+  kAllResting,
 };
 BOOST_DESCRIBE_ENUM(NoRoute,
                     kNoUpstream,
                     kAllEjected,
                     kDeadlineTooNear,
-                    kQueueFull)
+                    kQueueFull,
+                    kAllResting)
 
 } // namespace peridotspool::routing
--- a/include/peridotspool/routing/Router.h
+++ b/include/peridotspool/routing/Router.h
@@ -25,6 +25,8 @@
   kFailed,
   kTimedOut,
   kCancelled,
+  /** The upstream turned the request away and asked for rest. */
+  kTurnedAway,
 };
 
 /**
@@ -66,6 +68,20 @@
   /** Records that a request that was sent has ended. */
   void Ended(const UpstreamName& aUpstream, AttemptEnd aEnd, TimePoint aNow);
 
+  /**
+   * Records that an incarnation of an upstream wants no requests from this
+   * entry for a time. It isn't chosen before the end, which is no ejection.
+   */
+  void RecordRest(const UpstreamName& aUpstream,
+                  Incarnation aIncarnation,
+                  Duration aRest,
+                  TimePoint aNow);
+
+  /** Returns when the first rest ends if all upstreams of the service that may
+   * be chosen rest; empty otherwise. */
+  std::optional<TimePoint> AllRestUntil(const RouteQuery& aQuery,
+                                        TimePoint aNow) const;
+
   /**
    * Applies changes of an engine's prefix cache; reports may be late or
    * missing.
--- a/src/fleet/LeaderTaskManager.cpp
+++ b/src/fleet/LeaderTaskManager.cpp
@@ -11,6 +11,8 @@
 /** An entry that has not reported for this long counts as idle. */
 constexpr Duration kMaxLoadAge = std::chrono::milliseconds(1500);
 constexpr Duration kProposalRetryInterval = std::chrono::seconds(1);
+/** Bounds the harm of a wrong time, as no upstreams are ordered meanwhile. */
+constexpr Duration kMaxCallPause = std::chrono::seconds(30);
 /** Windows are no longer reported when they are overdue by more than this. */
 constexpr std::int64_t kMaxLateMicros = 5000000;
 
@@ -105,8 +107,11 @@
     return effects;
   }
   ExpireCalls(aNow);
-  DeliverUsage(aView, aNow, effects);
-  OrderPools(aView, aNow, effects);
+  CommitDueUsage(aView, aNow, effects);
+  if (aNow >= mNoCallBefore) {
+    DeliverUsage(aView, aNow, effects);
+    OrderPools(aView, aNow, effects);
+  }
   return effects;
 }
 
@@ -120,7 +125,7 @@
     }
   }
   for (const std::uint64_t number : expired) {
-    HandleResult(number, 0, aNow);
+    HandleResult(number, 0, Duration(0), aNow);
   }
 }
 
@@ -138,9 +143,9 @@
 // reports again could get other numbers and would report two different results
 // for one window. Committed counts are sent again unchanged.
 void
-LeaderTaskManager::DeliverUsage(const LeaderTaskView& aView,
-                                TimePoint aNow,
-                                std::vector<LeaderTaskEffect>& aEffects)
+LeaderTaskManager::CommitDueUsage(const LeaderTaskView& aView,
+                                  TimePoint aNow,
+                                  std::vector<LeaderTaskEffect>& aEffects)
 {
   const auto micros = mClock.Micros(aNow);
   if (!micros) {
@@ -159,6 +164,18 @@
       aEffects.emplace_back(CommitUsage{ std::move(*due) });
     }
   }
+}
+
+void
+LeaderTaskManager::DeliverUsage(const LeaderTaskView& aView,
+                                TimePoint aNow,
+                                std::vector<LeaderTaskEffect>& aEffects)
+{
+  const auto micros = mClock.Micros(aNow);
+  if (!micros) {
+    return;
+  }
+  const auto& committed = *aView.mCommitted;
   for (const gateway::UsageWindow& window : committed) {
     const std::int64_t due = static_cast<std::int64_t>(window.mNumber + 1) *
                                mOptions.mUsageWindow.count() +
@@ -198,8 +215,11 @@
 void
 LeaderTaskManager::HandleResult(std::uint64_t aNumber,
                                 unsigned aStatus,
+                                Duration aRetryAfter,
                                 TimePoint aNow)
 {
+  mNoCallBefore = std::max(
+    mNoCallBefore, aNow + std::min<Duration>(aRetryAfter, kMaxCallPause));
   const auto found = mPendingCalls.find(aNumber);
   if (found == mPendingCalls.end()) {
     return;
--- a/src/http/UpstreamAdapter.cpp
+++ b/src/http/UpstreamAdapter.cpp
@@ -2,10 +2,11 @@
 
 #include "http/JsonFields.h"
 #include "peridotspool/base/Overloaded.h"
+#include "peridotspool/limits/RetryAfter.h"
 
 #include <boost/json.hpp>
 
-#include <charconv>
+#include <string_view>
 
 namespace peridotspool::http {
 
@@ -17,6 +18,7 @@
 constexpr std::uint32_t kStatusNotFound = 404;
 constexpr std::string_view kDidNotRunField = "x-did-not-run";
 constexpr std::string_view kRetryAfterField = "retry-after";
+constexpr std::string_view kDateField = "date";
 constexpr std::int64_t kDefaultMaxTokens = 256;
 
 HttpRequest
@@ -73,19 +75,22 @@
   return MakePost("/service/call", body);
 }
 
+std::string_view
+FieldOf(const HeaderFields& aHeaders, std::string_view aName)
+{
+  const auto field = aHeaders.find(std::string(aName));
+  return field == aHeaders.end() ? std::string_view() : field->second;
+}
+
 Duration
 RetryAfterOf(const HeaderFields& aHeaders)
 {
-  const auto field = aHeaders.find(std::string(kRetryAfterField));
-  if (field == aHeaders.end()) {
-    return Duration(0);
-  }
-  std::int64_t seconds = 0;
-  const std::string& text = field->second;
-  std::from_chars(text.data(), text.data() + text.size(), seconds);
-  constexpr std::int64_t kMostSeconds = 60;
-  return std::chrono::seconds(
-    std::min(kMostSeconds, std::max<std::int64_t>(0, seconds)));
+  const std::string_view value = FieldOf(aHeaders, kRetryAfterField);
+  return value.empty() ? Duration(0)
+                       : limits::ParseRetryAfter({ value },
+                                                 FieldOf(aHeaders, kDateField),
+                                                 std::nullopt)
+                           .mWait;
 }
 
 request::UpstreamRefused
--- a/src/limits/RetryAfter.cpp
+++ b/src/limits/RetryAfter.cpp
@@ -81,15 +81,16 @@
 }
 
 std::optional<Duration>
-ParseWait(std::string_view aText, sys_seconds aSentAt)
+ParseWait(std::string_view aText, std::optional<sys_seconds> aSentAt)
 {
   if (const auto wait = ParseSeconds(aText)) {
     return wait;
   }
   const auto date = ParseDate(aText);
-  return date ? std::optional(ToDuration(
-                  std::chrono::duration<double>(*date - aSentAt).count()))
-              : std::nullopt;
+  return date && aSentAt
+           ? std::optional(ToDuration(
+               std::chrono::duration<double>(*date - *aSentAt).count()))
+           : std::nullopt;
 }
 
 } // namespace
@@ -97,12 +98,13 @@
 RetryAfterStatement
 ParseRetryAfter(const std::vector<std::string_view>& aValues,
                 std::string_view aSentAt,
-                sys_seconds aNow)
+                std::optional<sys_seconds> aNow)
 {
   if (aValues.empty()) {
     return {};
   }
-  const sys_seconds sentAt = ParseDate(aSentAt).value_or(aNow);
+  const auto date = ParseDate(aSentAt);
+  const auto sentAt = date ? date : aNow;
   std::optional<Duration> longest;
   for (const std::string_view value : aValues) {
     if (const auto wait = ParseWait(value, sentAt)) {
--- a/src/request/Execution.cpp
+++ b/src/request/Execution.cpp
@@ -37,6 +37,8 @@
       return Tally::kRefusedDeadline;
     case routing::NoRoute::kQueueFull:
       return Tally::kRefusedQueueFull;
+    case routing::NoRoute::kAllResting:
+      return Tally::kRefusedResting;
   }
   return Tally::kRefusedNoUpstream;
 }
@@ -53,6 +55,8 @@
       return "deadline-too-near";
     case routing::NoRoute::kQueueFull:
       return "queue-full";
+    case routing::NoRoute::kAllResting:
+      return "upstreams-rest";
   }
   return "no-upstream";
 }
@@ -207,6 +211,10 @@
   // may be chosen again.
   mAvoid.clear();
   const TimePoint giveUpAt = mQueuedSince + aContext.mOptions.mMaxQueueWait;
+  if (aWhy == routing::NoRoute::kAllResting && !MayHaveRun()) {
+    RefuseForRest(aContext);
+    return;
+  }
   const bool cannotSucceed = aWhy == routing::NoRoute::kDeadlineTooNear ||
                              aWhy == routing::NoRoute::kQueueFull;
   if (!cannotSucceed && aContext.mNow < giveUpAt) {
@@ -223,6 +231,23 @@
   GiveUp(aContext, MakeRefusal(aContext, kStatusUnavailable, ReasonOf(aWhy)));
 }
 
+// Returns are spread over the rest, so that the refused requests don't all come
+// back at the same time.
+void
+Execution::RefuseForRest(StepContext& aContext)
+{
+  const TimePoint now = aContext.mNow;
+  const Duration left =
+    aContext.mRouter.AllRestUntil(MakeQuery(aContext), now).value_or(now) - now;
+  const auto range = static_cast<std::uint64_t>(left.count()) + 1;
+  const Duration spread(static_cast<Duration::rep>(aContext.mRandom() % range));
+  aContext.Count(Tally::kRefusedResting);
+  ledger::Outcome outcome =
+    MakeRefusal(aContext, kStatusUnavailable, "upstreams-rest");
+  outcome.mRetryAfter = left + spread;
+  GiveUp(aContext, std::move(outcome));
+}
+
 // Without an upstream of the version that began the text, another one generates
 // it anew; callers are told to drop what they have.
 void
--- a/src/request/Execution.h
+++ b/src/request/Execution.h
@@ -82,6 +82,7 @@
 
   void TryDispatch(StepContext& aContext);
   void OnNoRoute(StepContext& aContext, routing::NoRoute aWhy);
+  void RefuseForRest(StepContext& aContext);
   void RestartText();
   void BeginAttempt(StepContext& aContext, const routing::RouteChoice& aChoice);
   void Send(StepContext& aContext, UpstreamMode aMode);
--- a/src/request/ExecutionUpstream.cpp
+++ b/src/request/ExecutionUpstream.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t kMaxResumes = 2;
 constexpr std::int32_t kStatusOk = 200;
 constexpr std::uint32_t kFirstServerError = 500;
+constexpr std::uint32_t kStatusUnavailable = 503;
 
 } // namespace
 
@@ -120,14 +121,24 @@
 Execution::OnRefused(StepContext& aContext, const UpstreamRefused& aRefused)
 {
   mUpstreamCall = CallId();
-  aContext.mRouter.Ended(
-    mAttempt->mUpstream, routing::AttemptEnd::kFailed, aContext.mNow);
+  const bool asksForRest =
+    aRefused.mRetryAfter > Duration(0) &&
+    (aRefused.mDidNotRun || aRefused.mStatus == kStatusUnavailable);
+  aContext.mRouter.Ended(mAttempt->mUpstream,
+                         asksForRest ? routing::AttemptEnd::kTurnedAway
+                                     : routing::AttemptEnd::kFailed,
+                         aContext.mNow);
+  if (asksForRest) {
+    aContext.mRouter.RecordRest(mAttempt->mUpstream,
+                                mAttempt->mIncarnation,
+                                aRefused.mRetryAfter,
+                                aContext.mNow);
+  }
   if (aRefused.mNoSuchStream && mAttempt->mResumes > 0) {
     RetryOrGiveUp(aContext, Tally::kRetryStreamGone);
     return;
   }
   if (aRefused.mDidNotRun) {
-    mNotBefore = aContext.mNow + aRefused.mRetryAfter;
     mAvoid.push_back(mAttempt->mUpstream);
     RetryNotRun(aContext, Tally::kRetryUpstreamRefused);
     return;
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -25,6 +25,7 @@
 Router::Tick(TimePoint aNow)
 {
   mState->mTable.Tick(aNow);
+  mState->mWithdrawn.RemoveExpired(aNow);
 }
 
 std::optional<RouteChoice>
@@ -52,6 +53,21 @@
   }
 }
 
+void
+Router::RecordRest(const UpstreamName& aUpstream,
+                   Incarnation aIncarnation,
+                   Duration aRest,
+                   TimePoint aNow)
+{
+  mState->mWithdrawn.RecordRest(aUpstream, aIncarnation, aRest, aNow);
+}
+
+std::optional<TimePoint>
+Router::AllRestUntil(const RouteQuery& aQuery, TimePoint aNow) const
+{
+  return mState->AllRestUntil(aQuery, aNow);
+}
+
 void
 Router::Cached(const CacheReport& aReport)
 {
--- a/src/routing/RouterState.cpp
+++ b/src/routing/RouterState.cpp
@@ -30,6 +30,7 @@
   : mOptions(aOptions)
   , mTable(mOptions)
   , mPrefixes(mOptions.mPrefixBlocks)
+  , mWithdrawn(mOptions.mRandomSeed)
   , mRandom(mOptions.mRandomSeed)
 {
 }
@@ -53,12 +54,42 @@
     best = Best(evaluation);
   }
   if (best == nullptr) {
-    aReason = NoRouteReason(evaluation, *pool);
+    aReason = AllRestUntil(aQuery, aNow) ? NoRoute::kAllResting
+                                         : NoRouteReason(evaluation, *pool);
     return std::nullopt;
   }
   return Describe(evaluation, *best);
 }
 
+std::optional<TimePoint>
+RouterState::RestsUntil(UpstreamIndex aIndex, TimePoint aNow) const
+{
+  const UpstreamAnnouncement& announced = mTable.Detail(aIndex).mAnnouncement;
+  return mWithdrawn.RestsUntil(announced.mName, announced.mIncarnation, aNow);
+}
+
+std::optional<TimePoint>
+RouterState::AllRestUntil(const RouteQuery& aQuery, TimePoint aNow) const
+{
+  const ServicePool* pool = mTable.Pool(aQuery.mService);
+  std::optional<TimePoint> earliest;
+  if (pool == nullptr || mWithdrawn.Count() == 0) {
+    return earliest;
+  }
+  for (const UpstreamIndex index : pool->mServing) {
+    if (aQuery.mVersion &&
+        *aQuery.mVersion != mTable.Detail(index).mAnnouncement.mVersion) {
+      continue;
+    }
+    const auto until = RestsUntil(index, aNow);
+    if (!until) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(*until), *until);
+  }
+  return earliest;
+}
+
 bool
 RouterState::Contains(const Evaluation& aEvaluation, UpstreamIndex aIndex) const
 {
@@ -125,6 +156,7 @@
   const UpstreamStats& stats = mTable.Stats(aIndex);
   const bool expired = stats.mExpires <= aNow;
   if (expired || aEvaluation.mCount == kMaxCandidates ||
+      RestsUntil(aIndex, aNow) ||
       (!aQuery.mAvoid.empty() &&
        Avoids(aQuery, mTable.Detail(aIndex).mAnnouncement.mName)) ||
       (aQuery.mVersion &&
--- a/src/routing/RouterState.h
+++ b/src/routing/RouterState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peridotspool/limits/WithdrawnUpstreams.h"
 #include "peridotspool/routing/Router.h"
 #include "routing/PrefixIndex.h"
 #include "routing/RandomSource.h"
@@ -29,9 +30,13 @@
   /** Records the prompt as a guess for the upstream's cache. */
   void GuessCached(UpstreamIndex aIndex, const RouteQuery& aQuery);
 
+  std::optional<TimePoint> AllRestUntil(const RouteQuery& aQuery,
+                                        TimePoint aNow) const;
+
   RouterOptions mOptions;
   UpstreamTable mTable;
   PrefixIndex mPrefixes;
+  limits::WithdrawnUpstreams mWithdrawn;
 
 private:
   struct Candidate
@@ -48,6 +53,9 @@
     PrefixMatch mMatch;
   };
 
+  /** Returns the end of the upstream's rest if it isn't over. */
+  std::optional<TimePoint> RestsUntil(UpstreamIndex aIndex,
+                                      TimePoint aNow) const;
   bool Contains(const Evaluation& aEvaluation, UpstreamIndex aIndex) const;
   void Evaluate(Evaluation& aEvaluation,
                 UpstreamIndex aIndex,
--- a/src/routing/UpstreamTable.cpp
+++ b/src/routing/UpstreamTable.cpp
@@ -225,7 +225,8 @@
     const Duration mean(static_cast<Duration::rep>(PoolOf(aIndex).mHoldMicros));
     eject = detail.mEjection.OnCompleted(duration, mean, mOptions.mEjection);
     RecordHoldTime(aIndex, duration, aNow);
-  } else if (aEnd != AttemptEnd::kCancelled) {
+  } else if (aEnd != AttemptEnd::kCancelled &&
+             aEnd != AttemptEnd::kTurnedAway) {
     eject = detail.mEjection.OnFailure(mOptions.mEjection);
   }
   if (eject) {
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Overloaded.h"
 #include "peridotspool/base/PackedText.h"
+#include "peridotspool/limits/RetryAfter.h"
 #include "peridotspool/runtime/SystemClock.h"
 #include "runtime/HostParts.h"
 
@@ -19,6 +20,8 @@
 constexpr Duration kLimitLogPeriod = std::chrono::seconds(1);
 constexpr Duration kDutyPeriod = std::chrono::milliseconds(100);
 constexpr std::chrono::milliseconds kCloudTimeout{ 2000 };
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kUnavailable = 503;
 /** This replica's own clock among those of the entries' lives. */
 constexpr std::uint64_t kOwnClock = 0;
 
@@ -38,6 +41,24 @@
     aCall);
 }
 
+// The platform's clock isn't known here, so a date counts only beside the
+// answer's own.
+Duration
+RetryAfterOf(const http::CallHead& aHead)
+{
+  const auto value = aHead.mHeaders.find("retry-after");
+  if (value == aHead.mHeaders.end() ||
+      (aHead.mStatus != kTooManyRequests && aHead.mStatus != kUnavailable)) {
+    return Duration(0);
+  }
+  const auto date = aHead.mHeaders.find("date");
+  return limits::ParseRetryAfter(
+           { value->second },
+           date == aHead.mHeaders.end() ? std::string_view() : date->second,
+           std::nullopt)
+    .mWait;
+}
+
 } // namespace
 
 DutyRunner::DutyRunner(const DutyHostOptions& aOptions,
@@ -64,9 +85,11 @@
     [take = std::move(aTakeCloud)](http::ClientCallId aCall,
                                    const http::CallEvent& aEvent) {
       if (const auto* head = std::get_if<http::CallHead>(&aEvent)) {
-        take({ aCall, head->mStatus });
+        take({ .mNumber = aCall,
+               .mStatus = head->mStatus,
+               .mRetryAfter = RetryAfterOf(*head) });
       } else if (std::holds_alternative<http::CallFailed>(aEvent)) {
-        take({ aCall, 0 });
+        take({ .mNumber = aCall, .mStatus = 0 });
       }
     });
 }
@@ -419,9 +442,10 @@
   mLogger.Log(observe::EventId::kDutyAnswered,
               { { "call", aInput.mNumber },
                 { "what", mCalls[aInput.mNumber] },
-                { "status", aInput.mStatus } });
+                { "status", aInput.mStatus },
+                { "retry_after_ms", aInput.mRetryAfter } });
   mCalls.erase(aInput.mNumber);
-  mTasks.HandleResult(aInput.mNumber, aInput.mStatus, aNow);
+  mTasks.HandleResult(aInput.mNumber, aInput.mStatus, aInput.mRetryAfter, aNow);
 }
 
 } // namespace peridotspool::runtime
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -23,6 +23,8 @@
 {
   std::uint64_t mNumber = 0;
   unsigned mStatus = 0;
+  /** How long no further call is wanted; 0 if the answer asks for none. */
+  Duration mRetryAfter{ 0 };
 };
 
 /**
--- a/test/fleet/LeaderTaskManagerTest.cpp
+++ b/test/fleet/LeaderTaskManagerTest.cpp
@@ -169,11 +169,39 @@
   }
   const std::size_t tries = one.mCalls.size();
   REQUIRE(tries >= 2);
-  one.mManager.HandleResult(one.mCalls.back().mNumber, 200, At(ms));
+  one.mManager.HandleResult(
+    one.mCalls.back().mNumber, 200, Duration(0), At(ms));
   for (; ms < 19000; ms += 100) {
     one.Tick(ms);
   }
   CHECK(one.mCalls.size() == tries);
 }
 
+// Guards against calls that are repeated while the cloud has asked for rest.
+TEST_CASE("NoCallIsMadeBeforeTheTimeThatTheCloudNames")
+{
+  std::vector<gateway::UsageWindow> log;
+  Replica one(log);
+  one.mLeads = true;
+  one.mTerm = 4;
+  int ms = 0;
+  while (one.mCalls.empty() && ms < 20000) {
+    one.mManager.RecordReport(Report(1, 1, 3, ms), At(ms));
+    one.Tick(ms);
+    ms += 100;
+  }
+  REQUIRE(one.mCalls.size() == 1);
+  const int answeredAt = ms;
+  one.mManager.HandleResult(
+    one.mCalls.back().mNumber, 503, std::chrono::seconds(3), At(ms));
+  for (; ms < answeredAt + 3000; ms += 100) {
+    one.Tick(ms);
+  }
+  CHECK(one.mCalls.size() == 1);
+  for (; ms < answeredAt + 5000; ms += 100) {
+    one.Tick(ms);
+  }
+  CHECK(one.mCalls.size() > 1);
+}
+
 } // namespace peridotspool::fleet
--- a/test/limits/RetryAfterTest.cpp
+++ b/test/limits/RetryAfterTest.cpp
@@ -101,6 +101,7 @@
   const std::string_view date = "Sun, 06 Nov 1994 10:00:05 GMT";
   CHECK(Parse({ date }, "Sun, 06 Nov 1994 10:00:00 GMT") == Wait(seconds(5)));
   CHECK(Parse({ date }, "yesterday") == Wait(seconds(4228)));
+  CHECK(ParseRetryAfter({ date }, "", std::nullopt).mKind == Kind::kInvalid);
 }
 
 TEST_CASE("OfSeveralValuesTheLongestCounts")
