Test rests in the deciding code, at the end of a dial and through relayed connections

RestingUpstreamTest: a rest that is asked for while a connection is established, an upstream used again right after its rest, the entry that relays a connection rests as well.

--- a/test/gateway/RestingUpstreamTest.cpp
+++ b/test/gateway/RestingUpstreamTest.cpp
@@ -1,7 +1,8 @@
 // ctest-labels: gateway limits
 // Upstreams whose responses ask an entry to send them nothing.
 
-#include "gateway/GatewayFixture.h"
+#include "gateway/EntryGroup.h"
+#include "gateway/UpstreamLink.h"
 #include "peridotspool/runtime/SystemClock.h"
 
 #include <catch2/catch.hpp>
@@ -10,6 +11,8 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace peridotspool::gateway {
@@ -167,6 +170,92 @@
   CHECK(wait > 2.0);
 }
 
+// Guards against a request that reaches an upstream because its connection was
+// being established when the rest was asked for.
+TEST_CASE("ARequestThatIsBeingConnectedIsSentElsewhere")
+{
+  const auto answer = [](const std::string& aRequest) {
+    return Script{ .mAnswer = AnswerTo(aRequest) };
+  };
+  for (const std::string kind : { "safe", "once", "stream" }) {
+    ScriptedUpstream one(answer);
+    ScriptedUpstream two(answer);
+    GatewayFixture entry;
+    entry.Add("one", one.Where());
+    entry.Add("two", two.Where());
+    bool hasAsked = false;
+    entry.OnRelay([&] {
+      GatewayCore& core = entry.Core();
+      core.mCoordinators.Set({ { .mAddress = entry.PeerAddress() } });
+      core.mSendToEntry = [&](const Address&, const PeerMessage& aMessage) {
+        const auto* sent = std::get_if<SendStartedReport>(&aMessage);
+        if (sent != nullptr && !std::exchange(hasAsked, true)) {
+          core.RecordRest(
+            sent->mUpstream, sent->mIncarnation, milliseconds(3000), "test");
+        }
+      };
+    });
+    Caller caller(entry.Where());
+    caller.Send(RequestText(kind, "first"));
+    CHECK(StatusOf(caller.ReadAnswer()) == "HTTP/1.1 200");
+    CHECK(hasAsked);
+    INFO("expected one request, at the upstream that doesn't rest");
+    CHECK(one.Requests().size() + two.Requests().size() == 1);
+    CHECK(one.Connections() == 1);
+    CHECK(two.Connections() == 1);
+    entry.OnRelay(
+      [&] { entry.Core().mSendToEntry = [](const auto&, const auto&) {}; });
+  }
+}
+
+// Guards against an upstream that rests being ejected or blamed, whether it
+// says that the request has not run or not.
+TEST_CASE("AnUpstreamIsUsedAgainRightAfterItsRest")
+{
+  RestingUpstream resting("0.2", 6);
+  GatewayFixture entry;
+  entry.Add("resting", resting.Where());
+  std::string status;
+  CHECK(Eventually([&] {
+    Caller caller(entry.Where());
+    caller.Send(RequestText("safe", "again"));
+    status = StatusOf(caller.ReadAnswer());
+    return status == "HTTP/1.1 200";
+  }));
+  CHECK(resting.Arrivals() == 7);
+}
+
+// Guards against a relayed connection by which an upstream gets requests of an
+// entry that it has asked for rest.
+TEST_CASE("TheEntryThatRelaysAConnectionRestsAsWell")
+{
+  RestingUpstream resting("4", 100);
+  EntryGroup entries(2);
+  UpstreamLink link(resting.Where());
+  entries.Entry(0).Add("resting", link.Where());
+  entries.Entry(1).Add("resting", resting.Where());
+  link.Set(LinkState::kRefuseNew);
+  Caller partitioned(entries.Entry(0).Where());
+  partitioned.Send(RequestText("safe", "relayed"));
+  CHECK(StatusOf(partitioned.ReadAnswer()) == "HTTP/1.1 503");
+  REQUIRE(resting.Arrivals() == 1);
+  CHECK(Eventually([&] {
+    bool rests = false;
+    entries.Entry(1).OnRelay([&] {
+      const GatewayCore& core = entries.Entry(1).Core();
+      rests = !core.mSelector.MayReceive(
+        UpstreamName("resting"), Incarnation(), core.mNow());
+    });
+    return rests;
+  }));
+  for (std::size_t entry = 0; entry < 2; ++entry) {
+    Caller caller(entries.Entry(entry).Where());
+    caller.Send(RequestText("safe", "later"));
+    CHECK(StatusOf(caller.ReadAnswer()) == "HTTP/1.1 503");
+  }
+  CHECK(resting.Arrivals() == 1);
+}
+
 // Guards against entries that send requests to an upstream which states that it
 // leaves, as long as no heartbeat says so.
 TEST_CASE("AnUpstreamThatStatesThatItLeavesGetsNoFurtherRequests")
--- a/test/gateway/TunnelRecordTest.cpp
+++ b/test/gateway/TunnelRecordTest.cpp
@@ -34,6 +34,19 @@
   });
 }
 
+TEST_CASE("ARetiredTunnelCarriesBytesUntilItsEnd")
+{
+  TunnelRecordReader reader;
+  std::string data;
+  CHECK(reader.Read(WriteTunnelRecord(TunnelRecordType::kData, "an"), data));
+  CHECK_FALSE(reader.IsRetired());
+  CHECK(reader.Read(WriteTunnelRecord(TunnelRecordType::kRetired), data));
+  CHECK(reader.IsRetired());
+  CHECK(reader.Read(WriteTunnelRecord(TunnelRecordType::kData, "swer"), data));
+  CHECK(data == "answer");
+  CHECK_FALSE(reader.End());
+}
+
 // Guards against a tunnel that ends with its connection and looks like one
 // whose upstream has closed.
 TEST_CASE("ATunnelHasNoEndBeforeTheWholeLastRecord")
--- a/test/gateway/TunnelServerTest.cpp
+++ b/test/gateway/TunnelServerTest.cpp
@@ -214,6 +214,44 @@
   }
 }
 
+// Guards against requests of other entries that reach an upstream through the
+// entry which it has asked for rest.
+TEST_CASE("NoTunnelLeadsToAnUpstreamThatRestsOrLeaves")
+{
+  ScriptedUpstream upstream([](const std::string&) { return Script{}; });
+  GatewayFixture entry;
+  entry.Add("rests", upstream.Where());
+  entry.Add("leaves", upstream.Where());
+  entry.OnRelay([&] {
+    GatewayCore& core = entry.Core();
+    core.RecordRest(
+      UpstreamName("rests"), Incarnation(), std::chrono::seconds(9), "");
+    core.RecordLeaving(UpstreamName("leaves"), Incarnation(), "");
+  });
+  CHECK(FailureOf(entry, RequestFor("rests")) ==
+        TunnelFailure::kUpstreamResting);
+  CHECK(FailureOf(entry, RequestFor("leaves")) ==
+        TunnelFailure::kUnknownUpstream);
+  CHECK(upstream.Connections() == 0);
+}
+
+TEST_CASE("AnOpenTunnelIsRetiredWhenItsUpstreamRests")
+{
+  ScriptedUpstream upstream(
+    [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
+  GatewayFixture entry;
+  entry.Add("u", upstream.Where());
+  const auto caller = SendThroughTunnel(entry);
+  CHECK(Eventually([&] { return upstream.Requests().size() == 1; }));
+  entry.OnRelay([&] {
+    entry.Core().RecordRest(
+      UpstreamName("u"), Incarnation(), std::chrono::seconds(9), "");
+  });
+  const std::string retired = WriteTunnelRecord(TunnelRecordType::kRetired);
+  CHECK(caller->ReadTo(retired) == retired);
+  CHECK(upstream.ClosedWhileHanging() == 0);
+}
+
 TEST_CASE("AStoppingEntryAcceptsNoTunnels")
 {
   ScriptedUpstream upstream([](const std::string&) { return Script{}; });
--- a/test/limits/WithdrawnUpstreamsTest.cpp
+++ b/test/limits/WithdrawnUpstreamsTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <iterator>
 #include <set>
 #include <string>
 
@@ -68,6 +69,12 @@
   }
   CHECK(ends.size() >= 50);
   CHECK(*ends.rbegin() - *ends.begin() >= milliseconds(500));
+  for (const TimePoint end : ends) {
+    const auto within = std::distance(
+      ends.lower_bound(end), ends.lower_bound(end + milliseconds(100)));
+    INFO("expected at most a quarter of the entries to return within 0.1 s");
+    CHECK(within <= 25);
+  }
 }
 
 TEST_CASE("AfterARestRequestsAreTriedUntilOneIsAccepted")
