--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -27,6 +27,35 @@
 /** Requests go on by the last settings for as long as nothing newer comes. */
 constexpr Duration kConfirmationGrace = std::chrono::hours(24);
 
+/** Handles what entries tell each other about the limits and rests that
+ * upstreams state. */
+void
+TakeUpstreamStatement(gateway::GatewayCore& aCore,
+                      const Address& aFrom,
+                      const gateway::PeerMessage& aMessage)
+{
+  std::visit(Overloaded{ [&](const limits::LimitReport& aReport) {
+                          aCore.HandleLimitReport(aReport);
+                        },
+                         [&](const limits::SendPermitRequest& aRequest) {
+                           aCore.HandleSendPermitRequest(aFrom, aRequest);
+                         },
+                         [&](const limits::SendPermitResponse& aResponse) {
+                           aCore.HandleSendPermitResponse(aFrom, aResponse);
+                         },
+                         [&](const limits::BrittleState& aState) {
+                           aCore.HandleBrittleReport(aState);
+                         },
+                         [&](const limits::SendPermitReturn& aReturn) {
+                           aCore.HandleSendPermitReturn(aFrom, aReturn);
+                         },
+                         [&](const limits::WithdrawalReport& aReport) {
+                           aCore.HandleWithdrawalReport(aReport);
+                         },
+                         [](const auto& /*aOther*/) {} },
+             aMessage);
+}
+
 } // namespace
 
 // A process that lost its membership begins a new session; what it knows of
@@ -137,6 +166,7 @@
 {
   const TimePoint now = ReadClock();
   mCore->mOrigins.HandlePeerMessage(aFrom, aMessage);
+  TakeUpstreamStatement(*mCore, aFrom, aMessage);
   std::visit(Overloaded{ [&](const gateway::QuotaResponse& aGrant) {
                           Decide(mCore->mQuota.HandleResponse(aGrant));
                         },
@@ -169,24 +199,6 @@
                          [&](const gateway::SendStartedReport& aOne) {
                            mCore->HandleSendStarted(aOne);
                          },
-                         [&](const limits::LimitReport& aReport) {
-                           mCore->HandleLimitReport(aReport);
-                         },
-                         [&](const limits::SendPermitRequest& aRequest) {
-                           mCore->HandleSendPermitRequest(aFrom, aRequest);
-                         },
-                         [&](const limits::SendPermitResponse& aResponse) {
-                           mCore->HandleSendPermitResponse(aFrom, aResponse);
-                         },
-                         [&](const limits::BrittleState& aState) {
-                           mCore->HandleBrittleReport(aState);
-                         },
-                         [&](const limits::SendPermitReturn& aReturn) {
-                           mCore->HandleSendPermitReturn(aFrom, aReturn);
-                         },
-                         [&](const limits::WithdrawalReport& aReport) {
-                           mCore->HandleWithdrawalReport(aReport);
-                         },
                          [&](const gateway::PrefillDoneReport& aOne) {
                            mCore->mCoordinator.Handle(aOne, now);
                          },
