Read Retry-After of our own calls in one place

ExchangeWithdrawal worked out the time to a rest's end twice. Three comments said in many words what a rest's end does.

--- a/include/peridotspool/limits/WithdrawnUpstreams.h
+++ b/include/peridotspool/limits/WithdrawnUpstreams.h
@@ -14,10 +14,10 @@
  * Upstreams whose responses to this entry have asked it to send nothing: for a
  * time (a rest), or ever again (they leave). Both belong to one incarnation.
  *
- * A rest holds for this entry only. It ends a little later than asked for, at
- * a time that differs between entries, and then requests are tried one after
- * the other until the upstream accepts one, so that the entries that it turned
- * away don't all return at once.
+ * A rest holds for this entry only. Each entry ends it a little later than
+ * asked for, at a random time of its own, and tries single requests until the
+ * upstream accepts one, so that the entries that it turned away don't all
+ * return at once.
  *
  * Does no I/O and reads no clock. Not thread-safe.
  */
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -133,6 +133,9 @@
   /** Returns the seconds after which a refused request may return.
    * @param aElse used unless all upstreams rest */
   double RefusalRetryAfter(double aElse) const;
+  /** Returns the time to a rest's end, or a little more if that is too short to
+   * return in. */
+  Duration TimeUntil(TimePoint aRestEnd) const;
   void RefuseForRest(TimePoint aUntil);
   void LogInvalidLimit(const std::vector<std::string_view>& aValues);
   void ReportLimit(double aPerSecond);
--- a/src/gateway/ExchangeWithdrawal.cpp
+++ b/src/gateway/ExchangeWithdrawal.cpp
@@ -149,20 +149,24 @@
   Dispatch();
 }
 
+Duration
+Exchange::TimeUntil(TimePoint aRestEnd) const
+{
+  return std::max(kMinRetryAfter, aRestEnd - mCore.mNow());
+}
+
 double
 Exchange::RefusalRetryAfter(double aElse) const
 {
-  const TimePoint now = mCore.mNow();
-  const auto until = mCore.mSelector.AllRestUntil(mSelectionQuery, now);
-  return until ? SpreadRetryAfter(std::max(kMinRetryAfter, *until - now))
-               : aElse;
+  const auto until =
+    mCore.mSelector.AllRestUntil(mSelectionQuery, mCore.mNow());
+  return until ? SpreadRetryAfter(TimeUntil(*until)) : aElse;
 }
 
 void
 Exchange::RefuseForRest(TimePoint aUntil)
 {
-  const double retryAfter =
-    SpreadRetryAfter(std::max(kMinRetryAfter, aUntil - mCore.mNow()));
+  const double retryAfter = SpreadRetryAfter(TimeUntil(aUntil));
   mCore.mCounters.Add(CounterId::kRefusedResting);
   mCore.mLogger.Log(
     EventId::kRequestRefused,
--- a/src/http/UpstreamAdapter.cpp
+++ b/src/http/UpstreamAdapter.cpp
@@ -2,7 +2,7 @@
 
 #include "http/JsonFields.h"
 #include "peridotspool/base/Overloaded.h"
-#include "peridotspool/limits/RetryAfter.h"
+#include "peridotspool/http/RetryAfterField.h"
 
 #include <boost/json.hpp>
 
@@ -17,8 +17,6 @@
 constexpr std::uint32_t kStatusOk = 200;
 constexpr std::uint32_t kStatusNotFound = 404;
 constexpr std::string_view kDidNotRunField = "x-did-not-run";
-constexpr std::string_view kRetryAfterField = "retry-after";
-constexpr std::string_view kDateField = "date";
 constexpr std::int64_t kDefaultMaxTokens = 256;
 
 HttpRequest
@@ -75,24 +73,6 @@
   return MakePost("/service/call", body);
 }
 
-std::string_view
-FieldOf(const HeaderFields& aHeaders, std::string_view aName)
-{
-  const auto field = aHeaders.find(std::string(aName));
-  return field == aHeaders.end() ? std::string_view() : field->second;
-}
-
-Duration
-RetryAfterOf(const HeaderFields& aHeaders)
-{
-  const std::string_view value = FieldOf(aHeaders, kRetryAfterField);
-  return value.empty() ? Duration(0)
-                       : limits::ParseRetryAfter({ value },
-                                                 FieldOf(aHeaders, kDateField),
-                                                 std::nullopt)
-                           .mWait;
-}
-
 request::UpstreamRefused
 MakeRefused(std::uint32_t aStatus, const HeaderFields& aHeaders)
 {
--- a/src/limits/WithdrawnUpstreams.cpp
+++ b/src/limits/WithdrawnUpstreams.cpp
@@ -14,8 +14,8 @@
 constexpr int kSpreadDivisor = 4;
 constexpr Duration kMaxSpread = std::chrono::seconds(2);
 constexpr std::uint64_t kSpreadSteps = 1024;
-/** An upstream that gets no request for so long after a rest is no longer
- * tried with one request at a time. */
+/** An upstream without a request for so long after its rest is used like any
+ * other. */
 constexpr Duration kMaxTrial = std::chrono::seconds(10);
 /** An upstream that leaves is gone by then. */
 constexpr Duration kMaxLeaving = std::chrono::hours(24);
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -2,7 +2,7 @@
 
 #include "peridotspool/base/Overloaded.h"
 #include "peridotspool/base/PackedText.h"
-#include "peridotspool/limits/RetryAfter.h"
+#include "peridotspool/http/RetryAfterField.h"
 #include "peridotspool/runtime/SystemClock.h"
 #include "runtime/HostParts.h"
 
@@ -41,22 +41,13 @@
     aCall);
 }
 
-// The platform's clock isn't known here, so a date counts only beside the
-// answer's own.
+/** Returns how long the cloud wants no further call. */
 Duration
-RetryAfterOf(const http::CallHead& aHead)
+CallPauseOf(const http::CallHead& aHead)
 {
-  const auto value = aHead.mHeaders.find("retry-after");
-  if (value == aHead.mHeaders.end() ||
-      (aHead.mStatus != kTooManyRequests && aHead.mStatus != kUnavailable)) {
-    return Duration(0);
-  }
-  const auto date = aHead.mHeaders.find("date");
-  return limits::ParseRetryAfter(
-           { value->second },
-           date == aHead.mHeaders.end() ? std::string_view() : date->second,
-           std::nullopt)
-    .mWait;
+  const bool isTurnedAway =
+    aHead.mStatus == kTooManyRequests || aHead.mStatus == kUnavailable;
+  return isTurnedAway ? http::RetryAfterOf(aHead.mHeaders) : Duration(0);
 }
 
 } // namespace
@@ -87,7 +78,7 @@
       if (const auto* head = std::get_if<http::CallHead>(&aEvent)) {
         take({ .mNumber = aCall,
                .mStatus = head->mStatus,
-               .mRetryAfter = RetryAfterOf(*head) });
+               .mRetryAfter = CallPauseOf(*head) });
       } else if (std::holds_alternative<http::CallFailed>(aEvent)) {
         take({ .mNumber = aCall, .mStatus = 0 });
       }
--- a/test/gateway/UpstreamSelectorRestTest.cpp
+++ b/test/gateway/UpstreamSelectorRestTest.cpp
@@ -88,8 +88,8 @@
   CHECK(selector.MayReceive(Name(1), Incarnation(1), At(2600)));
 }
 
-// Guards against a rest that counts as a failure: the upstream stays ready, and
-// upstreams that are ejected are tried before those that rest.
+// Guards against a rest that counts as a failure, and against a resting
+// upstream that is tried because all others are ejected.
 TEST_CASE("ARestIsNoEjection")
 {
   UpstreamSelector selector = MakeSelector(2);
