--- a/test/gateway/TunnelServerTest.cpp
+++ b/test/gateway/TunnelServerTest.cpp
@@ -45,6 +45,23 @@
   return caller;
 }
 
+/** An entry that relays a request to an upstream which never answers. */
+struct HangingTunnel
+{
+  HangingTunnel()
+  {
+    mEntry.Add("u", mUpstream.Where());
+    mCaller = SendThroughTunnel(mEntry);
+    CHECK(Eventually([&] { return mUpstream.Requests().size() == 1; }));
+  }
+
+  ScriptedUpstream mUpstream{ [](const std::string&) {
+    return Script{ .mThen = Script::Then::kHang };
+  } };
+  GatewayFixture mEntry;
+  std::unique_ptr<Caller> mCaller;
+};
+
 /** What a tunnel has carried until it ended. */
 struct TunnelContent
 {
@@ -116,43 +133,28 @@
 // entry that relays it stops.
 TEST_CASE("ATunnelThatIsClosedByItsEntryHasNoEnd")
 {
-  ScriptedUpstream upstream(
-    [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
-  GatewayFixture entry;
-  entry.Add("u", upstream.Where());
-  const auto caller = SendThroughTunnel(entry);
-  CHECK(Eventually([&] { return upstream.Requests().size() == 1; }));
-  entry.OnRelay([&] { entry.CloseTunnels(); });
-  CHECK_FALSE(ReadAll(*caller).mEnd);
+  HangingTunnel tunnel;
+  tunnel.mEntry.OnRelay([&] { tunnel.mEntry.CloseTunnels(); });
+  CHECK_FALSE(ReadAll(*tunnel.mCaller).mEnd);
 }
 
 // Guards against an entry that waits for another one that is frozen.
 TEST_CASE("ATunnelShowsThatItsEntryIsAlive")
 {
-  ScriptedUpstream upstream(
-    [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
-  GatewayFixture entry;
-  entry.Add("u", upstream.Where());
-  const auto caller = SendThroughTunnel(entry);
+  HangingTunnel tunnel;
   CHECK(Eventually([&] {
-    entry.OnRelay([&] { entry.TickUpstreamPath(); });
-    return caller->HasData();
+    tunnel.mEntry.OnRelay([&] { tunnel.mEntry.TickUpstreamPath(); });
+    return tunnel.mCaller->HasData();
   }));
   const std::string keepAlive = WriteTunnelRecord(TunnelRecordType::kKeepAlive);
-  CHECK(caller->ReadTo(keepAlive) == keepAlive);
+  CHECK(tunnel.mCaller->ReadTo(keepAlive) == keepAlive);
 }
 
 TEST_CASE("AClosedTunnelClosesTheUpstreamsConnection")
 {
-  ScriptedUpstream upstream(
-    [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
-  GatewayFixture entry;
-  entry.Add("u", upstream.Where());
-  {
-    const auto caller = SendThroughTunnel(entry);
-    CHECK(Eventually([&] { return upstream.Requests().size() == 1; }));
-  }
-  CHECK(Eventually([&] { return upstream.ClosedWhileHanging() == 1; }));
+  HangingTunnel tunnel;
+  tunnel.mCaller.reset();
+  CHECK(Eventually([&] { return tunnel.mUpstream.ClosedWhileHanging() == 1; }));
 }
 
 // Guards against tunnels to addresses that are no upstream's, or another's by
@@ -237,19 +239,14 @@
 
 TEST_CASE("AnOpenTunnelIsRetiredWhenItsUpstreamRests")
 {
-  ScriptedUpstream upstream(
-    [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
-  GatewayFixture entry;
-  entry.Add("u", upstream.Where());
-  const auto caller = SendThroughTunnel(entry);
-  CHECK(Eventually([&] { return upstream.Requests().size() == 1; }));
-  entry.OnRelay([&] {
-    entry.Core().RecordRest(
+  HangingTunnel tunnel;
+  tunnel.mEntry.OnRelay([&] {
+    tunnel.mEntry.Core().RecordRest(
       UpstreamName("u"), Incarnation(), std::chrono::seconds(9), "");
   });
   const std::string retired = WriteTunnelRecord(TunnelRecordType::kRetired);
-  CHECK(caller->ReadTo(retired) == retired);
-  CHECK(upstream.ClosedWhileHanging() == 0);
+  CHECK(tunnel.mCaller->ReadTo(retired) == retired);
+  CHECK(tunnel.mUpstream.ClosedWhileHanging() == 0);
 }
 
 TEST_CASE("AStoppingEntryAcceptsNoTunnels")
