--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -142,9 +143,18 @@
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings(role, first and self.system.founding))
         log = open(os.path.join(self.system.folder, f"{self.number}-{role}.log"), "ab")
+        most = self.system.disk_mb
+
+        def limit_disk():
+            # No file outgrows the disk; the write is refused, as on a full disk.
+            if most:
+                signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+                resource.setrlimit(resource.RLIMIT_FSIZE, (most << 20, most << 20))
+
         self.processes[role] = subprocess.Popen(
             [PROGRAM, role], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
             env={"PATH": os.environ["PATH"], "PERIDOTSPOOL_SETTINGS": path},
+            preexec_fn=limit_disk,
         )
         log.close()
 
@@ -177,6 +187,8 @@
         self.seeds = []
         self.founding = True
         self.stopping = False
+        self.disk_mb = 0
+        self.memory_mb = 0
         self.runners = []
         self.cloud_calls = []
         self.version = 0
@@ -207,6 +219,13 @@
         while not self.stopping:
             for machine in self.machines:
                 for role, process in list(machine.processes.items()):
+                    if process.poll() is None and self.memory_mb:
+                        used = memory_of(process.pid)
+                        if used > self.memory_mb:
+                            self.note(f"{machine.name} {role} uses {used} MB of "
+                                      f"{self.memory_mb}: the platform kills it")
+                            process.kill()
+                            process.wait()
                     if process.poll() is None or role in machine.held:
                         continue
                     if not getattr(process, "expected", False):
@@ -317,6 +336,18 @@
         return False
 
 
+def memory_of(pid):
+    """Resident memory in MB."""
+    try:
+        with open(f"/proc/{pid}/status", encoding="ascii") as file:
+            for line in file:
+                if line.startswith("VmRSS"):
+                    return int(line.split()[1]) >> 10
+    except OSError:
+        pass
+    return 0
+
+
 def fields_of(head):
     fields = {}
     for line in head.split("\r\n")[1:]:
