Keep a data folder openable while a replica's identity changes

Only a first identity was safe, as there is no file yet.

Change: the identity file lists identities.

--- a/include/peridotspool/storage/ControlStore.h
+++ b/include/peridotspool/storage/ControlStore.h
@@ -51,10 +51,11 @@
   bool WriteCheckpoint(const control::PersistEffect& aWrite,
                        const control::RestoredState& aAfter,
                        LastReason& aReason);
+  bool TidyIdentityFile(const FolderContents& aContents, LastReason& aReason);
 
   /** Unset where nothing outlives the process. */
   std::optional<DataFolder> mFolder;
-  /** The state on disk, without identity; needed for checkpoints. */
+  /** The state on disk; needed for checkpoints. */
   control::RestoredState mOnDisk;
 };
 
--- a/include/peridotspool/storage/DataFolder.h
+++ b/include/peridotspool/storage/DataFolder.h
@@ -14,17 +14,18 @@
 /** What a data folder held when it was opened. */
 struct FolderContents
 {
-  /** The identity file's bytes; empty optional when there is none. */
-  std::optional<std::string> mIdentity;
+  /** The identity file's records, newest last; empty when there is no file. */
+  std::vector<std::string> mIdentities;
   /** The first record: the newest checkpoint; then the records after it. */
   std::optional<std::string> mCheckpoint;
   std::vector<std::string> mRecords;
 };
 
 /**
- * A replica's files under one folder: an identity file, written once, and a
- * journal that starts with a checkpoint and goes on with appended records. A
- * new checkpoint starts a new journal file and drops the old one.
+ * A replica's files under one folder: a file of identities, of which the
+ * journal has one, and a journal that starts with a checkpoint and goes on with
+ * appended records. A new checkpoint starts a new journal file and drops the
+ * old one.
  *
  * All is synced, with the folder, before a call returns true. One process uses
  * a folder at a time (a lock file). Blocking; for one thread.
@@ -43,7 +44,10 @@
   DataFolder& operator=(const DataFolder&) = delete;
   ~DataFolder();
 
+  /** Replaces all identities of the file by this one. */
   bool WriteIdentity(std::string_view aBytes, LastReason& aReason);
+  /** Adds an identity behind the ones that the file has, and syncs it. */
+  bool AppendIdentity(std::string_view aBytes, LastReason& aReason);
   /** Appends a record and syncs it. */
   bool Append(std::string_view aRecord, LastReason& aReason);
   bool Checkpoint(std::string_view aBytes, LastReason& aReason);
--- a/src/storage/ControlStore.cpp
+++ b/src/storage/ControlStore.cpp
@@ -41,13 +41,14 @@
               const RestoredState& aState,
               LastReason& aReason)
 {
-  if (!aContents.mIdentity) {
+  if (aContents.mIdentities.empty()) {
     return true;
   }
-  const auto identity =
-    wire::Decode<ReplicaIdentity>(*aContents.mIdentity, aReason);
-  if (identity && aState.mIdentity == identity) {
-    return true;
+  for (const std::string& record : aContents.mIdentities) {
+    const auto identity = wire::Decode<ReplicaIdentity>(record, aReason);
+    if (identity && aState.mIdentity == identity) {
+      return true;
+    }
   }
   aReason.Set("the data folder's identity file and its journal do not belong "
               "together; start with an empty folder");
@@ -79,7 +80,8 @@
   }
   ControlStore store(std::move(*folder));
   if (!Replay(contents, store.mOnDisk, aReason) ||
-      !CheckIdentity(contents, store.mOnDisk, aReason)) {
+      !CheckIdentity(contents, store.mOnDisk, aReason) ||
+      !store.TidyIdentityFile(contents, aReason)) {
     return std::nullopt;
   }
   aState = store.mOnDisk;
@@ -139,10 +141,34 @@
                               const RestoredState& aAfter,
                               LastReason& aReason)
 {
-  // The journal comes first: an identity without a journal is refused.
+  // Opening refuses a journal with an identity that the identity file doesn't
+  // have. While the journal changes, the file has the old and the new one, so
+  // the folder can be opened whenever the process ends. A first identity is
+  // written after the journal: an identity without a journal is refused, and a
+  // journal without an identity file isn't.
+  const std::string identity =
+    aWrite.mIdentity ? wire::Encode(*aWrite.mIdentity) : std::string();
+  const bool replaces = aWrite.mIdentity && mOnDisk.mIdentity;
+  if (replaces && !mFolder->AppendIdentity(identity, aReason)) {
+    return false;
+  }
   return mFolder->Checkpoint(wire::Encode(aAfter), aReason) &&
-         (!aWrite.mIdentity ||
-          mFolder->WriteIdentity(wire::Encode(*aWrite.mIdentity), aReason));
+         (!aWrite.mIdentity || replaces ||
+          mFolder->WriteIdentity(identity, aReason));
+}
+
+// Leaves the journal's identity alone in the file, which has others or none
+// after an identity change. Only lack of room may prevent that: the next start
+// tries again.
+bool
+ControlStore::TidyIdentityFile(const FolderContents& aContents,
+                               LastReason& aReason)
+{
+  if (aContents.mIdentities.size() == 1 || !mOnDisk.mIdentity) {
+    return true;
+  }
+  return mFolder->WriteIdentity(wire::Encode(*mOnDisk.mIdentity), aReason) ||
+         mFolder->NoSpace();
 }
 
 } // namespace peridotspool::storage
--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -67,11 +67,14 @@
   return lock;
 }
 
-/** The identity is one checksummed record, so that damage is noticed. */
+/**
+ * An identity is a checksummed record, so that damage is noticed. A torn tail
+ * is an identity whose write had not completed.
+ */
 bool
-ReadIdentity(const std::string& aFolder,
-             FolderContents& aContents,
-             LastReason& aReason)
+ReadIdentities(const std::string& aFolder,
+               FolderContents& aContents,
+               LastReason& aReason)
 {
   const std::string path = aFolder + "/" + std::string(kIdentityName);
   const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
@@ -87,13 +90,11 @@
   if (!bytes) {
     return false;
   }
-  std::vector<std::string> records;
-  const ScanResult scan = ScanRecords(*bytes, records);
-  if (records.size() != 1 || scan.mGoodBytes != bytes->size()) {
+  const ScanResult scan = ScanRecords(*bytes, aContents.mIdentities);
+  if (aContents.mIdentities.empty() || scan.mWholeAfter) {
     aReason.Set(path + ": is damaged; start with an empty folder");
     return false;
   }
-  aContents.mIdentity = std::move(records.front());
   return true;
 }
 
@@ -149,7 +150,7 @@
     return std::nullopt;
   }
   DataFolder folder(std::move(aPath), *lock, std::move(aSync));
-  if (!ReadIdentity(folder.mPath, aContents, aReason) ||
+  if (!ReadIdentities(folder.mPath, aContents, aReason) ||
       !folder.OpenNewestJournal(aContents, aReason)) {
     return std::nullopt;
   }
@@ -201,7 +202,7 @@
                       LastReason& aReason)
 {
   const WriteOutcome outcome =
-    WriteAtomically(mPath, aName, MakeRecord(1, aBytes), aReason);
+    WriteAtomically(mPath, aName, MakeRecord(1, aBytes), mSync, aReason);
   mNoSpace = outcome == WriteOutcome::kNoSpace;
   mFailed = mFailed || outcome == WriteOutcome::kFailed;
   return outcome == WriteOutcome::kWritten;
@@ -213,6 +214,19 @@
   return WriteFile(std::string(kIdentityName), aBytes, aReason);
 }
 
+bool
+DataFolder::AppendIdentity(std::string_view aBytes, LastReason& aReason)
+{
+  std::vector<std::string> records;
+  auto file = RecordFile::Open(
+    mPath + "/" + std::string(kIdentityName), mSync, records, aReason);
+  const bool written =
+    file && file->Append(aBytes, aReason) && file->Sync(aReason);
+  mNoSpace = file && file->NoSpace();
+  mFailed = mFailed || (!written && !mNoSpace);
+  return written;
+}
+
 bool
 DataFolder::Append(std::string_view aRecord, LastReason& aReason)
 {
--- a/src/storage/FileCalls.cpp
+++ b/src/storage/FileCalls.cpp
@@ -67,11 +67,14 @@
 }
 
 bool
-SyncFolder(const std::string& aPath, LastReason& aReason)
+SyncFolder(const std::string& aPath,
+           const SyncFunction& aSync,
+           LastReason& aReason)
 {
   const int descriptor =
     ::open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  const bool synced = descriptor >= 0 && ::fsync(descriptor) == 0;
+  const bool synced =
+    descriptor >= 0 && (aSync ? aSync(descriptor) : ::fsync(descriptor)) == 0;
   if (!synced) {
     aReason.Set(CallFailure("fsync", aPath));
   }
@@ -87,6 +90,7 @@
 WriteAtomically(const std::string& aFolder,
                 const std::string& aName,
                 std::string_view aBytes,
+                const SyncFunction& aSync,
                 LastReason& aReason)
 {
   constexpr mode_t kOwnerOnly = 0600;
@@ -100,7 +104,8 @@
     return outcome;
   }
   WriteOutcome outcome = WriteWhole(descriptor, aBytes, temporary, aReason);
-  if (outcome == WriteOutcome::kWritten && ::fdatasync(descriptor) != 0) {
+  if (outcome == WriteOutcome::kWritten &&
+      (aSync ? aSync(descriptor) : ::fdatasync(descriptor)) != 0) {
     outcome = OutcomeOfFailedWrite();
     aReason.Set(CallFailure("fdatasync", temporary));
   }
@@ -113,8 +118,8 @@
     aReason.Set(CallFailure("rename", path));
     return WriteOutcome::kFailed;
   }
-  return SyncFolder(aFolder, aReason) ? WriteOutcome::kWritten
-                                      : WriteOutcome::kFailed;
+  return SyncFolder(aFolder, aSync, aReason) ? WriteOutcome::kWritten
+                                             : WriteOutcome::kFailed;
 }
 
 } // namespace peridotspool::storage
--- a/src/storage/FileCalls.h
+++ b/src/storage/FileCalls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/LastReason.h"
+#include "peridotspool/storage/RecordFile.h"
 
 #include <optional>
 #include <string>
@@ -36,13 +37,16 @@
 
 /** Makes names in a folder (new, renamed, removed files) survive a crash. */
 bool
-SyncFolder(const std::string& aPath, LastReason& aReason);
+SyncFolder(const std::string& aPath,
+           const SyncFunction& aSync,
+           LastReason& aReason);
 
 /** Writes a file so that after a crash it is whole or absent. */
 WriteOutcome
 WriteAtomically(const std::string& aFolder,
                 const std::string& aName,
                 std::string_view aBytes,
+                const SyncFunction& aSync,
                 LastReason& aReason);
 
 } // namespace peridotspool::storage
--- a/test/storage/ControlStoreTest.cpp
+++ b/test/storage/ControlStoreTest.cpp
@@ -5,9 +5,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <cerrno>
 #include <csignal>
 #include <filesystem>
 #include <sys/resource.h>
+#include <unistd.h>
 
 namespace peridotspool::storage {
 
@@ -60,6 +62,19 @@
   rlimit mBefore{};
 };
 
+/** Fails the sync with this number, counted from 1, and all after it. */
+SyncFunction
+FailFromSync(int aNumber, int& aSyncs)
+{
+  return [aNumber, &aSyncs](int aDescriptor) {
+    if (++aSyncs >= aNumber) {
+      errno = EIO;
+      return -1;
+    }
+    return ::fsync(aDescriptor);
+  };
+}
+
 RestoredState
 Reopen(const std::string& aPath)
 {
@@ -163,6 +178,67 @@
   CHECK_FALSE(std::filesystem::exists(old));
 }
 
+// Guards against a replica that can't start again because it ended while it
+// took a new identity.
+TEST_CASE("CrashWhileTheIdentityChangesLeavesAFolderThatOpens")
+{
+  PersistEffect change;
+  change.mReset = true;
+  change.mIdentity =
+    ReplicaIdentity{ .mSystem = SystemId(9), .mReplica = ReplicaId(5) };
+  RestoredState after = First();
+  ApplyPersist(after, change);
+  bool written = false;
+  for (int failing = 1; !written; ++failing) {
+    REQUIRE(failing < 20);
+    const TemporaryFolder folder;
+    LastReason reason;
+    REQUIRE(ControlStore::Initialise(folder.Path(), First(), reason));
+    {
+      int syncs = 0;
+      RestoredState state;
+      auto store = ControlStore::Open(
+        folder.Path(), state, reason, FailFromSync(failing, syncs));
+      REQUIRE(store.has_value());
+      written = store->Write(change, reason);
+    }
+    CAPTURE(failing);
+    const RestoredState state = Reopen(folder.Path());
+    CHECK((state == after || (!written && state == First())));
+    CHECK(Reopen(folder.Path()) == state);
+  }
+}
+
+// Guards against an identity change after which a removed journal, or one of
+// an earlier identity, is taken for the folder's own.
+TEST_CASE("JournalIsMissedAlsoAfterIdentitiesHaveChanged")
+{
+  const TemporaryFolder folder;
+  LastReason reason;
+  REQUIRE(ControlStore::Initialise(folder.Path(), First(), reason));
+  const std::string old = folder.Path() + "/old";
+  std::filesystem::copy_file(folder.Path() + "/journal-1", old);
+  PersistEffect change;
+  change.mReset = true;
+  change.mIdentity =
+    ReplicaIdentity{ .mSystem = SystemId(9), .mReplica = ReplicaId(5) };
+  {
+    RestoredState state;
+    auto store = ControlStore::Open(folder.Path(), state, reason);
+    REQUIRE(store.has_value());
+    REQUIRE(store->Write(change, reason));
+  }
+  CHECK(Reopen(folder.Path()).mIdentity == change.mIdentity);
+  const bool oldReturns = GENERATE(false, true);
+  std::filesystem::remove(folder.Path() + "/journal-2");
+  if (oldReturns) {
+    std::filesystem::rename(old, folder.Path() + "/journal-1");
+  }
+  RestoredState state;
+  CHECK_FALSE(ControlStore::Open(folder.Path(), state, reason).has_value());
+  CHECK(reason.Text().find("do not belong together") != std::string::npos);
+}
+
 // Symptom: a replica whose disk is full ends again and again, each time with
 // its elections and its callers' connections.
 // Sequence: a record and a checkpoint find room for a part of them only; later
