Bound what the control group holds of its settings in bytes

The same rule, a count where the size follows the settings, held for proposals under way (1,000), for the newest delta of the history (always kept, twice the text) and, by way of single allocations and copies, for the memory of a reader of settings.

--- a/include/peridotspool/control/Consensus.h
+++ b/include/peridotspool/control/Consensus.h
@@ -69,6 +69,13 @@
   SyncToken LastToken() const { return mLastToken; }
   /** The number of entries held in memory. */
   std::size_t LogSize() const { return mLog.Size(); }
+  /** Encoded bytes of the entries held in memory. */
+  std::size_t LogBytes() const { return mLog.Bytes(); }
+  /**
+   * Encoded bytes of the writes that have not synced and of the entries that
+   * are not committed: what a slow disk or slow followers let pile up.
+   */
+  std::size_t PendingBytes() const;
   /** The newest replica set in the log, committed or not. */
   const ReplicaSet& Replicas() const { return mSets.back().mSet; }
   /** Returns true iff no change of the replica set is in progress. */
@@ -115,6 +122,7 @@
     LogIndex mLastIndex;
     Term mTerm;
     bool mOwnVote = false;
+    std::size_t mBytes = 0;
   };
   struct SentRound
   {
--- a/include/peridotspool/control/ConsensusOptions.h
+++ b/include/peridotspool/control/ConsensusOptions.h
@@ -33,6 +33,8 @@
   Duration mSnapshotResend = std::chrono::seconds(2);
   /** Entries retained behind a snapshot, for followers that lag slightly. */
   std::size_t mEntriesRetainedBehindSnapshot = 256;
+  /** The same in bytes: a single entry may be as large as the settings. */
+  std::size_t mBytesRetainedBehindSnapshot = 2U << 20;
   /**
    * Seed of the election timers. Differs between replicas, so that simultaneous
    * elections are rare.
--- a/include/peridotspool/control/ControlOptions.h
+++ b/include/peridotspool/control/ControlOptions.h
@@ -97,7 +97,17 @@
   Duration mPushResend = std::chrono::milliseconds(600);
   /** The number of entries after which a snapshot is made. */
   std::size_t mSnapshotEvery = 1000;
+  /**
+   * The encoded bytes of entries after which a snapshot is made. Bounds the
+   * journal and the log in memory, whose entries may hold whole settings.
+   */
+  std::size_t mSnapshotEveryBytes = 8ULL << 20;
   std::size_t mMaxSettingsBytes = 4ULL << 20;
+  /**
+   * Bytes of writes and entries that may be under way; further settings are
+   * refused until some have completed.
+   */
+  std::size_t mMaxPendingBytes = 16ULL << 20;
   /** The maximum number of pending operator requests; more are refused. */
   std::size_t mMaxPending = 1000;
   /**
--- a/include/peridotspool/control/OperatorResponse.h
+++ b/include/peridotspool/control/OperatorResponse.h
@@ -169,6 +169,25 @@
 };
 BOOST_DESCRIBE_STRUCT(RefusedResponse, (), (mReason))
 
+/** Too much is under way; nothing was changed, and a resend may succeed. */
+struct OverloadedResponse
+{
+  std::string mReason;
+
+  auto operator<=>(const OverloadedResponse&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(OverloadedResponse, (), (mReason))
+
+/** The settings are larger than this replica takes; nothing was changed. */
+struct TooLargeResponse
+{
+  std::uint64_t mBytes = 0;
+  std::uint64_t mMost = 0;
+
+  auto operator<=>(const TooLargeResponse&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(TooLargeResponse, (), (mBytes, mMost))
+
 /** The committed quarantine rows: contents that are treated specially. */
 struct QuarantineResponse
 {
@@ -211,6 +230,8 @@
                                       DocumentResponse,
                                       QuarantineResponse,
                                       RolloutOrderResponse,
-                                      RolloutsResponse>;
+                                      RolloutsResponse,
+                                      OverloadedResponse,
+                                      TooLargeResponse>;
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/ReplicatedLog.h
+++ b/include/peridotspool/control/ReplicatedLog.h
@@ -28,6 +28,17 @@
   /** Returns up to aMaxCount entries starting at aFrom. */
   std::vector<LogEntry> Slice(LogIndex aFrom, std::size_t aMaxCount) const;
   std::size_t Size() const { return mEntries.size(); }
+  /** Encoded bytes of the retained entries. */
+  std::size_t Bytes() const { return mBytes; }
+  /** Encoded bytes of the retained entries after aIndex. */
+  std::size_t BytesAfter(LogIndex aIndex) const;
+  /**
+   * Returns the index before the oldest of the entries up to aIndex that
+   * together have at most aMaxCount entries and aMaxBytes encoded bytes.
+   */
+  LogIndex BeforeLatest(LogIndex aIndex,
+                        std::size_t aMaxCount,
+                        std::size_t aMaxBytes) const;
 
   void Append(LogEntry aEntry);
   void CutFrom(LogIndex aIndex);
@@ -35,9 +46,19 @@
   void DropThrough(LogIndex aIndex);
 
 private:
+  struct SizedEntry
+  {
+    LogEntry mEntry;
+    /** Encoded. */
+    std::size_t mBytes = 0;
+  };
+
+  const SizedEntry& SizedAt(LogIndex aIndex) const;
+
   LogIndex mBaseIndex;
   Term mBaseTerm;
-  std::deque<LogEntry> mEntries;
+  std::deque<SizedEntry> mEntries;
+  std::size_t mBytes = 0;
 };
 
 } // namespace peridotspool::control
--- a/include/peridotspool/control/SettingsState.h
+++ b/include/peridotspool/control/SettingsState.h
@@ -6,6 +6,7 @@
 #include <boost/describe/class.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,8 @@
   Revision mRevision;
   EditId mEdit;
   std::string mAuthor;
-  TextDelta mDelta;
+  /** Empty when it is too large to be retained. */
+  std::optional<TextDelta> mDelta;
 
   auto operator<=>(const SettingsChange&) const = default;
 };
--- a/include/peridotspool/gateway/RouteTable.h
+++ b/include/peridotspool/gateway/RouteTable.h
@@ -53,16 +53,24 @@
 
 private:
   using Indices = std::vector<std::size_t>;
+  /** Where a key stands in mSource. */
+  struct KeyPlace
+  {
+    std::size_t mCustomer = 0;
+    std::size_t mKey = 0;
+  };
 
   explicit RouteTable(RouteTableSource aSource);
 
   bool IndexRoutes(LastReason& aReason);
   bool IndexCustomers(LastReason& aReason);
+  const std::string& KeyAt(const KeyPlace& aPlace) const;
 
   RouteTableSource mSource;
   /** Indices of each host's routes, the longest prefix first. */
   std::unordered_map<std::string, Indices> mRoutesByHost;
-  std::unordered_map<std::string, std::size_t> mCustomerByKey;
+  /** In ascending order of the keys, which are not held a second time. */
+  std::vector<KeyPlace> mKeys;
   std::unordered_map<ServiceName, std::size_t> mServiceByName;
 };
 
--- a/include/peridotspool/runtime/GuardedMain.h
+++ b/include/peridotspool/runtime/GuardedMain.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peridotspool/runtime/HeapPolicy.h"
+
 #include <exception>
 #include <iostream>
 
@@ -10,6 +12,7 @@
 int
 GuardedMain(Program aProgram, int aCount, char** aArguments)
 {
+  ReturnLargeBuffers();
   try {
     return aProgram(aCount, aArguments);
   } catch (const std::exception& error) {
--- a/src/control/Consensus.cpp
+++ b/src/control/Consensus.cpp
@@ -117,9 +117,12 @@
                         .mReplicas = SetAt(aEvent.mIndex),
                         .mState = aEvent.mState };
   Write().mSnapshot = mSnapshot;
-  const std::uint64_t keep = mOptions.mEntriesRetainedBehindSnapshot;
-  if (aEvent.mIndex.Value() > mLog.BaseIndex().Value() + keep) {
-    mLog.DropThrough(LogIndex(aEvent.mIndex.Value() - keep));
+  const LogIndex drop =
+    mLog.BeforeLatest(aEvent.mIndex,
+                      mOptions.mEntriesRetainedBehindSnapshot,
+                      mOptions.mBytesRetainedBehindSnapshot);
+  if (drop > mLog.BaseIndex()) {
+    mLog.DropThrough(drop);
   }
   while (mSets.size() > 1 && mSets[1].mIndex <= mLog.BaseIndex()) {
     mSets.pop_front();
@@ -141,6 +144,16 @@
   }
 }
 
+std::size_t
+Consensus::PendingBytes() const
+{
+  std::size_t bytes = mLog.BytesAfter(mCommit);
+  for (const PendingSync& pending : mPendingSyncs) {
+    bytes += pending.mBytes;
+  }
+  return bytes;
+}
+
 bool
 Consensus::ReplicaSetSettled() const
 {
--- a/src/control/ConsensusWrites.cpp
+++ b/src/control/ConsensusWrites.cpp
@@ -1,5 +1,6 @@
 // Delays messages until the writes they depend on have synced.
 
+#include "control/EncodedSize.h"
 #include "peridotspool/base/Overloaded.h"
 #include "peridotspool/control/Consensus.h"
 
@@ -40,7 +41,8 @@
   mPendingSyncs.push_back({ .mToken = mLastToken,
                             .mLastIndex = mLog.LastIndex(),
                             .mTerm = mVote.mTerm,
-                            .mOwnVote = ownVote });
+                            .mOwnVote = ownVote,
+                            .mBytes = EncodedSize(mWrite) });
   mEffects.emplace_back(std::exchange(mWrite, {}));
 }
 
--- a/src/control/ControlJoin.cpp
+++ b/src/control/ControlJoin.cpp
@@ -12,6 +12,7 @@
   mIdentity = aState.mIdentity;
   mApplied = aState.mSnapshot ? aState.mSnapshot->mIndex : LogIndex();
   mCompactedAt = mApplied;
+  mAppliedBytes = 0;
   mConsensus.emplace(mOptions.mConsensus, std::move(aState), mNow, aLastToken);
   mSessions.UpdateMembers(State().mMembership.mNonces, mNow);
 }
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlNodeState.h"
 
+#include "control/EncodedSize.h"
 #include "peridotspool/base/Overloaded.h"
 
 #include <algorithm>
@@ -188,6 +189,7 @@
   mMachine = StateMachine(mOptions.mStateMachine, aEffect.mSnapshot.mState);
   mApplied = aEffect.mSnapshot.mIndex;
   mCompactedAt = mApplied;
+  mAppliedBytes = 0;
   mSessions.UpdateMembers(State().mMembership.mNonces, mNow);
   Notice(ControlNotice::kSnapshotInstalled,
          "index=" + std::to_string(mApplied.Value()));
@@ -203,6 +205,7 @@
   const Revision revision = State().mSettings.mRevision;
   const ApplyResult result = mMachine.Apply(aEntry.mCommand);
   mApplied = aEntry.mIndex;
+  mAppliedBytes += EncodedSize(aEntry);
   if (membership && State().mMembership.mCurrent.mEpoch != before.mEpoch) {
     HandleEpochCommitted(before);
   }
@@ -267,10 +270,12 @@
 void
 ControlNodeState::CompactIfDue()
 {
-  if (mApplied.Value() < mCompactedAt.Value() + mOptions.mSnapshotEvery) {
+  if (mApplied.Value() < mCompactedAt.Value() + mOptions.mSnapshotEvery &&
+      mAppliedBytes < mOptions.mSnapshotEveryBytes) {
     return;
   }
   mCompactedAt = mApplied;
+  mAppliedBytes = 0;
   Notice(ControlNotice::kSnapshotMade,
          "index=" + std::to_string(mApplied.Value()));
   RunConsensus(CompactEvent{ mApplied, State() });
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -153,6 +153,7 @@
   std::optional<EditResponse> ResponseWithoutLog(const EditRequest& aRequest,
                                                  std::uint64_t aDigest) const;
   void ProposeFor(CallId aCall, Command aCommand);
+  bool HasRoomFor(std::size_t aBytes) const;
   void Answer(CallId aCall, OperatorResponse aAnswer);
   InForceResponse InForce(Revision aRevision) const;
   void CompleteInForceRequests();
@@ -176,6 +177,8 @@
   StateMachine mMachine;
   LogIndex mApplied;
   LogIndex mCompactedAt;
+  /** Encoded bytes of the entries applied since mCompactedAt. */
+  std::size_t mAppliedBytes = 0;
   bool mWasLeader = false;
 
   EntrySessions mSessions;
--- a/src/control/ControlOperators.cpp
+++ b/src/control/ControlOperators.cpp
@@ -23,7 +23,7 @@
   }
   const std::size_t pending = mPendingCalls.size() + mPendingInForce.size();
   if (!anyReplica && pending >= mOptions.mMaxPending) {
-    Answer(aEvent.mCall, RefusedResponse{ "too many requests under way" });
+    Answer(aEvent.mCall, OverloadedResponse{ "too many requests under way" });
     return;
   }
   std::visit(
@@ -39,6 +39,10 @@
     Answer(aCall, *answer);
     return;
   }
+  if (!HasRoomFor(aRequest.mText.size())) {
+    Answer(aCall, OverloadedResponse{ "too many bytes under way" });
+    return;
+  }
   EditCommand command{ .mEdit = aRequest.mEdit,
                        .mBase = aRequest.mBase,
                        .mDelta = {},
@@ -79,6 +83,15 @@
   return std::nullopt;
 }
 
+// Proposals pile up in memory, on this replica's way to its disk and in the
+// log, while its disk or the followers are slow. Their number bounds nothing
+// where each may hold whole settings.
+bool
+ControlNodeState::HasRoomFor(std::size_t aBytes) const
+{
+  return mConsensus->PendingBytes() + aBytes <= mOptions.mMaxPendingBytes;
+}
+
 void
 ControlNodeState::ProposeFor(CallId aCall, Command aCommand)
 {
@@ -100,7 +113,9 @@
 ControlNodeState::HandleRequest(CallId aCall, const DocumentRequest& aRequest)
 {
   if (aRequest.mText.size() > mOptions.mMaxSettingsBytes) {
-    Answer(aCall, RefusedResponse{ "the document is larger than the bound" });
+    Answer(aCall,
+           TooLargeResponse{ .mBytes = aRequest.mText.size(),
+                             .mMost = mOptions.mMaxSettingsBytes });
     return;
   }
   const SettingsState& settings = State().mSettings;
@@ -112,6 +127,10 @@
                              .mRevision = settings.mRevision });
     return;
   }
+  if (!HasRoomFor(aRequest.mText.size())) {
+    Answer(aCall, OverloadedResponse{ "too many bytes under way" });
+    return;
+  }
   ProposeFor(aCall,
              DocumentCommand{ .mVersion = aRequest.mVersion,
                               .mText = PackText(aRequest.mText) });
--- /dev/null
+++ b/src/control/EncodedSize.cpp
@@ -0,0 +1,19 @@
+#include "control/EncodedSize.h"
+
+#include "peridotspool/wire/FieldCodec.h"
+
+namespace peridotspool::control {
+
+std::size_t
+EncodedSize(const LogEntry& aEntry)
+{
+  return wire::FieldsSize(aEntry);
+}
+
+std::size_t
+EncodedSize(const PersistEffect& aWrite)
+{
+  return wire::FieldsSize(aWrite);
+}
+
+} // namespace peridotspool::control
--- a/src/control/Pushes.cpp
+++ b/src/control/Pushes.cpp
@@ -23,13 +23,19 @@
                                     return aChange.mRevision == aHave.Next();
                                   });
   std::size_t bytes = 0;
-  for (auto change = first; change != aSettings.mHistory.end(); ++change) {
-    bytes += change->mDelta.mRemoved.size() + change->mDelta.mInserted.size();
-    push.mDeltas.push_back(change->mDelta);
+  bool retained = true;
+  for (auto change = first; change != aSettings.mHistory.end() && retained;
+       ++change) {
+    retained = change->mDelta.has_value();
+    if (retained) {
+      bytes += change->mDelta->mRemoved.size();
+      bytes += change->mDelta->mInserted.size();
+      push.mDeltas.push_back(*change->mDelta);
+    }
   }
   // An entry without settings has no text to apply a delta to.
-  const bool whole =
-    !aHave.IsSet() || push.mDeltas.empty() || bytes > aSettings.mText.size();
+  const bool whole = !aHave.IsSet() || !retained || push.mDeltas.empty() ||
+                     bytes > aSettings.mText.size();
   if (whole) {
     push.mBase = Revision();
     push.mDeltas.clear();
--- a/src/control/ReplicatedLog.cpp
+++ b/src/control/ReplicatedLog.cpp
@@ -1,5 +1,6 @@
 #include "peridotspool/control/ReplicatedLog.h"
 
+#include "control/EncodedSize.h"
 #include "peridotspool/base/Invariant.h"
 
 #include <algorithm>
@@ -15,13 +16,13 @@
 LogIndex
 ReplicatedLog::LastIndex() const
 {
-  return mEntries.empty() ? mBaseIndex : mEntries.back().mIndex;
+  return mEntries.empty() ? mBaseIndex : mEntries.back().mEntry.mIndex;
 }
 
 Term
 ReplicatedLog::LastTerm() const
 {
-  return mEntries.empty() ? mBaseTerm : mEntries.back().mTerm;
+  return mEntries.empty() ? mBaseTerm : mEntries.back().mEntry.mTerm;
 }
 
 std::optional<Term>
@@ -39,13 +40,48 @@
   return aIndex > mBaseIndex && aIndex <= LastIndex();
 }
 
-const LogEntry&
-ReplicatedLog::At(LogIndex aIndex) const
+const ReplicatedLog::SizedEntry&
+ReplicatedLog::SizedAt(LogIndex aIndex) const
 {
   PERIDOTSPOOL_INVARIANT(Holds(aIndex));
   return mEntries[aIndex.Value() - mBaseIndex.Value() - 1];
 }
 
+const LogEntry&
+ReplicatedLog::At(LogIndex aIndex) const
+{
+  return SizedAt(aIndex).mEntry;
+}
+
+std::size_t
+ReplicatedLog::BytesAfter(LogIndex aIndex) const
+{
+  std::size_t bytes = 0;
+  for (auto entry = mEntries.rbegin();
+       entry != mEntries.rend() && entry->mEntry.mIndex > aIndex;
+       ++entry) {
+    bytes += entry->mBytes;
+  }
+  return bytes;
+}
+
+LogIndex
+ReplicatedLog::BeforeLatest(LogIndex aIndex,
+                            std::size_t aMaxCount,
+                            std::size_t aMaxBytes) const
+{
+  LogIndex index = aIndex;
+  std::size_t bytes = 0;
+  for (std::size_t count = 0; count < aMaxCount && Holds(index); ++count) {
+    bytes += SizedAt(index).mBytes;
+    if (bytes > aMaxBytes) {
+      break;
+    }
+    index = LogIndex(index.Value() - 1);
+  }
+  return index;
+}
+
 std::vector<LogEntry>
 ReplicatedLog::Slice(LogIndex aFrom, std::size_t aMaxCount) const
 {
@@ -61,14 +97,17 @@
 ReplicatedLog::Append(LogEntry aEntry)
 {
   PERIDOTSPOOL_INVARIANT(aEntry.mIndex == LastIndex().Next());
-  mEntries.push_back(std::move(aEntry));
+  const std::size_t bytes = EncodedSize(aEntry);
+  mBytes += bytes;
+  mEntries.push_back({ .mEntry = std::move(aEntry), .mBytes = bytes });
 }
 
 void
 ReplicatedLog::CutFrom(LogIndex aIndex)
 {
   PERIDOTSPOOL_INVARIANT(aIndex > mBaseIndex);
-  while (!mEntries.empty() && mEntries.back().mIndex >= aIndex) {
+  while (!mEntries.empty() && mEntries.back().mEntry.mIndex >= aIndex) {
+    mBytes -= mEntries.back().mBytes;
     mEntries.pop_back();
   }
 }
@@ -78,7 +117,8 @@
 {
   mBaseTerm = At(aIndex).mTerm;
   mBaseIndex = aIndex;
-  while (!mEntries.empty() && mEntries.front().mIndex <= aIndex) {
+  while (!mEntries.empty() && mEntries.front().mEntry.mIndex <= aIndex) {
+    mBytes -= mEntries.front().mBytes;
     mEntries.pop_front();
   }
 }
--- a/src/control/StateMachineSettings.cpp
+++ b/src/control/StateMachineSettings.cpp
@@ -6,6 +6,22 @@
 
 namespace peridotspool::control {
 
+namespace {
+
+std::size_t
+SizeOf(const TextDelta& aDelta)
+{
+  return aDelta.mRemoved.size() + aDelta.mInserted.size();
+}
+
+std::size_t
+BytesOf(const SettingsChange& aChange)
+{
+  return aChange.mDelta ? SizeOf(*aChange.mDelta) : 0;
+}
+
+} // namespace
+
 ApplyResult
 StateMachine::ApplyCommand(const EditCommand& aCommand)
 {
@@ -47,7 +63,12 @@
 StateMachine::ReplaceText(std::string aText, EditId aEdit, std::string aAuthor)
 {
   SettingsState& settings = mState.mSettings;
-  TextDelta delta = MakeDelta(settings.mText, aText);
+  std::optional<TextDelta> delta = MakeDelta(settings.mText, aText);
+  // Almost all of a packed text changes with each document. Its delta would be
+  // larger than the text and take part in every snapshot.
+  if (SizeOf(*delta) > mOptions.mMaxHistoryBytes) {
+    delta.reset();
+  }
   settings.mText = std::move(aText);
   settings.mRevision = settings.mRevision.Next();
   mSettingsDigest = DigestOf(settings.mText);
@@ -147,7 +168,7 @@
   std::vector<SettingsChange>& history = mState.mSettings.mHistory;
   std::size_t bytes = 0;
   for (const SettingsChange& change : history) {
-    bytes += change.mDelta.mRemoved.size() + change.mDelta.mInserted.size();
+    bytes += BytesOf(change);
   }
   auto keepFrom = history.begin();
   const std::size_t most = mOptions.mMaxHistory;
@@ -156,13 +177,12 @@
       std::min(history.size() - most + most / 4, history.size() - 1));
   }
   std::for_each(history.begin(), keepFrom, [&](const auto& aChange) {
-    bytes -= aChange.mDelta.mRemoved.size() + aChange.mDelta.mInserted.size();
+    bytes -= BytesOf(aChange);
   });
   // The latest change is always retained: it identifies the winner of a
   // conflict.
   while (bytes > mOptions.mMaxHistoryBytes && keepFrom + 1 != history.end()) {
-    bytes -= keepFrom->mDelta.mRemoved.size();
-    bytes -= keepFrom->mDelta.mInserted.size();
+    bytes -= BytesOf(*keepFrom);
     ++keepFrom;
   }
   history.erase(history.begin(), keepFrom);
@@ -175,8 +195,9 @@
   std::optional<std::string> text = settings.mText;
   Revision at = settings.mRevision;
   auto change = settings.mHistory.rbegin();
-  while (at > aRevision && text && change != settings.mHistory.rend()) {
-    text = ApplyDelta(*text, Inverse(change->mDelta), aReason);
+  while (at > aRevision && text && change != settings.mHistory.rend() &&
+         change->mDelta) {
+    text = ApplyDelta(*text, Inverse(*change->mDelta), aReason);
     at = Revision(at.Value() - 1);
     ++change;
   }
--- a/src/gateway/RouteTable.cpp
+++ b/src/gateway/RouteTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace peridotspool::gateway {
@@ -92,17 +93,34 @@
 RouteTable::IndexCustomers(LastReason& aReason)
 {
   for (std::size_t i = 0; i < mSource.mCustomers.size(); ++i) {
-    for (const std::string& key : mSource.mCustomers[i].mKeys) {
-      const auto [place, added] = mCustomerByKey.emplace(key, i);
-      if (!added && place->second != i) {
-        aReason.Set("customers " +
-                    mSource.mCustomers[place->second].mName.Value() + " and " +
-                    mSource.mCustomers[i].mName.Value() + " share a key");
-        return false;
-      }
+    for (std::size_t key = 0; key < mSource.mCustomers[i].mKeys.size(); ++key) {
+      mKeys.push_back({ .mCustomer = i, .mKey = key });
     }
   }
-  return true;
+  std::sort(mKeys.begin(), mKeys.end(), [&](auto& aLeft, auto& aRight) {
+    return std::tie(KeyAt(aLeft), aLeft.mCustomer) <
+           std::tie(KeyAt(aRight), aRight.mCustomer);
+  });
+  const auto shared = std::adjacent_find(
+    mKeys.begin(), mKeys.end(), [&](auto& aLeft, auto& aRight) {
+      return aLeft.mCustomer != aRight.mCustomer &&
+             KeyAt(aLeft) == KeyAt(aRight);
+    });
+  if (shared == mKeys.end()) {
+    return true;
+  }
+  const auto name = [&](const KeyPlace& aPlace) {
+    return mSource.mCustomers[aPlace.mCustomer].mName.Value();
+  };
+  aReason.Set("customers " + name(*shared) + " and " + name(*(shared + 1)) +
+              " share a key");
+  return false;
+}
+
+const std::string&
+RouteTable::KeyAt(const KeyPlace& aPlace) const
+{
+  return mSource.mCustomers[aPlace.mCustomer].mKeys[aPlace.mKey];
 }
 
 const Route*
@@ -122,9 +140,13 @@
 const Customer*
 RouteTable::CustomerOf(std::string_view aKey) const
 {
-  const auto found = mCustomerByKey.find(std::string(aKey));
-  return found == mCustomerByKey.end() ? nullptr
-                                       : &mSource.mCustomers[found->second];
+  const auto found = std::lower_bound(
+    mKeys.begin(), mKeys.end(), aKey, [&](auto& aPlace, auto aWanted) {
+      return KeyAt(aPlace) < aWanted;
+    });
+  return found == mKeys.end() || KeyAt(*found) != aKey
+           ? nullptr
+           : &mSource.mCustomers[found->mCustomer];
 }
 
 const ServiceProfile*
--- a/src/http/OperatorApi.cpp
+++ b/src/http/OperatorApi.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view kQuarantinePath = "/v1/quarantine";
 constexpr std::uint32_t kStatusBadRequest = 400;
 constexpr std::uint32_t kStatusConflict = 409;
+constexpr std::uint32_t kStatusTooLarge = 413;
 constexpr std::uint32_t kStatusMisdirected = 421;
 constexpr std::uint32_t kStatusUnprocessable = 422;
 constexpr std::uint32_t kStatusUnavailable = 503;
@@ -320,6 +321,26 @@
   return MakeErrorResponse(kStatusUnprocessable, "refused", aAnswer.mReason);
 }
 
+HttpResponse
+Write(const control::OverloadedResponse& aAnswer)
+{
+  HttpResponse response =
+    JsonAnswer({ { "reason", "overloaded" }, { "message", aAnswer.mReason } },
+               kStatusUnavailable);
+  response.mHeaders["retry-after"] = "1";
+  return response;
+}
+
+HttpResponse
+Write(const control::TooLargeResponse& aAnswer)
+{
+  return MakeErrorResponse(kStatusTooLarge,
+                           "too_large",
+                           "the settings have " +
+                             std::to_string(aAnswer.mBytes) + " bytes; " +
+                             std::to_string(aAnswer.mMost) + " are the most");
+}
+
 HttpResponse
 WriteElsewhere(const char* aReason,
                std::uint32_t aStatus,
--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -49,6 +49,21 @@
   return numbers;
 }
 
+// A process that ended while it wrote a file left a part of it, which may be as
+// large as a journal and would take its room from the next one.
+void
+RemoveUnfinished(const std::string& aFolder)
+{
+  std::error_code error;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(aFolder, error)) {
+    if (entry.path().extension() == kUnfinishedSuffix) {
+      std::error_code ignored;
+      std::filesystem::remove(entry.path(), ignored);
+    }
+  }
+}
+
 std::optional<int>
 TakeLock(const std::string& aFolder, LastReason& aReason)
 {
@@ -149,6 +164,7 @@
   if (!lock) {
     return std::nullopt;
   }
+  RemoveUnfinished(aPath);
   DataFolder folder(std::move(aPath), *lock, std::move(aSync));
   if (!ReadIdentities(folder.mPath, aContents, aReason) ||
       !folder.OpenNewestJournal(aContents, aReason)) {
--- a/src/storage/FileCalls.cpp
+++ b/src/storage/FileCalls.cpp
@@ -95,7 +95,7 @@
 {
   constexpr mode_t kOwnerOnly = 0600;
   const std::string path = aFolder + "/" + aName;
-  const std::string temporary = path + ".new";
+  const std::string temporary = path + kUnfinishedSuffix;
   const int descriptor = ::open(
     temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kOwnerOnly);
   if (descriptor < 0) {
--- a/src/storage/FileCalls.h
+++ b/src/storage/FileCalls.h
@@ -9,6 +9,9 @@
 
 namespace peridotspool::storage {
 
+/** Ends the name of a file that is still being written. */
+inline constexpr const char* kUnfinishedSuffix = ".new";
+
 /** How a write ended that leaves nothing behind where it fails for space. */
 enum class WriteOutcome
 {
--- a/test/control/DifferentialTest.cpp
+++ b/test/control/DifferentialTest.cpp
@@ -252,7 +252,8 @@
   std::string text;
   for (std::size_t at = 0; at < list.size(); ++at) {
     LastReason reason;
-    text = ApplyDelta(text, list[at].mDelta, reason).value_or("no text");
+    text =
+      ApplyDelta(text, list[at].mDelta.value(), reason).value_or("no text");
     const auto sent =
       std::find_if(mEdits.begin(), mEdits.end(), [&](const SentEdit& aEdit) {
         return aEdit.mRequest.mEdit == list[at].mEdit;
--- a/test/control/SettingsPromiseTest.cpp
+++ b/test/control/SettingsPromiseTest.cpp
@@ -218,8 +218,8 @@
     cluster.RequestFromLeader(HistoryRequest{ .mLimit = 2 }));
   REQUIRE(history.mChanges.size() == 2);
   CHECK(history.mChanges[0].mEdit == EditId("edit-3"));
-  CHECK(history.mChanges[1].mDelta.mRemoved == "changed: 1\n");
-  CHECK(history.mChanges[1].mDelta.mInserted == "changed: 2\n");
+  CHECK(history.mChanges[1].mDelta.value().mRemoved == "changed: 1\n");
+  CHECK(history.mChanges[1].mDelta.value().mInserted == "changed: 2\n");
 }
 
 } // namespace peridotspool::control
--- a/test/control/StateMachineTest.cpp
+++ b/test/control/StateMachineTest.cpp
@@ -1,5 +1,6 @@
 // ctest-labels: promise-config
 #include "peridotspool/control/StateMachine.h"
+#include "control/Pushes.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -136,6 +137,29 @@
   CHECK(state.mMembership.mOldest.mEpoch == EpochNumber(192));
 }
 
+// Guards against a snapshot that holds large settings three times: once as they
+// are, and as the removed and the inserted part of their last change.
+TEST_CASE("DeltasOfLargeDocumentsAreNotRetained")
+{
+  StateMachine machine(StateMachineOptions{ .mMaxHistoryBytes = 1000 }, {});
+  for (std::uint64_t version = 1; version <= 3; ++version) {
+    machine.Apply(DocumentCommand{
+      .mVersion = version,
+      .mText = std::string(800, static_cast<char>('a' + version)) });
+  }
+  const SettingsState& settings = machine.State().mSettings;
+  REQUIRE_FALSE(settings.mHistory.empty());
+  CHECK(settings.mHistory.back().mRevision == Revision(3));
+  CHECK_FALSE(settings.mHistory.back().mDelta.has_value());
+  LastReason reason;
+  CHECK(machine.TextAt(Revision(3), reason) == settings.mText);
+  CHECK_FALSE(machine.TextAt(Revision(2), reason).has_value());
+  const membership::SettingsPush push =
+    MakeSettingsPush(settings, machine.SettingsDigest(), Revision(2));
+  CHECK(push.mDeltas.empty());
+  CHECK(push.mWhole == settings.mText);
+}
+
 TEST_CASE("RetainedEpochsLeadFromTheOldestToTheCurrentOne")
 {
   rc::prop("any joins, drains and removals", [] {
--- a/test/platform/ControlCallsTest.cpp
+++ b/test/platform/ControlCallsTest.cpp
@@ -132,6 +132,19 @@
         503);
 }
 
+// Guards against an operator that sends settings again and again that no
+// replica will take.
+TEST_CASE("TooLargeSettingsEndAnOperatorsCall")
+{
+  const auto answer = ControlCalls(1).mWriteAnswer(
+    control::TooLargeResponse{ .mBytes = 5000000, .mMost = 4194304 }, "");
+  CHECK(answer.mStatus == 413);
+  const auto busy =
+    ControlCalls(1).mWriteAnswer(control::OverloadedResponse{ "busy" }, "");
+  CHECK(busy.mStatus == 503);
+  CHECK(busy.mHeaders.at("retry-after") == "1");
+}
+
 TEST_CASE("CallersAreGivenEntriesOfTheirOwnDomainWhereThereAreEnough")
 {
   const std::vector<membership::EntryProfile> entries{ Entry("a", 1),
--- a/test/storage/ControlStoreTest.cpp
+++ b/test/storage/ControlStoreTest.cpp
@@ -173,6 +173,7 @@
   const std::string old = folder.Path() + "/journal-1";
   std::filesystem::copy_file(old, folder.Path() + "/journal-2.new");
   CHECK(Reopen(folder.Path()) == First());
+  CHECK_FALSE(std::filesystem::exists(folder.Path() + "/journal-2.new"));
   std::filesystem::copy_file(old, folder.Path() + "/journal-2");
   CHECK(Reopen(folder.Path()) == First());
   CHECK_FALSE(std::filesystem::exists(old));
