Bound messages between control replicas in bytes

Under settings of 1.9 MB a replica that lost its disk never came back into the group, and the next lost disk lost all that was acknowledged.

Ruled out: full queues to the peer, which would end by themselves.

Change: entries are sent in messages of 1 MiB, or of one entry.

A message that can never be sent has a counter of its own. The size of each message is now independent of how much a replica lacks, so it always fits.

--- a/include/peridotspool/control/ConsensusOptions.h
+++ b/include/peridotspool/control/ConsensusOptions.h
@@ -29,6 +29,9 @@
    */
   double mClockRateBound = 0.01;
   std::size_t mMaxEntriesPerAppend = 256;
+  /** Encoded bytes of the entries in one message; a single one may be larger.
+   */
+  std::size_t mMaxBytesPerAppend = 1U << 20;
   /** An unacknowledged snapshot is sent again after this time. */
   Duration mSnapshotResend = std::chrono::seconds(2);
   /** Entries retained behind a snapshot, for followers that lag slightly. */
--- a/include/peridotspool/control/ReplicatedLog.h
+++ b/include/peridotspool/control/ReplicatedLog.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -25,8 +26,14 @@
   std::optional<Term> TermAt(LogIndex aIndex) const;
   bool Holds(LogIndex aIndex) const;
   const LogEntry& At(LogIndex aIndex) const;
-  /** Returns up to aMaxCount entries starting at aFrom. */
-  std::vector<LogEntry> Slice(LogIndex aFrom, std::size_t aMaxCount) const;
+  /**
+   * Returns up to aMaxCount entries starting at aFrom. Further ones are left
+   * out once they have more than aMaxBytes encoded bytes together.
+   */
+  std::vector<LogEntry> Slice(
+    LogIndex aFrom,
+    std::size_t aMaxCount,
+    std::size_t aMaxBytes = std::numeric_limits<std::size_t>::max()) const;
   std::size_t Size() const { return mEntries.size(); }
   /** Encoded bytes of the retained entries. */
   std::size_t Bytes() const { return mBytes; }
--- a/include/peridotspool/control/ReplyRouter.h
+++ b/include/peridotspool/control/ReplyRouter.h
@@ -33,6 +33,8 @@
 public:
   /** Entries that are remembered; beyond it all are learnt anew. */
   static constexpr std::size_t kMaxEntries = 8192;
+  /** Encoded bytes of the messages in one batch; a single one may be larger. */
+  static constexpr std::size_t kMaxBatchBytes = 4U << 20;
 
   /** Records that the entry's last message came through a relay. */
   void RecordRelayed(const Address& aEntry, const Address& aRelay);
@@ -44,7 +46,7 @@
    * false if it is to be sent to the entry itself.
    */
   bool Queue(const RelayTarget& aTarget, const RelayReplyPayload& aPayload);
-  /** Returns the queued messages. */
+  /** Returns the queued messages; those for one relay in their order. */
   std::vector<ReplyBatch> TakeAll();
 
 private:
@@ -54,9 +56,11 @@
     RelayedReplies mReplies;
     /** The position of the latest message of each kind. */
     std::map<ReplyKind, std::size_t> mLatest;
+    std::size_t mBytes = 0;
   };
 
   std::map<Address, RelayQueue> mQueued;
+  std::vector<ReplyBatch> mFull;
 };
 
 } // namespace peridotspool::control
--- a/include/peridotspool/settings/ProcessBounds.h
+++ b/include/peridotspool/settings/ProcessBounds.h
@@ -13,7 +13,7 @@
   /** Bytes of one HTTP header. */
   std::uint64_t mHeaderBytes = 16 << 10;
   /** Bytes of one message between our processes. */
-  std::uint64_t mFrameBytes = 4 << 20;
+  std::uint64_t mFrameBytes = 16 << 20;
   /** Open connections from callers. */
   std::uint64_t mConnections = 4096;
   /** Slots of each ring between two threads. */
--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -52,6 +52,8 @@
   std::uint64_t mBytesSent = 0;
   std::uint64_t mBytesReceived = 0;
   std::uint64_t mFramesDropped = 0;
+  /** Of the dropped ones: larger than a frame may be. */
+  std::uint64_t mFramesOversized = 0;
   std::uint64_t mHandshakesRefused = 0;
   std::uint64_t mConnectionsSilent = 0;
   std::uint64_t mConnectionsOpened = 0;
--- a/src/control/ConsensusLeader.cpp
+++ b/src/control/ConsensusLeader.cpp
@@ -59,8 +59,9 @@
                          .mEntries = {},
                          .mCommit = mCommit };
   if (!aProgress.mAwaiting) {
-    request.mEntries =
-      mLog.Slice(aProgress.mNext, mOptions.mMaxEntriesPerAppend);
+    request.mEntries = mLog.Slice(aProgress.mNext,
+                                  mOptions.mMaxEntriesPerAppend,
+                                  mOptions.mMaxBytesPerAppend);
   }
   if (!request.mEntries.empty()) {
     aProgress.mAwaiting = true;
--- a/src/control/EncodedSize.cpp
+++ b/src/control/EncodedSize.cpp
@@ -10,6 +10,12 @@
   return wire::FieldsSize(aEntry);
 }
 
+std::size_t
+EncodedSize(const RelayReplyPayload& aPayload)
+{
+  return wire::FieldsSize(aPayload);
+}
+
 std::size_t
 EncodedSize(const PersistEffect& aWrite)
 {
--- a/src/control/EncodedSize.h
+++ b/src/control/EncodedSize.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/control/LogEntry.h"
 #include "peridotspool/control/PersistEffect.h"
+#include "peridotspool/control/RelayMessage.h"
 
 #include <cstddef>
 
@@ -11,6 +12,10 @@
 std::size_t
 EncodedSize(const LogEntry& aEntry);
 
+/** Bytes of a reply in a message to a relay. */
+std::size_t
+EncodedSize(const RelayReplyPayload& aPayload);
+
 /** Bytes of a write on disk. */
 std::size_t
 EncodedSize(const PersistEffect& aWrite);
--- a/src/control/ReplicatedLog.cpp
+++ b/src/control/ReplicatedLog.cpp
@@ -83,12 +83,20 @@
 }
 
 std::vector<LogEntry>
-ReplicatedLog::Slice(LogIndex aFrom, std::size_t aMaxCount) const
+ReplicatedLog::Slice(LogIndex aFrom,
+                     std::size_t aMaxCount,
+                     std::size_t aMaxBytes) const
 {
   std::vector<LogEntry> entries;
+  std::size_t bytes = 0;
   for (LogIndex index = aFrom; Holds(index) && entries.size() < aMaxCount;
        index = index.Next()) {
-    entries.push_back(At(index));
+    const SizedEntry& entry = SizedAt(index);
+    bytes += entry.mBytes;
+    if (bytes > aMaxBytes && !entries.empty()) {
+      break;
+    }
+    entries.push_back(entry.mEntry);
   }
   return entries;
 }
--- a/src/control/ReplyRouter.cpp
+++ b/src/control/ReplyRouter.cpp
@@ -1,5 +1,7 @@
 #include "peridotspool/control/ReplyRouter.h"
 
+#include "control/EncodedSize.h"
+
 #include <utility>
 
 namespace peridotspool::control {
@@ -43,13 +45,20 @@
   }
   RelayQueue& queue = mQueued[relay->second];
   auto& replies = queue.mReplies.mReplies;
-  const auto [latest, isFirst] =
-    queue.mLatest.try_emplace(KindOf(aPayload), replies.size());
-  if (!isFirst && replies[latest->second].mPayload == aPayload) {
+  const auto latest = queue.mLatest.find(KindOf(aPayload));
+  if (latest != queue.mLatest.end() &&
+      replies[latest->second].mPayload == aPayload) {
     replies[latest->second].mTargets.push_back(aTarget);
     return true;
   }
-  latest->second = replies.size();
+  const std::size_t bytes = EncodedSize(aPayload);
+  if (!replies.empty() && queue.mBytes + bytes > kMaxBatchBytes) {
+    mFull.push_back(
+      { .mRelay = relay->second, .mReplies = std::move(queue.mReplies) });
+    queue = RelayQueue{};
+  }
+  queue.mLatest[KindOf(aPayload)] = replies.size();
+  queue.mBytes += bytes;
   replies.push_back({ .mTargets = { aTarget }, .mPayload = aPayload });
   return true;
 }
@@ -57,7 +66,7 @@
 std::vector<ReplyBatch>
 ReplyRouter::TakeAll()
 {
-  std::vector<ReplyBatch> batches;
+  std::vector<ReplyBatch> batches = std::exchange(mFull, {});
   for (auto& [relay, queue] : std::exchange(mQueued, {})) {
     batches.push_back(
       { .mRelay = relay, .mReplies = std::move(queue.mReplies) });
--- a/src/runtime/ControlHostOptions.cpp
+++ b/src/runtime/ControlHostOptions.cpp
@@ -5,6 +5,7 @@
 #include "peridotspool/settings/SettingsTree.h"
 #include "runtime/HostParts.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -19,6 +20,17 @@
 constexpr std::size_t kSnapshotEvery = 64;
 constexpr std::size_t kKeepBehindSnapshot = 32;
 
+// An edit may hold the settings twice, as what is removed and what is inserted;
+// a snapshot holds them with the history and all other state. Neither may be
+// larger than a message: no replica would ever get it.
+std::size_t
+MaxSettingsBytes(const settings::ProcessBounds& aBounds)
+{
+  constexpr std::size_t kSettingsPerFrame = 4;
+  return std::min<std::size_t>(control::ControlOptions{}.mMaxSettingsBytes,
+                               aBounds.mFrameBytes / kSettingsPerFrame);
+}
+
 std::optional<std::string>
 CheckTree(const std::string& aText)
 {
@@ -78,6 +90,7 @@
   // An even number of voters survives no more losses than one fewer.
   const std::size_t replicas = aSettings.mControlReplicas.size();
   options.mVoters = replicas % 2 == 1 ? replicas : replicas - 1;
+  options.mMaxSettingsBytes = MaxSettingsBytes(aSettings.mBounds);
   return options;
 }
 
@@ -99,6 +112,7 @@
   }
   options.mConsensus.mRandomSeed = RandomNumber();
   options.mVoters = 2 * aSettings.mToleratedLosses + 1;
+  options.mMaxSettingsBytes = MaxSettingsBytes(aSettings.mBounds);
   options.mVolatile = aSettings.mDataFolder.empty();
   options.mMaxLearners = kStandbys;
   options.mSnapshotEvery = kSnapshotEvery;
--- a/src/runtime/HostParts.cpp
+++ b/src/runtime/HostParts.cpp
@@ -44,6 +44,7 @@
   aCounters.Set(CounterId::kPeerBytesSent, peers.mBytesSent);
   aCounters.Set(CounterId::kPeerBytesReceived, peers.mBytesReceived);
   aCounters.Set(CounterId::kPeerMessagesDropped, peers.mFramesDropped);
+  aCounters.Set(CounterId::kPeerMessagesOversized, peers.mFramesOversized);
   aCounters.Set(CounterId::kPeerAuthFailed, peers.mHandshakesRefused);
   aCounters.Set(CounterId::kLogLinesDropped, aLogger.Dropped());
 }
--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -40,6 +40,7 @@
   std::atomic<std::uint64_t> mBytesSent{ 0 };
   std::atomic<std::uint64_t> mBytesReceived{ 0 };
   std::atomic<std::uint64_t> mFramesDropped{ 0 };
+  std::atomic<std::uint64_t> mFramesOversized{ 0 };
   std::atomic<std::uint64_t> mHandshakesRefused{ 0 };
   std::atomic<std::uint64_t> mConnectionsSilent{ 0 };
   std::atomic<std::uint64_t> mConnectionsOpened{ 0 };
@@ -113,6 +114,7 @@
       .mBytesSent = mCounts.mBytesSent,
       .mBytesReceived = mCounts.mBytesReceived,
       .mFramesDropped = mCounts.mFramesDropped,
+      .mFramesOversized = mCounts.mFramesOversized,
       .mHandshakesRefused = mCounts.mHandshakesRefused,
       .mConnectionsSilent = mCounts.mConnectionsSilent,
       .mConnectionsOpened = mCounts.mConnectionsOpened,
@@ -263,9 +265,14 @@
 
   void SendHere(const Address& aPeer, std::string aFrame)
   {
+    if (aFrame.size() > mOptions.mMaxFrameBytes) {
+      ++mCounts.mFramesOversized;
+      ++mCounts.mFramesDropped;
+      return;
+    }
     ConnectionPointer connection = ConnectionTo(aPeer);
     if (!connection || connection->QueuedBytes() > mOptions.mMaxQueuedBytes ||
-        aFrame.size() > mOptions.mMaxFrameBytes || !HasRoom(aFrame.size())) {
+        !HasRoom(aFrame.size())) {
       ++mCounts.mFramesDropped;
       return;
     }
--- a/test/control/ControlCluster.cpp
+++ b/test/control/ControlCluster.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlCluster.h"
 
 #include "peridotspool/base/Overloaded.h"
+#include "peridotspool/wire/Codec.h"
 
 #include <algorithm>
 
@@ -260,6 +261,8 @@
   const std::string from = aProcess.mName;
   const auto toReplica = [&](const ToReplicaEffect& aSend) {
     const std::string to = NameAt(aSend.mTo);
+    mLargestMessage =
+      std::max(mLargestMessage, wire::FieldsSize(aSend.mEnvelope));
     Deliver(from, to, [this, to, envelope = aSend.mEnvelope] {
       StepNode(mProcesses[to], FromReplicaEvent{ envelope });
     });
--- a/test/control/ControlCluster.h
+++ b/test/control/ControlCluster.h
@@ -132,6 +132,9 @@
   const std::vector<NoticeEffect>& Notices() const { return mNotices; }
   /** The number of messages that entries have sent through each relay. */
   const std::map<std::string, int>& Relayed() const { return mRelayed; }
+  /** Encoded bytes of the largest message that a replica has sent to another.
+   */
+  std::size_t LargestMessage() const { return mLargestMessage; }
   /** Violations found by the checks that run after every step. */
   const std::vector<std::string>& Problems() const { return mProblems; }
 
@@ -187,6 +190,7 @@
   std::map<CallId, OperatorResponse> mAnswers;
   std::vector<NoticeEffect> mNotices;
   std::map<std::string, int> mRelayed;
+  std::size_t mLargestMessage = 0;
   std::vector<std::string> mProblems;
   std::map<Revision, std::string> mTexts;
   std::map<Revision, TimePoint> mCommittedAt;
--- a/test/control/LargeSettingsTest.cpp
+++ b/test/control/LargeSettingsTest.cpp
@@ -55,6 +55,21 @@
   return wire::FieldsSize(aCluster.Process(aName).mDisk);
 }
 
+/** Returns true iff the group has the replica's new identity in place of the
+ * one that was lost. */
+bool
+HasRejoined(ControlCluster& aCluster, const std::string& aName)
+{
+  const std::string leader = aCluster.Leader();
+  if (leader.empty()) {
+    return false;
+  }
+  const ReplicaSet& set = aCluster.Process(leader).mNode->Replicas();
+  const ReplicaId self = aCluster.Process(aName).mNode->Self();
+  return set.mReplicas.size() == std::size(kAll) && set.VoterCount() == 3 &&
+         self.IsSet() && set.Find(self) != nullptr;
+}
+
 void
 StartFour(ControlCluster& aCluster)
 {
@@ -87,6 +102,38 @@
   CHECK(cluster.Problems().empty());
 }
 
+// Guards against a replica that never comes back after it lost its disk,
+// because the log that it lacks is sent in one message, which is too large to
+// be sent.
+TEST_CASE("ReplicaThatBeginsAnewGetsALongLogInBoundedMessages")
+{
+  const std::size_t bytes = GENERATE(std::size_t{ 1200000 }, kLargest);
+  const std::uint64_t changes = GENERATE(2, 7, 36);
+  CAPTURE(bytes, changes);
+  ControlCluster cluster;
+  StartFour(cluster);
+  for (std::uint64_t version = 1; version <= changes; ++version) {
+    REQUIRE(Send(cluster, version, bytes));
+  }
+  for (const char* name : { "control-1", "control-2" }) {
+    CAPTURE(name);
+    cluster.LoseDisk(name);
+    cluster.Restart(name);
+    CHECK(cluster.RunUntil(
+      [&] {
+        return HasRejoined(cluster, name) &&
+               cluster.Process(name).mNode->State().mSettings.mDocument ==
+                 changes;
+      },
+      std::chrono::seconds(4)));
+  }
+  const OperatorResponse newest = cluster.RequestFromLeader(SettingsRequest{});
+  CHECK(std::get<SettingsResponse>(newest).mText == Text(bytes, changes));
+  // One entry or snapshot with whole settings, and little beside them.
+  CHECK(cluster.LargestMessage() <= kLargest + 2 * kMebibyte);
+  CHECK(cluster.Problems().empty());
+}
+
 // Guards against settings that are acknowledged though a replica can't hold
 // them.
 TEST_CASE("SettingsLargerThanTheBoundAreRefusedAndChangeNothing")
--- a/test/control/ReplyRouterTest.cpp
+++ b/test/control/ReplyRouterTest.cpp
@@ -1,6 +1,7 @@
 // ctest-labels: unit
 #include "peridotspool/control/ReplyRouter.h"
 #include "peridotspool/control/RelayBatcher.h"
+#include "peridotspool/wire/Codec.h"
 
 #include <catch2/catch.hpp>
 
@@ -83,6 +84,32 @@
         RelayReplyPayload(Epoch(5)));
 }
 
+// Guards against replies that never arrive because those for all entries behind
+// a relay are sent in one message, which is too large to be sent.
+TEST_CASE("LargeRepliesToOneRelayAreSentInSeveralBatches")
+{
+  ReplyRouter router;
+  for (int number = 1; number <= 12; ++number) {
+    router.RecordRelayed(Entry(number), kRelay);
+    membership::SettingsPush push;
+    push.mRevision = Revision(static_cast<std::uint64_t>(number));
+    push.mWhole = std::string(ReplyRouter::kMaxBatchBytes / 4, 'x');
+    router.Queue(Target(number), membership::ToEntryMessage(push));
+  }
+  int next = 1;
+  for (const ReplyBatch& batch : router.TakeAll()) {
+    CHECK(batch.mRelay == kRelay);
+    CHECK(wire::FieldsSize(batch.mReplies) <=
+          ReplyRouter::kMaxBatchBytes + 4096);
+    for (const RelayedReply& reply : batch.mReplies.mReplies) {
+      REQUIRE(reply.mTargets.size() == 1);
+      CHECK(reply.mTargets[0].mAddress == Entry(next));
+      ++next;
+    }
+  }
+  CHECK(next == 13);
+}
+
 // Guards against replies to a relay that no longer forwards for the entry.
 TEST_CASE("ReplyTakesThePathOnWhichTheEntryWasLastHeard")
 {
