Tell version 0 from no document

A first document with version 0 was acknowledged with 200 and never in force.

Cause: the newest version was kept as a number that is 0 while there is none, so version 0 wasn't newer, and the leader acknowledged it as overtaken.

Change: the version is optional in the replicated state. A document is compared only with one that exists, so each number is a version.

Measured: test_control passes (78 cases).

--- a/include/peridotspool/control/SettingsState.h
+++ b/include/peridotspool/control/SettingsState.h
@@ -49,9 +49,10 @@
   /** The ids of mEdits, oldest first; bounded. */
   std::vector<EditId> mEditOrder;
   /**
-   * The version that the operator assigned to mText; 0 when edits produced it.
+   * The version that the operator assigned to mText; empty when edits produced
+   * it. Each number is a version, 0 among them.
    */
-  std::uint64_t mDocument = 0;
+  std::optional<std::uint64_t> mDocument;
 
   auto operator<=>(const SettingsState&) const = default;
 };
--- a/src/control/ControlOperators.cpp
+++ b/src/control/ControlOperators.cpp
@@ -121,9 +121,9 @@
   const SettingsState& settings = State().mSettings;
   // Applied entries are committed, and the lease guarantees that nothing newer
   // is.
-  if (aRequest.mVersion <= settings.mDocument) {
+  if (settings.mDocument && aRequest.mVersion <= *settings.mDocument) {
     Answer(aCall,
-           DocumentResponse{ .mNewest = settings.mDocument,
+           DocumentResponse{ .mNewest = *settings.mDocument,
                              .mRevision = settings.mRevision });
     return;
   }
--- a/src/control/StateMachineSettings.cpp
+++ b/src/control/StateMachineSettings.cpp
@@ -87,13 +87,13 @@
 StateMachine::ApplyCommand(const DocumentCommand& aCommand)
 {
   SettingsState& settings = mState.mSettings;
-  if (aCommand.mVersion > settings.mDocument) {
+  if (!settings.mDocument || aCommand.mVersion > *settings.mDocument) {
     settings.mDocument = aCommand.mVersion;
     ReplaceText(aCommand.mText,
                 EditId("document-" + std::to_string(aCommand.mVersion)),
                 "operator");
   }
-  return DocumentApplied{ settings.mDocument };
+  return DocumentApplied{ *settings.mDocument };
 }
 
 EditResponse
--- a/test/control/SeededGroupTest.cpp
+++ b/test/control/SeededGroupTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <string>
 #include <vector>
@@ -125,6 +126,38 @@
   CHECK(cluster.Problems().empty());
 }
 
+// Guards against a first document that is acknowledged and dropped: version 0
+// is a version, and not the same as no document.
+TEST_CASE("FirstDocumentMayHaveVersionZero")
+{
+  ControlCluster cluster;
+  StartFour(cluster);
+  const OperatorResponse answer = cluster.RequestFromLeader(
+    DocumentRequest{ .mVersion = 0, .mText = "document 0" });
+  REQUIRE(std::holds_alternative<DocumentResponse>(answer));
+  CHECK(Newest(cluster) == "document 0");
+  CHECK(Send(cluster, 0) == 0);
+  REQUIRE(cluster.RestartControls());
+  CHECK(Newest(cluster) == "document 0");
+  CHECK(Send(cluster, 1) == 1);
+  CHECK(Newest(cluster) == "document 1");
+  CHECK(Send(cluster, 0) == 1);
+  CHECK(Newest(cluster) == "document 1");
+}
+
+TEST_CASE("DocumentsOfNeighbouringVersionsAreToldApartAtEachSize")
+{
+  ControlCluster cluster;
+  StartFour(cluster);
+  const std::uint64_t large = std::numeric_limits<std::uint64_t>::max();
+  for (const std::uint64_t version :
+       { (std::uint64_t{ 1 } << 53), (std::uint64_t{ 1 } << 53) + 1, large }) {
+    CAPTURE(version);
+    CHECK(Send(cluster, version) == version);
+    CHECK(Newest(cluster) == "document " + std::to_string(version));
+  }
+}
+
 // Guards against a group without a majority after the second replacement.
 // Replicas are removed permanently and others start at new addresses. The fault
 // occurs if replicas that are gone still count.
