--- a/test/platform/ConfigDocumentTest.cpp
+++ b/test/platform/ConfigDocumentTest.cpp
@@ -66,6 +66,39 @@
   CHECK(table->Limits().mBodyBytes == 2000);
 }
 
+// Guards against a document that is acknowledged and dropped because its
+// version was rounded to the one before.
+TEST_CASE("VersionsAreReadExactlyOrNotAtAll")
+{
+  const auto version = [](const std::string& aText) {
+    std::string document = kGood;
+    document.replace(document.find(":7,") + 1, 1, aText);
+    LastReason reason;
+    const auto table = ReadConfig(document, reason);
+    return table ? std::to_string(table->Version()) : reason.Text();
+  };
+  for (const char* text : { "0",
+                            "9007199254740992",
+                            "9007199254740993",
+                            "9223372036854775807",
+                            "9223372036854775808",
+                            "18446744073709551615" }) {
+    CHECK(version(text) == text);
+  }
+  CHECK(version("1e3") == "1000");
+  CHECK(version("7.0") == "7");
+  for (const char* text : { "-1",
+                            "7.5",
+                            "18446744073709551616",
+                            "9007199254740993.0",
+                            "1e300",
+                            "\"7\"",
+                            "null" }) {
+    CAPTURE(text);
+    CHECK(version(text).starts_with("version: "));
+  }
+}
+
 TEST_CASE("ReadConfigRefusesEachKindOfInvalidDocument")
 {
   CHECK(FaultWith("/version", 8).empty());
--- a/test/platform/ControlCallsTest.cpp
+++ b/test/platform/ControlCallsTest.cpp
@@ -69,6 +69,26 @@
   CHECK(std::get<runtime::DeregisterCall>(bye).mName == UpstreamName("i-1"));
 }
 
+// Guards against a late report that passes for the newest, and against two
+// lives of an upstream that look like one, where both are told by large
+// numbers.
+TEST_CASE("SequencesAndIncarnationsAreReadExactly")
+{
+  const auto call = Read("POST",
+                         "/instances/i-1/heartbeat",
+                         R"({"service":"s","address":"10.128.0.9:8080",
+      "zone":"z","slots":64,"state":"ready","seq":1770000000123456789,
+      "born":18446744073709551615,"cold_remaining_ms":1e300})");
+  const auto& report = std::get<runtime::AnnounceCall>(call).mReport;
+  CHECK(report.mSequence == 1770000000123456789U);
+  CHECK(report.mIncarnation == Incarnation(18446744073709551615U));
+  CHECK(report.mColdFor > Duration(0));
+  const auto bye =
+    Read("POST", "/instances/i-1/deregister", R"({"born":9007199254740993})");
+  CHECK(std::get<runtime::DeregisterCall>(bye).mIncarnation ==
+        Incarnation(9007199254740993U));
+}
+
 // Symptom: requests were sent to an address that belongs to nobody.
 // Sequence: another writer's announcement lacks a field, or has it of another
 // type or with a word that no page names.
