Resume unnamed streams only after a minute of contact

After all entries and control leaders were lost at once, callers that take up a stream without naming it were answered 200 with the rest from another software version, and nothing in the answer showed it.

Cause: such a stream goes on while all upstreams known to the entry have one version, and upstreams that left are known for a minute. Nobody checked that the entry had been there for that minute. One that has just started knows only what was announced since, and control's confirmation says nothing of the past.

Evidence: three new cases of StreamVersionTest failed before (13 assertions): all entries replaced, an entry that knows part of the upstreams, and one that was cut off for a minute each resumed a stream of v1 at v2.

Change: ContactHistory says since when an entry has been in contact without a long gap. Without a minute of it an unnamed stream is refused as not run, with a time to return, since another entry may know. The existing test of unnamed streams had entries that had just started and expected 200; its entries have 90 s of contact now, and what it expected is a case that must be refused.

--- a/include/peridotspool/streams/ResumePolicy.h
+++ b/include/peridotspool/streams/ResumePolicy.h
@@ -22,7 +22,8 @@
   kUnknown,
   /** Streams of different origins began under the name. */
   kAmbiguous,
-  /** Entries that may know the origin can't be reached. */
+  /** Entries that may know the origin can't be reached, or for a request that
+   * names no stream this entry hasn't been in contact for long enough. */
   kUndetermined,
   /** The route no longer leads to the service that began the stream. */
   kRouteMoved,
@@ -46,8 +47,9 @@
   bool mIsResumable = false;
   /** The request names the request that began the stream. */
   bool mIsNamed = false;
-  /** For a request that names no stream, known means that the service has a
-   * single version. */
+  /** For a request that names no stream, known means that the service has had a
+   * single version since before the stream began, and undetermined that this
+   * entry can't tell. */
   OriginKnowledge mKnowledge = OriginKnowledge::kUnknown;
   bool mRouteHasService = false;
   /** The upstream that began the stream has announced another version since. */
--- a/src/gateway/ExchangeOrigin.cpp
+++ b/src/gateway/ExchangeOrigin.cpp
@@ -22,8 +22,9 @@
 constexpr Duration kOriginRetention = std::chrono::seconds(60);
 /** How long the first event waits for another entry to hold the origin. */
 constexpr Duration kReplicationTimeout = std::chrono::milliseconds(30);
-/** An entry that control has not confirmed for so long may be cut off. */
-constexpr Duration kMaxBeliefAge = std::chrono::seconds(2);
+/** Upstreams that have left are known for at least this long. A stream without
+ * a name began no earlier. */
+constexpr Duration kVersionHistory = std::chrono::seconds(60);
 constexpr double kUndeterminedRetryAfterSeconds = 0.5;
 constexpr unsigned kUnavailable = 503;
 
@@ -70,20 +71,22 @@
 }
 
 // Callers that know nothing of versions name no stream. They are served while
-// the service has a single version, which only an entry that is in contact with
-// control can tell.
+// the service has had a single version for as long as such a stream may have
+// lasted. Only an entry that has been in contact with control all that time can
+// tell: one that has started since doesn't know the versions that left before
+// it, nor all that are there.
 streams::OriginAnswer
 Exchange::OriginWithoutName() const
 {
-  const auto confirmedAt = mCore.mTenure.ConfirmedAt();
-  const bool isCurrent =
-    confirmedAt && mCore.mNow() - *confirmedAt < kMaxBeliefAge;
   const bool hasField =
     !FieldsOf(mRequest.mFields, mCore.mNames.mResumes).empty();
   const auto version = mCore.mSelector.OnlyVersionOf(mService);
-  if (hasField || !isCurrent || !version || mRoute->mShares.size() != 1) {
+  if (hasField || !version || mRoute->mShares.size() != 1) {
     return {};
   }
+  if (!mCore.mContact.Covers(kVersionHistory, mCore.mNow())) {
+    return { .mKnowledge = streams::OriginKnowledge::kUndetermined };
+  }
   return { .mKnowledge = streams::OriginKnowledge::kKnown,
            .mOrigin = { .mService = mService, .mVersion = *version } };
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -29,6 +29,7 @@
 #include "peridotspool/limits/ResponseBounds.h"
 #include "peridotspool/limits/ResponseBudget.h"
 #include "peridotspool/limits/UpstreamLimits.h"
+#include "peridotspool/membership/ContactHistory.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/rollout/RolloutGate.h"
@@ -117,6 +118,7 @@
   /** Grants permits for the limited upstreams that this entry coordinates. */
   limits::PermitAllocator mPermitAllocator{ 0 };
   CoordinatorTenure mTenure;
+  membership::ContactHistory mContact;
   /** Brittle upstreams as known to this entry. */
   limits::BrittleUpstreams mBrittleUpstreams;
   /** The same for the upstreams that this entry coordinates, with the
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -268,6 +268,7 @@
     std::visit([this](const auto& aAny) { Carry(aAny); }, effect);
   }
   mCore->mTenure.SetConfirmedAt(mSession->EpochConfirmedAt());
+  mCore->mContact.RecordConfirmation(mSession->EpochConfirmedAt());
 }
 
 void
--- a/src/streams/ResumePolicy.cpp
+++ b/src/streams/ResumePolicy.cpp
@@ -8,7 +8,7 @@
   if (!aFacts.mIsResumable) {
     return ResumeVerdict::kNotResumable;
   }
-  if (!aFacts.mIsNamed && aFacts.mKnowledge != OriginKnowledge::kKnown) {
+  if (!aFacts.mIsNamed && aFacts.mKnowledge == OriginKnowledge::kUnknown) {
     return ResumeVerdict::kNotNamed;
   }
   switch (aFacts.mKnowledge) {
--- a/test/gateway/EntryGroup.cpp
+++ b/test/gateway/EntryGroup.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-EntryGroup::EntryGroup(std::size_t aCount)
+EntryGroup::EntryGroup(std::size_t aCount, Duration aInContact)
 {
   std::vector<Coordinator> members;
   for (std::size_t i = 0; i < aCount; ++i) {
@@ -39,6 +39,10 @@
       core.mCoordinators.Set(members);
       core.mOrigins.Start(members[i].mAddress, {}, i << 32U);
       core.mOrigins.SetMembers(replicas);
+      for (Duration ago = aInContact; ago > Duration(0);
+           ago -= std::chrono::seconds(1)) {
+        core.mContact.RecordConfirmation(core.mNow() - ago);
+      }
       core.mTenure.SetSelf(members[i].mAddress);
       core.mTenure.ApplyEpoch(EpochNumber(1),
                               core.mCoordinators,
@@ -150,6 +154,7 @@
     for (const auto& entry : mEntries) {
       entry->OnRelay([&] {
         entry->Core().mTenure.SetConfirmedAt(entry->Core().mNow());
+        entry->Core().mContact.RecordConfirmation(entry->Core().mNow());
         entry->Core().TickPermits();
         entry->Core().TickSlots();
         entry->Core().mOrigins.Tick();
--- a/test/gateway/EntryGroup.h
+++ b/test/gateway/EntryGroup.h
@@ -17,7 +17,8 @@
 class EntryGroup
 {
 public:
-  explicit EntryGroup(std::size_t aCount);
+  /** Starts entries that have been in contact with control for aInContact. */
+  explicit EntryGroup(std::size_t aCount, Duration aInContact = Duration(0));
   ~EntryGroup();
   EntryGroup(const EntryGroup&) = delete;
   EntryGroup& operator=(const EntryGroup&) = delete;
--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
 constexpr std::size_t kEntries = 3;
 constexpr int kStreams = 24;
 constexpr int kUpstreamsEach = 2;
+constexpr Duration kLongContact = std::chrono::seconds(90);
 
 /** Tells an entry that there are no rollouts. */
 void
@@ -26,6 +28,42 @@
   });
 }
 
+/** Returns a request to resume a stream that it doesn't name. */
+std::string
+ResumeWithoutName(const std::string& aId)
+{
+  std::string request = StreamRequest(aId, "unused");
+  const std::string name = "X-Resumes: unused\r\n";
+  return request.erase(request.find(name), name.size());
+}
+
+/** Checks that each entry refuses to resume the stream that a1 began. */
+void
+CheckNotResumed(EntryGroup& aGroup, bool aIsNamed)
+{
+  // The group's control confirms the epoch every 50 ms.
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  for (std::size_t i = 0; i < aGroup.Size(); ++i) {
+    LearnRollouts(aGroup.Entry(i));
+    const std::string id = "b" + std::to_string(i);
+    Caller caller(aGroup.Entry(i).Where());
+    caller.Send(aIsNamed ? StreamRequest(id, "a1") : ResumeWithoutName(id));
+    const std::string answer = caller.ReadAnswer();
+    CHECK(StatusOf(answer) == "HTTP/1.1 503");
+    CHECK(VersionsIn(answer).empty());
+  }
+}
+
+std::size_t
+ResumedRuns(const VersionedUpstreams& aUpstreams)
+{
+  const auto runs = aUpstreams.Runs();
+  return static_cast<std::size_t>(
+    std::count_if(runs.begin(), runs.end(), [](const VersionedRun& aRun) {
+      return !aRun.mLastEvent.empty();
+    }));
+}
+
 /** Entries before upstreams of two versions, neither ordered by a rollout. */
 class TwoVersions
 {
@@ -126,23 +164,76 @@
 {
   const bool hasTwoVersions = GENERATE(true, false);
   VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
-  EntryGroup group(kEntries);
+  EntryGroup group(kEntries, kLongContact);
   upstreams.Add(group, "old", "v1");
   upstreams.Add(group, "other", hasTwoVersions ? "v2" : "v1");
   for (std::size_t i = 0; i < group.Size(); ++i) {
     LearnRollouts(group.Entry(i));
   }
   Caller caller(group.Entry(0).Where());
-  std::string request = StreamRequest("b1", "unused");
-  const std::string name = "X-Resumes: unused\r\n";
-  request.erase(request.find(name), name.size());
   // The group's control confirms the epoch every 50 ms.
   std::this_thread::sleep_for(std::chrono::milliseconds(200));
-  caller.Send(request);
+  caller.Send(ResumeWithoutName("b1"));
   CHECK(StatusOf(caller.ReadAnswer()) ==
         (hasTwoVersions ? "HTTP/1.1 503" : "HTTP/1.1 200"));
 }
 
+// Guards against streams that are joined from two versions after all entries
+// were lost at once: those that come back know only the version that is there
+// now.
+TEST_CASE("AStreamGoesOnNowhereAfterAllThatKnewItsVersionAreGone")
+{
+  const bool isNamed = GENERATE(true, false);
+  CAPTURE(isNamed);
+  VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
+  {
+    EntryGroup before(kEntries, kLongContact);
+    upstreams.Add(before, "old", "v1");
+    Caller first(before.Entry(0).Where());
+    first.Send(StreamRequest("a1"));
+    REQUIRE(VersionsIn(first.ReadTo("id: 2")).front() == "v1");
+  }
+  EntryGroup after(kEntries);
+  upstreams.Add(after, "new", "v2");
+  CheckNotResumed(after, isNamed);
+  CHECK(ResumedRuns(upstreams) == 0);
+}
+
+// Guards against streams that are joined from two versions by an entry that has
+// just started and knows only part of the upstreams yet.
+TEST_CASE("AStreamGoesOnNowhereWhereOnlyPartOfTheUpstreamsIsKnownYet")
+{
+  const bool isNamed = GENERATE(true, false);
+  CAPTURE(isNamed);
+  VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
+  EntryGroup others(kEntries, kLongContact);
+  upstreams.Add(others, "old", "v1");
+  Caller first(others.Entry(0).Where());
+  first.Send(StreamRequest("a1"));
+  REQUIRE(VersionsIn(first.ReadTo("id: 2")).front() == "v1");
+  EntryGroup started(1);
+  upstreams.Add(started, "new", "v2");
+  CheckNotResumed(started, isNamed);
+  CHECK(ResumedRuns(upstreams) == 0);
+}
+
+// Guards against streams that are joined from two versions by an entry that was
+// cut off for long and is in contact again.
+TEST_CASE("AStreamWithoutANameGoesOnNowhereAfterALongLossOfContact")
+{
+  VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
+  EntryGroup group(1, kLongContact);
+  upstreams.Add(group, "new", "v2");
+  group.Entry(0).OnRelay([&] {
+    GatewayCore& core = group.Entry(0).Core();
+    core.mContact = {};
+    core.mContact.RecordConfirmation(core.mNow() - std::chrono::seconds(90));
+    core.mContact.RecordConfirmation(core.mNow() - std::chrono::seconds(30));
+  });
+  CheckNotResumed(group, false);
+  CHECK(ResumedRuns(upstreams) == 0);
+}
+
 // Guards against streams that an entry resumes at another software version
 // within one response.
 TEST_CASE("AStreamThatItsUpstreamBreaksOffGoesOnAtItsVersion")
--- a/test/streams/ResumePolicyTest.cpp
+++ b/test/streams/ResumePolicyTest.cpp
@@ -47,6 +47,9 @@
   CHECK(JudgeResume(facts) == ResumeVerdict::kResume);
   facts.mKnowledge = OriginKnowledge::kUnknown;
   CHECK(JudgeResume(facts) == ResumeVerdict::kNotNamed);
+  // Another entry may have been in contact for longer.
+  facts.mKnowledge = OriginKnowledge::kUndetermined;
+  CHECK(JudgeResume(facts) == ResumeVerdict::kUndetermined);
 }
 
 TEST_CASE("AStreamIsNotResumedWhereItsRouteHasMoved")
