Append a listed identity once, and drop accessors without users

It is added once; the file is synced each time. Nobody asked for the bytes of the whole log, so the accessors go.

--- a/include/peridotspool/control/Consensus.h
+++ b/include/peridotspool/control/Consensus.h
@@ -69,8 +69,6 @@
   SyncToken LastToken() const { return mLastToken; }
   /** The number of entries held in memory. */
   std::size_t LogSize() const { return mLog.Size(); }
-  /** Encoded bytes of the entries held in memory. */
-  std::size_t LogBytes() const { return mLog.Bytes(); }
   /**
    * Encoded bytes of the writes that have not synced and of the entries that
    * are not committed: what a slow disk or slow followers let pile up.
--- a/include/peridotspool/control/ReplicatedLog.h
+++ b/include/peridotspool/control/ReplicatedLog.h
@@ -35,8 +35,6 @@
     std::size_t aMaxCount,
     std::size_t aMaxBytes = std::numeric_limits<std::size_t>::max()) const;
   std::size_t Size() const { return mEntries.size(); }
-  /** Encoded bytes of the retained entries. */
-  std::size_t Bytes() const { return mBytes; }
   /** Encoded bytes of the retained entries after aIndex. */
   std::size_t BytesAfter(LogIndex aIndex) const;
   /**
@@ -65,7 +63,6 @@
   LogIndex mBaseIndex;
   Term mBaseTerm;
   std::deque<SizedEntry> mEntries;
-  std::size_t mBytes = 0;
 };
 
 } // namespace peridotspool::control
--- a/src/control/ReplicatedLog.cpp
+++ b/src/control/ReplicatedLog.cpp
@@ -106,7 +106,6 @@
 {
   PERIDOTSPOOL_INVARIANT(aEntry.mIndex == LastIndex().Next());
   const std::size_t bytes = EncodedSize(aEntry);
-  mBytes += bytes;
   mEntries.push_back({ .mEntry = std::move(aEntry), .mBytes = bytes });
 }
 
@@ -115,7 +114,6 @@
 {
   PERIDOTSPOOL_INVARIANT(aIndex > mBaseIndex);
   while (!mEntries.empty() && mEntries.back().mEntry.mIndex >= aIndex) {
-    mBytes -= mEntries.back().mBytes;
     mEntries.pop_back();
   }
 }
@@ -126,7 +124,6 @@
   mBaseTerm = At(aIndex).mTerm;
   mBaseIndex = aIndex;
   while (!mEntries.empty() && mEntries.front().mEntry.mIndex <= aIndex) {
-    mBytes -= mEntries.front().mBytes;
     mEntries.pop_front();
   }
 }
--- a/src/http/OperatorApi.cpp
+++ b/src/http/OperatorApi.cpp
@@ -335,7 +335,7 @@
 Write(const control::TooLargeResponse& aAnswer)
 {
   return MakeErrorResponse(kStatusTooLarge,
-                           "too_large",
+                           "too-large",
                            "the settings have " +
                              std::to_string(aAnswer.mBytes) + " bytes; " +
                              std::to_string(aAnswer.mMost) + " are the most");
--- a/src/storage/DataFolder.cpp
+++ b/src/storage/DataFolder.cpp
@@ -236,8 +236,10 @@
   std::vector<std::string> records;
   auto file = RecordFile::Open(
     mPath + "/" + std::string(kIdentityName), mSync, records, aReason);
+  // A change of identity that found no room later is tried again as a whole.
+  const bool listed = !records.empty() && records.back() == aBytes;
   const bool written =
-    file && file->Append(aBytes, aReason) && file->Sync(aReason);
+    file && (listed || file->Append(aBytes, aReason)) && file->Sync(aReason);
   mNoSpace = file && file->NoSpace();
   mFailed = mFailed || (!written && !mNoSpace);
   return written;
