Begin the streams of two version tests by one function

Two cases of StreamVersionTest, both new, began their stream in the same lines. No check is changed.

--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -37,6 +37,15 @@
   return request.erase(request.find(name), name.size());
 }
 
+/** Begins the stream a1 at an upstream of v1, and leaves it. */
+void
+BeginStream(EntryGroup& aGroup)
+{
+  Caller caller(aGroup.Entry(0).Where());
+  caller.Send(StreamRequest("a1"));
+  REQUIRE(VersionsIn(caller.ReadTo("id: 2")).front() == "v1");
+}
+
 /** Checks that each entry refuses to resume the stream that a1 began. */
 void
 CheckNotResumed(EntryGroup& aGroup, bool aIsNamed)
@@ -189,9 +198,7 @@
   {
     EntryGroup before(kEntries, kLongContact);
     upstreams.Add(before, "old", "v1");
-    Caller first(before.Entry(0).Where());
-    first.Send(StreamRequest("a1"));
-    REQUIRE(VersionsIn(first.ReadTo("id: 2")).front() == "v1");
+    BeginStream(before);
   }
   EntryGroup after(kEntries);
   upstreams.Add(after, "new", "v2");
@@ -208,9 +215,7 @@
   VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
   EntryGroup others(kEntries, kLongContact);
   upstreams.Add(others, "old", "v1");
-  Caller first(others.Entry(0).Where());
-  first.Send(StreamRequest("a1"));
-  REQUIRE(VersionsIn(first.ReadTo("id: 2")).front() == "v1");
+  BeginStream(others);
   EntryGroup started(1);
   upstreams.Add(started, "new", "v2");
   CheckNotResumed(started, isNamed);
