--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -52,6 +52,10 @@
       # that they do not take the processor from each other's leases.
       set_tests_properties(${test_name} PROPERTIES RESOURCE_LOCK system)
     endif()
+    if(folder_name STREQUAL "hostile")
+      # They check what a process holds under a load that fills a machine.
+      set_tests_properties(${test_name} PROPERTIES RUN_SERIAL ON)
+    endif()
   endforeach()
 endforeach()
 
@@ -86,6 +90,15 @@
   add_dependencies(test_soak peridotspool-platform)
 endif()
 
+# These press on the same real processes.
+if(TARGET test_hostile)
+  file(GLOB soak_parts CONFIGURE_DEPENDS test/soak/Soak*.cpp)
+  list(FILTER soak_parts EXCLUDE REGEX "Test.cpp$")
+  target_sources(test_hostile PRIVATE test/process/ChildProcess.cpp
+                                      ${soak_parts})
+  add_dependencies(test_hostile peridotspool-platform)
+endif()
+
 # The tests of real processes run these programs.
 if(TARGET test_process)
   add_dependencies(
--- a/test/soak/SoakAnswers.cpp
+++ b/test/soak/SoakAnswers.cpp
@@ -23,10 +23,12 @@
 } // namespace
 
 std::string
-PlainAnswer(const std::string& aId, const std::string& aUpstream)
+PlainAnswer(const std::string& aId,
+            const std::string& aUpstream,
+            std::size_t aFillerBytes)
 {
   return "answer:" + aId + ":" + aUpstream + ":" +
-         std::string(kFillerBytes, 'x') + std::string(kEndMark);
+         std::string(aFillerBytes, 'x') + std::string(kEndMark);
 }
 
 std::string
--- a/test/soak/SoakAnswers.h
+++ b/test/soak/SoakAnswers.h
@@ -8,7 +8,9 @@
 
 /** What an upstream answers to a plain request. */
 std::string
-PlainAnswer(const std::string& aId, const std::string& aUpstream);
+PlainAnswer(const std::string& aId,
+            const std::string& aUpstream,
+            std::size_t aFillerBytes = kFillerBytes);
 
 /** One event of the answer to a stream; the last one says so. */
 std::string
--- a/test/soak/SoakMachine.cpp
+++ b/test/soak/SoakMachine.cpp
@@ -41,10 +41,10 @@
 void
 SoakMachine::WriteSettings(bool aFirstStart) const
 {
-  const std::string common = "name: m" + std::to_string(mNumber) +
-                             "\nregion: r\nfailure_domain: d" +
-                             std::to_string(mNumber % kDomains) +
-                             "\nstop_grace: 8s\nlog:\n  file: \"-\"\n";
+  const std::string common =
+    "name: m" + std::to_string(mNumber) + "\nregion: r\nfailure_domain: d" +
+    std::to_string(mNumber % kDomains) +
+    "\nstop_grace: 8s\nlog:\n  file: \"-\"\n" + mMoreSettings;
   std::string seeds;
   for (int seed = 1; seed <= kSeeds; ++seed) {
     seeds += (seed == 1 ? "" : ",") + At(mPlaces.Public(seed), kControlPort);
--- a/test/soak/SoakMachine.h
+++ b/test/soak/SoakMachine.h
@@ -22,6 +22,9 @@
               int aNumber,
               std::filesystem::path aFolder);
 
+  /** Adds lines to the settings files of both processes; before they are
+   * written. */
+  void AddSettings(const std::string& aLines) { mMoreSettings = aLines; }
   /** Writes the settings files anew; aFirstStart: the system is founded. */
   void WriteSettings(bool aFirstStart) const;
   void StartEntry();
@@ -47,6 +50,9 @@
 
   bool HasControl() const { return mNumber <= kControls; }
   int EntryLife() const { return mEntryLife; }
+  /** Of processes that have been started. */
+  pid_t EntryPid() const { return mEntry->Pid(); }
+  pid_t ControlPid() const { return mControl->Pid(); }
   /** Processes that ended though nobody told them to; each is told once. */
   std::vector<std::string> OwnEnds();
 
@@ -59,6 +65,7 @@
   const std::filesystem::path mFolder;
   std::unique_ptr<test::ChildProcess> mEntry;
   std::unique_ptr<test::ChildProcess> mControl;
+  std::string mMoreSettings;
   int mEntryLife = 0;
   Time mStartedAt;
   /** They were asked to stop, and so may end. */
--- a/test/soak/SoakUpstream.cpp
+++ b/test/soak/SoakUpstream.cpp
@@ -431,7 +431,7 @@
   if (!Sleeps(kPlainWork)) {
     return false;
   }
-  const std::string body = PlainAnswer(aId, mName);
+  const std::string body = PlainAnswer(aId, mName, mFillerBytes);
   const std::string answer = "HTTP/1.1 200 OK\r\n" + Head(aId) +
                              "Content-Length: " + std::to_string(body.size()) +
                              "\r\n\r\n" + body;
--- a/test/soak/SoakUpstream.h
+++ b/test/soak/SoakUpstream.h
@@ -76,6 +76,9 @@
   void AskForRest(const std::string& aRetryAfter);
   /** States in its answers that it leaves, until the end of its life. */
   void StateLeaving() { mStatesLeaving = true; }
+  /** Its answers to plain requests have this many bytes and a little more;
+   * before Start. */
+  void AnswerWith(std::size_t aBytes) { mFillerBytes = aBytes; }
   /** Records each request that reaches it. */
   void RecordVisits() { mRecordsVisits = true; }
   std::string Name() const { return mName; }
@@ -130,6 +133,7 @@
   std::string mService;
   std::string mVersion = "v1";
   bool mMarksEvents = false;
+  std::size_t mFillerBytes = kFillerBytes;
   Recorder& mRecorder;
   int mLife = 0;
   std::string mName;
--- a/test/soak/SoakWire.cpp
+++ b/test/soak/SoakWire.cpp
@@ -156,6 +156,7 @@
 Wire::ReadAnswer(Ms aPatience, Ms aSilence)
 {
   beast_http::response_parser<beast_http::string_body> parser;
+  parser.body_limit(boost::none);
   parser.eager(true);
   const Time deadline = Clock::now() + aPatience;
   bool good = true;
@@ -173,10 +174,20 @@
   return text;
 }
 
+std::string
+Wire::ReadBytes(Ms aPatience)
+{
+  if (mBuffer.empty()) {
+    ReadSome(aPatience);
+  }
+  return std::exchange(mBuffer, {});
+}
+
 std::optional<HttpText>
 Wire::ReadRequest(Ms aPatience)
 {
   beast_http::request_parser<beast_http::string_body> parser;
+  parser.body_limit(boost::none);
   parser.eager(true);
   const Time deadline = Clock::now() + aPatience;
   while (Feed(parser, mBuffer) && !parser.is_done()) {
--- a/test/soak/SoakWire.h
+++ b/test/soak/SoakWire.h
@@ -49,6 +49,9 @@
   bool Send(std::string_view aBytes) const;
   /** aSilence: the longest wait for any one piece. */
   HttpText ReadAnswer(Ms aPatience, Ms aSilence);
+  /** Returns what has come; empty once the peer has left, or after aPatience.
+   */
+  std::string ReadBytes(Ms aPatience);
   /** Returns empty once the caller has left, or after aPatience. */
   std::optional<HttpText> ReadRequest(Ms aPatience);
   /** Ends with a reset, as a process that dies does. */
