Bound chunk headers and trailers of callers' requests

Callers lost their entry: one client that sends trailers without end behind a chunked body, or one chunk's extension without end, took it past the memory of its machine.

Cause: Beast takes a chunk header, and all trailers, only once they are complete, and the connection's buffer grows until then; header_limit is for the head, body_limit for the data of chunks. Beside it, the parser adds trailers to the head's fields, so that a trailer went to the upstream as a field. Ruled out: heads without end and data over the limit, which the parser ends.

Change: a chunk header, or all trailers, may be as large as a head; the framing of a body is bounded in proportion to its bytes, above what chunks of one byte need. What breaks it gets 431. Trailers are dropped. The decision is pure (limits/FramingGuard).

--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "http/BeastTypes.h"
+#include "http/GrowingBody.h"
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/CallerLimits.h"
 #include "peridotspool/gateway/RequestHead.h"
+#include "peridotspool/limits/FramingGuard.h"
 
 #include <memory>
 #include <optional>
@@ -59,16 +61,24 @@
   void Sweep(TimePoint aNow);
 
 private:
-  using Parser =
-    http::beast_http::request_parser<http::beast_http::string_body>;
+  using Parser = http::beast_http::request_parser<http::GrowingBody>;
 
   void Read();
   void OnRead(http::ErrorCode aError, std::size_t aBytes);
+
+  // CallerConnectionParse.cpp
+  void StartParser();
   void Parse();
+  /** Returns false iff the request has been refused.
+   * @param aBytes parsed, with the body that grew by aBodyBytes */
+  bool CheckParsed(std::size_t aBytes, std::size_t aBodyBytes);
+  void CheckIncomplete();
+  bool TakeHead();
   void OnParsed();
   std::string FramingFault() const;
-  void Refuse(unsigned aStatus, const std::string& aReason);
   void RefuseFor(http::ErrorCode aError);
+
+  void Refuse(unsigned aStatus, const std::string& aReason);
   void Write(std::string_view aBytes);
   void Flush();
   void OnWritten(http::ErrorCode aError);
@@ -79,6 +89,9 @@
   CallerConnectionOwner& mOwner;
   http::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
+  limits::FramingGuard mFraming{ 0 };
+  /** Complete but for its body once the head has been checked. */
+  CallerRequest mRequest;
   bool mReading = false;
   bool mServing = false;
   bool mHeadChecked = false;
