Bound what all connections of callers hold together

Cause: each connection had bounds of its own, and nothing counted what all of them hold: a body, up to twice its size while it grows, its copy for the upstream, queued answers, further requests read meanwhile. Ruled out: unfinished responses of upstreams, which bounds.upstream_memory holds.

Change: limits/ConnectionBudget, pure, counts it by capacity and decides who gives way: first who makes no progress, then the latest incomplete request, so that earlier ones become whole, then unread answers; a quarter is kept for small holders, and a request that is being served stays. An incomplete request gets 503 with Retry-After, which has not run. A body is written to the upstream from where it was received. Refusals close in two steps and drop what still comes.

--- a/include/peridotspool/gateway/HeaderRules.h
+++ b/include/peridotspool/gateway/HeaderRules.h
@@ -33,14 +33,14 @@
 };
 
 /**
- * Writes a request for an upstream: the caller's method, target, body and
- * fields, and the fields that the gateway sets. Removes the caller's values of
- * the latter, so that a caller cannot forge them.
+ * Writes the head of a request for an upstream: the caller's method, target and
+ * fields, the length of its body, and the fields that the gateway sets. Removes
+ * the caller's values of the latter, so that a caller cannot forge them.
  */
 std::string
-WriteUpstreamRequest(const CallerRequest& aRequest,
-                     const HeaderNames& aNames,
-                     const UpstreamRequestFields& aTerms);
+WriteUpstreamHead(const CallerRequest& aRequest,
+                  const HeaderNames& aNames,
+                  const UpstreamRequestFields& aTerms);
 
 /**
  * Writes the head of an upstream's response with the framing replaced.
--- a/include/peridotspool/gateway/RequestHead.h
+++ b/include/peridotspool/gateway/RequestHead.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/gateway/BodyFraming.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,6 +46,10 @@
   }
 };
 
+/** Returns the bytes of memory that a request takes. */
+std::size_t
+HeldBytes(const CallerRequest& aRequest);
+
 /** The status line and header fields of an upstream's response. */
 struct ResponseHead
 {
--- a/include/peridotspool/settings/ProcessBounds.h
+++ b/include/peridotspool/settings/ProcessBounds.h
@@ -14,8 +14,10 @@
   std::uint64_t mHeaderBytes = 16 << 10;
   /** Bytes of one message between our processes. */
   std::uint64_t mFrameBytes = 16 << 20;
-  /** Open connections from callers. */
+  /** Open connections from callers, at each listener. */
   std::uint64_t mConnections = 4096;
+  /** Bytes that all connections of a listener hold together. */
+  std::uint64_t mCallerMemoryBytes = 32 << 20;
   /** Slots of each ring between two threads. */
   std::uint64_t mRingSlots = 4096;
   /** Bytes of accepted requests and kept answers. */
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -1,12 +1,13 @@
 #include "gateway/CallerConnection.h"
 
 #include "gateway/SocketOptions.h"
+#include "peridotspool/base/TextCapacity.h"
 #include "peridotspool/gateway/HeaderRules.h"
 
-#include <boost/asio/write.hpp>
-
 #include <spdlog/fmt/fmt.h>
 
+#include <utility>
+
 namespace peridotspool::gateway {
 
 namespace {
@@ -14,23 +15,43 @@
 namespace net = http::net;
 namespace beast_http = http::beast_http;
 
+/** Of a connection that waits for a request, and of one that receives it. */
+constexpr std::size_t kFirstReadBytes = 4U << 10;
 constexpr std::size_t kReadBytes = 16U << 10;
 /** Bytes of further requests that are read while one is being served. */
-constexpr std::size_t kMaxReadAheadBytes = 64U << 10;
+constexpr std::size_t kMaxReadAheadBytes = 4U << 10;
+/** Bytes that may wait in the kernel. */
+constexpr int kReceiveBufferBytes = 64U << 10;
+/** A connection serves no further request while so much of its responses has
+ * not been read. */
+constexpr std::size_t kMaxUnreadBytes = 64U << 10;
 /** Bounds the time from the first byte of a request to the end of its body. */
 constexpr Duration kBodyTimeout = std::chrono::seconds(20);
+/** A client that reads nothing of its response for this long is cut off. */
+constexpr Duration kWriteTimeout = std::chrono::seconds(20);
+/** How long a client that was refused may go on sending. */
+constexpr Duration kDrainTimeout = std::chrono::seconds(2);
+/** Bounds when a request that gave way may return, in seconds. */
+constexpr double kMinRetryAfter = 0.3;
+constexpr double kRetryAfterStep = 0.1;
+constexpr unsigned kRetryAfterSteps = 8;
 /** Added to the idle time-out, up to which callers reuse a connection. */
 constexpr Duration kIdleTimeoutSlack = std::chrono::seconds(1);
 
 } // namespace
 
 CallerConnection::CallerConnection(http::Tcp::socket aSocket,
-                                   CallerConnectionOwner& aOwner)
+                                   CallerConnectionOwner& aOwner,
+                                   limits::ConnectionId aId)
   : mSocket(std::move(aSocket))
   , mOwner(aOwner)
+  , mId(aId)
   , mRequestOrIdleSince(aOwner.Now())
 {
   SetSocketOptions(mSocket);
+  http::ErrorCode ignored;
+  mSocket.set_option(net::socket_base::receive_buffer_size(kReceiveBufferBytes),
+                     ignored);
 }
 
 void
@@ -45,16 +66,62 @@
   return !mServing && mBuffer.size() == 0 && (!mParser || !mParser->got_some());
 }
 
+limits::ConnectionPhase
+CallerConnection::Phase() const
+{
+  using enum limits::ConnectionPhase;
+  if (mRefused) {
+    return kDraining;
+  }
+  if (QueuedBytes() > 0) {
+    return kSending;
+  }
+  if (mServing) {
+    return kServing;
+  }
+  return IsIdle() ? kIdle : kReceiving;
+}
+
+limits::ConnectionState
+CallerConnection::State() const
+{
+  const std::size_t body = mParser ? mParser->get().body().capacity() : 0;
+  return { .mPhase = Phase(),
+           .mBytes = mBuffer.capacity() + mUnreadBytes + mRequestBytes + body +
+                     mPending.capacity() + mWriting.capacity(),
+           .mTransferred = mTransferred,
+           .mIsAhead = mBuffer.size() > 0 };
+}
+
+void
+CallerConnection::ReportHeld()
+{
+  if (!mClosed) {
+    mOwner.OnHeld(*this);
+  }
+}
+
+bool
+CallerConnection::MayRead() const
+{
+  if (mReading || mClosed) {
+    return false;
+  }
+  const bool isBusy = mServing || mClosing || QueuedBytes() > kMaxUnreadBytes;
+  return mRefused || !isBusy || mBuffer.size() < kMaxReadAheadBytes;
+}
+
 void
 CallerConnection::Read()
 {
-  if (mReading || mClosed ||
-      ((mServing || mClosing) && mBuffer.size() > kMaxReadAheadBytes)) {
+  if (!MayRead()) {
     return;
   }
   mReading = true;
+  const bool isReceiving = mParser && mParser->got_some();
+  mReadBytes = isReceiving ? kReadBytes : kFirstReadBytes;
   mSocket.async_read_some(
-    mBuffer.prepare(kReadBytes),
+    mBuffer.prepare(mReadBytes),
     [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
       self->OnRead(aError, aBytes);
     });
@@ -74,28 +141,107 @@
     Close();
     return;
   }
+  mTransferred += aBytes;
   mBuffer.commit(aBytes);
-  if (!mServing && !mClosing) {
-    Parse();
+  CountUnread(aBytes);
+  if (mRefused) {
+    DropRead();
+  } else {
+    ParseNext();
   }
+  ReportHeld();
+  mOwner.EnforceBounds();
   Read();
 }
 
+// A read that is under way uses the buffer.
 void
-CallerConnection::Refuse(unsigned aStatus, const std::string& aReason)
+CallerConnection::DropRead()
 {
-  mOwner.OnMalformed(aStatus, aReason);
+  if (!mReading) {
+    mBuffer.clear();
+    mBuffer.shrink_to_fit();
+  }
+}
+
+// Asks the kernel only if the read has left something behind, as most reads
+// take all that has come.
+void
+CallerConnection::CountUnread(std::size_t aRead)
+{
+  http::ErrorCode ignored;
+  mUnreadBytes = aRead == mReadBytes ? mSocket.available(ignored) : 0;
+}
+
+void
+CallerConnection::ParseNext()
+{
+  if (!mServing && !mClosing && QueuedBytes() <= kMaxUnreadBytes) {
+    Parse();
+  }
+}
+
+// The client may be sending still. Closing the connection then resets it, and
+// the client may never see the response.
+void
+CallerConnection::Refuse(unsigned aStatus,
+                         const std::string& aReason,
+                         double aRetryAfter)
+{
+  mOwner.OnRefused(aStatus, aReason);
   mParser.reset();
-  mServing = true;
-  SendResponse(WriteLocalResponse(
-                 { .mStatus = aStatus, .mReason = aReason }, "", "", false),
-               false);
+  mRequest = {};
+  mUnreadBytes = 0;
+  mRefused = true;
+  DropRead();
+  SendResponse(
+    WriteLocalResponse(
+      { .mStatus = aStatus, .mReason = aReason, .mRetryAfter = aRetryAfter },
+      "",
+      "",
+      false),
+    false);
+}
+
+void
+CallerConnection::GiveWay()
+{
+  if (mClosed) {
+    return;
+  }
+  if (Phase() == limits::ConnectionPhase::kReceiving) {
+    Refuse(503,
+           "no memory for the request",
+           kMinRetryAfter +
+             kRetryAfterStep * static_cast<double>(mId % kRetryAfterSteps));
+    return;
+  }
+  Disconnect();
+}
+
+void
+CallerConnection::Disconnect()
+{
+  mResetsOnClose = QueuedBytes() > 0 || mServing;
+  if (mResetsOnClose) {
+    SetResetOnClose(mSocket, true);
+  }
+  if (mServing) {
+    mOwner.OnDisconnected(*this);
+  }
+  Close();
 }
 
 void
-CallerConnection::SendResponse(std::string_view aBytes, bool aKeepAlive)
+CallerConnection::SendResponse(std::string aBytes, bool aKeepAlive)
 {
-  Write(aBytes);
+  if (mPending.empty()) {
+    mPending = std::move(aBytes);
+    Flush();
+    ReportHeld();
+  } else {
+    Write(aBytes);
+  }
   FinishResponse(aKeepAlive);
 }
 
@@ -125,6 +271,7 @@
   mPending += fmt::format("{:x}\r\n", aBytes.size());
   mPending.append(aBytes).append("\r\n");
   Flush();
+  ReportHeld();
 }
 
 void
@@ -142,26 +289,45 @@
 CallerConnection::FinishResponse(bool aKeepAlive)
 {
   mServing = false;
+  mRequestBytes = 0;
   mRequestOrIdleSince = mOwner.Now();
   if (!aKeepAlive) {
     mClosing = true;
-    if (mWriting.empty()) {
-      Close();
+    if (QueuedBytes() == 0) {
+      EndAfterWrite();
     }
     return;
   }
   if (mBuffer.size() > 0) {
     // Deferred, because the owner is still handling the previous request.
-    net::post(mSocket.get_executor(), [self = shared_from_this()] {
-      if (!self->mClosed && !self->mServing) {
-        self->Parse();
-        self->Read();
-      }
-    });
+    net::post(mSocket.get_executor(),
+              [self = shared_from_this()] { self->ContinueReading(); });
+  }
+  Read();
+}
+
+void
+CallerConnection::ContinueReading()
+{
+  if (!mClosed && mBuffer.size() > 0) {
+    ParseNext();
+    ReportHeld();
   }
   Read();
 }
 
+void
+CallerConnection::EndAfterWrite()
+{
+  if (!mRefused) {
+    Close();
+    return;
+  }
+  http::ErrorCode ignored;
+  mSocket.shutdown(http::Tcp::socket::shutdown_send, ignored);
+  Read();
+}
+
 void
 CallerConnection::Abort()
 {
@@ -173,6 +339,7 @@
 {
   mPending.append(aBytes);
   Flush();
+  ReportHeld();
 }
 
 void
@@ -182,18 +349,23 @@
     return;
   }
   mWriting.swap(mPending);
-  net::async_write(
-    mSocket,
-    net::buffer(mWriting),
-    [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
-      self->OnWritten(aError);
+  mWriteProgressAt = mOwner.Now();
+  WriteSome();
+}
+
+void
+CallerConnection::WriteSome()
+{
+  mSocket.async_write_some(
+    net::buffer(mWriting) + mWritten,
+    [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
+      self->OnWritten(aError, aBytes);
     });
 }
 
 void
-CallerConnection::OnWritten(http::ErrorCode aError)
+CallerConnection::OnWritten(http::ErrorCode aError, std::size_t aBytes)
 {
-  mWriting.clear();
   if (mClosed) {
     return;
   }
@@ -204,20 +376,57 @@
     Close();
     return;
   }
+  mTransferred += aBytes;
+  mWritten += aBytes;
+  mWriteProgressAt = mOwner.Now();
+  if (mWritten < mWriting.size()) {
+    WriteSome();
+    ReportHeld();
+    return;
+  }
+  ReleaseWritten();
   Flush();
-  if (mWriting.empty() && mClosing) {
-    Close();
+  if (QueuedBytes() == 0 && mClosing) {
+    EndAfterWrite();
+  } else {
+    ContinueReading();
+  }
+  ReportHeld();
+}
+
+// The buffer is kept for the next response unless it is large.
+void
+CallerConnection::ReleaseWritten()
+{
+  mWritten = 0;
+  if (mWriting.capacity() > kReadBytes) {
+    FreeText(mWriting);
+  } else {
+    mWriting.clear();
   }
 }
 
 void
 CallerConnection::Sweep(TimePoint aNow)
 {
-  if (mServing || mClosed) {
+  if (mClosed) {
+    return;
+  }
+  if (QueuedBytes() > 0 && aNow - mWriteProgressAt > kWriteTimeout) {
+    Disconnect();
     return;
   }
-  const CallerLimits limits = mOwner.Limits();
   const Duration quiet = aNow - mRequestOrIdleSince;
+  if (mRefused) {
+    if (quiet > kDrainTimeout && QueuedBytes() == 0) {
+      Close();
+    }
+    return;
+  }
+  if (mServing || mClosing) {
+    return;
+  }
+  const CallerLimits limits = mOwner.Limits();
   if (IsIdle()) {
     if (quiet > limits.mIdleTimeout + kIdleTimeoutSlack) {
       Close();
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -5,8 +5,10 @@
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/CallerLimits.h"
 #include "peridotspool/gateway/RequestHead.h"
+#include "peridotspool/limits/ConnectionBudget.h"
 #include "peridotspool/limits/FramingGuard.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,8 +27,13 @@
   /** The caller disconnected while its request was being served. */
   virtual void OnDisconnected(CallerConnection& aConnection) = 0;
   virtual void OnClosed(CallerConnection& aConnection) = 0;
-  /** A request was rejected before it was complete; for logs and counters. */
-  virtual void OnMalformed(unsigned aStatus, const std::string& aReason) = 0;
+  /** A request was refused before it was complete; for logs and counters. */
+  virtual void OnRefused(unsigned aStatus, const std::string& aReason) = 0;
+  /** What the connection holds, or its phase, has changed. */
+  virtual void OnHeld(const CallerConnection& aConnection) = 0;
+  /** Ends connections until the others are within the bounds; the one that
+   * calls may be among them. */
+  virtual void EnforceBounds() = 0;
   virtual CallerLimits Limits() const = 0;
   virtual TimePoint Now() const = 0;
 };
@@ -39,11 +46,13 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(http::Tcp::socket aSocket, CallerConnectionOwner& aOwner);
+  CallerConnection(http::Tcp::socket aSocket,
+                   CallerConnectionOwner& aOwner,
+                   limits::ConnectionId aId);
 
   void Run();
   /** Sends a complete response. */
-  void SendResponse(std::string_view aBytes, bool aKeepAlive);
+  void SendResponse(std::string aBytes, bool aKeepAlive);
   /** Sends the head of a response of unknown length.
    * @param aFraming kChunked, or kConnection for a caller of HTTP/1.0 */
   void BeginStream(std::string_view aHead, BodyFraming aFraming);
@@ -56,15 +65,35 @@
 
   /** Returns true iff no request is being read or served. */
   bool IsIdle() const;
-  std::size_t QueuedBytes() const { return mPending.size() + mWriting.size(); }
-  /** Closes the connection if its idle, header or body time-out has passed. */
+  std::size_t QueuedBytes() const
+  {
+    return mPending.size() + mWriting.size() - mWritten;
+  }
+  /** Closes the connection if one of its time-outs has passed. */
   void Sweep(TimePoint aNow);
+  /** Refuses the request that is incomplete, or else closes the connection, so
+   * that it holds nothing. */
+  void GiveWay();
+  /** Closes the connection at once, so that no response in progress looks
+   * complete. */
+  void Disconnect();
+
+  limits::ConnectionId Id() const { return mId; }
+  limits::ConnectionState State() const;
 
 private:
   using Parser = http::beast_http::request_parser<http::GrowingBody>;
 
+  limits::ConnectionPhase Phase() const;
+  void ReportHeld();
+  bool MayRead() const;
   void Read();
   void OnRead(http::ErrorCode aError, std::size_t aBytes);
+  void CountUnread(std::size_t aRead);
+  void DropRead();
+  /** Parses unless a response comes first. */
+  void ParseNext();
+  void ContinueReading();
 
   // CallerConnectionParse.cpp
   void StartParser();
@@ -78,25 +107,40 @@
   std::string FramingFault() const;
   void RefuseFor(http::ErrorCode aError);
 
-  void Refuse(unsigned aStatus, const std::string& aReason);
+  void Refuse(unsigned aStatus,
+              const std::string& aReason,
+              double aRetryAfter = 0.0);
   void Write(std::string_view aBytes);
   void Flush();
-  void OnWritten(http::ErrorCode aError);
+  void WriteSome();
+  void OnWritten(http::ErrorCode aError, std::size_t aBytes);
+  void ReleaseWritten();
   void FinishResponse(bool aKeepAlive);
+  void EndAfterWrite();
   void Close();
 
   http::Tcp::socket mSocket;
   CallerConnectionOwner& mOwner;
+  const limits::ConnectionId mId;
   http::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   limits::FramingGuard mFraming{ 0 };
   /** Complete but for its body once the head has been checked. */
   CallerRequest mRequest;
   bool mReading = false;
+  std::size_t mReadBytes = 0;
+  /** Bytes that a read has left in the kernel. */
+  std::size_t mUnreadBytes = 0;
+  /** Bytes of the request that is received or served, but for a body that is
+   * still being parsed. */
+  std::size_t mRequestBytes = 0;
+  std::uint64_t mTransferred = 0;
   bool mServing = false;
   bool mHeadChecked = false;
   bool mClosed = false;
   bool mClosing = false;
+  /** The last request was refused while it came; the rest of it is dropped. */
+  bool mRefused = false;
   BodyFraming mStreamFraming = BodyFraming::kChunked;
   /** Set while the end of the connection must not look like the end of a
    * response. */
@@ -107,6 +151,9 @@
   TimePoint mRequestOrIdleSince;
   std::string mPending;
   std::string mWriting;
+  /** Bytes of mWriting that have been written. */
+  std::size_t mWritten = 0;
+  TimePoint mWriteProgressAt;
 };
 
 } // namespace peridotspool::gateway
--- a/src/gateway/CallerConnectionParse.cpp
+++ b/src/gateway/CallerConnectionParse.cpp
@@ -23,6 +23,7 @@
   mParser->header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
   mParser->body_limit(limits.mBodyBytes);
   mFraming = limits::FramingGuard(limits.mHeaderBytes);
+  mRequestBytes = 0;
   mHeadChecked = false;
   mRequestOrIdleSince = mOwner.Now();
 }
@@ -110,6 +111,7 @@
     mRequest.mFields.emplace_back(field.name_string(), field.value());
   }
   head.clear();
+  mRequestBytes = HeldBytes(mRequest);
   mParser->eager(true);
   return true;
 }
@@ -152,6 +154,11 @@
 {
   mRequest.mBody = std::move(mParser->get().body());
   mParser.reset();
+  mRequestBytes = HeldBytes(mRequest);
+  // A large request leaves a large buffer.
+  if (mBuffer.size() == 0) {
+    mBuffer.shrink_to_fit();
+  }
   mServing = true;
   mOwner.OnRequest(shared_from_this(), std::exchange(mRequest, {}));
 }
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -224,7 +224,7 @@
   ExcludeRateSample(aChoice);
   ReportSent(aChoice);
   DecideEngineUrgency(aChoice);
-  std::string bytes = WriteUpstreamRequest(
+  std::string head = WriteUpstreamHead(
     mRequest,
     mCore.mNames,
     UpstreamRequestFields{
@@ -236,10 +236,12 @@
       .mPriority = EngineLevel(),
       .mFetchFrom = aChoice.mPrefixSource,
       .mLastEvent = mEvents.LastId() });
+  OutgoingRequest request{ .mHead = std::move(head),
+                           .mBody = { shared_from_this(), &mRequest.mBody } };
   mConnection = mCore.mPool.Acquire(mUpstream, now);
   LogSent(aChoice, mConnection != nullptr);
   if (mConnection) {
-    mConnection->Send(std::move(bytes), this);
+    mConnection->Send(std::move(request), this);
     return;
   }
   mConnection = std::make_shared<UpstreamConnection>(mCore.mDialer, mUpstream);
@@ -247,7 +249,7 @@
                       .mIncarnation = aChoice.mIncarnation,
                       .mAddress = aChoice.mAddress },
                     std::min(kConnectTimeout, TimeLeft()),
-                    std::move(bytes),
+                    std::move(request),
                     this);
 }
 
--- a/src/gateway/ExchangeBounds.cpp
+++ b/src/gateway/ExchangeBounds.cpp
@@ -1,6 +1,7 @@
 // Bounds on what an upstream may send as a response, and their consequences.
 
 #include "gateway/Exchange.h"
+#include "peridotspool/base/TextCapacity.h"
 
 #include <boost/describe/enum_to_string.hpp>
 
@@ -119,7 +120,7 @@
   ++mRuns;
   mCore.mCounters.Add(CounterOf(aBroken.mBound));
   LogBrokenBound(aBroken);
-  mBody = {};
+  FreeText(mBody);
   if (aBroken.mBound == ResponseBound::kNotHttp) {
     // The process at the address may be another one by now: it is probed.
     RecordConnectionLoss({});
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -284,8 +284,8 @@
     return;
   }
   std::string answer =
-    WriteResponseHead(mHead, BodyFraming::kLength, mBody.size(), KeepAlive()) +
-    mBody;
+    WriteResponseHead(mHead, BodyFraming::kLength, mBody.size(), KeepAlive());
+  answer.append(std::exchange(mBody, {}));
   mCaller->SendResponse(std::move(answer), KeepAlive());
   End(mHead.mStatus, "whole");
 }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/Gateway.h"
 
+#include <boost/describe/enum_to_string.hpp>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -10,16 +12,21 @@
 
 namespace net = http::net;
 
+using observe::CounterId;
+
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnavailable = 503;
 
 } // namespace
 
 Gateway::Gateway(GatewayCore& aCore, GatewayOptions aOptions)
   : mCore(aCore)
   , mOptions(std::move(aOptions))
-  , mAcceptor(aCore.mIo, [this](http::Tcp::socket aSocket) {
-    OnConnection(std::move(aSocket));
-  })
+  , mAcceptor(
+      aCore.mIo,
+      [this](http::Tcp::socket aSocket) { OnConnection(std::move(aSocket)); })
+  , mBudget(mOptions.mBounds)
 {
 }
 
@@ -32,11 +39,78 @@
 void
 Gateway::OnConnection(http::Tcp::socket aSocket)
 {
-  if (mConnections.size() < mOptions.mMaxConnections) {
-    auto connection =
-      std::make_shared<CallerConnection>(std::move(aSocket), *this);
-    mConnections.emplace(connection.get(), connection);
-    connection->Run();
+  if (!MakeRoomForConnection()) {
+    mCore.mCounters.Add(CounterId::kRefusedConnections);
+    return;
+  }
+  const limits::ConnectionId id = mBudget.Open(mCore.mNow());
+  auto connection =
+    std::make_shared<CallerConnection>(std::move(aSocket), *this, id);
+  mConnections.emplace(id, connection);
+  connection->Run();
+}
+
+bool
+Gateway::MakeRoomForConnection()
+{
+  if (!mBudget.IsFull()) {
+    return true;
+  }
+  if (const auto replaced = mBudget.FindReplaceable(mCore.mNow())) {
+    EndForBound(*replaced, "connections", [](CallerConnection& aConnection) {
+      aConnection.Disconnect();
+    });
+  }
+  return !mBudget.IsFull();
+}
+
+void
+Gateway::EndForBound(limits::ConnectionId aConnection,
+                     const char* aBound,
+                     const std::function<void(CallerConnection&)>& aEnd)
+{
+  const auto found = mConnections.find(aConnection);
+  if (found == mConnections.end()) {
+    return;
+  }
+  const auto connection = found->second;
+  const limits::ConnectionState state = connection->State();
+  mCore.mCounters.Add(CounterId::kConnectionGaveWay);
+  mCore.mLogger.Log(
+    observe::EventId::kConnectionGaveWay,
+    { { "bound", aBound },
+      { "phase", boost::describe::enum_to_string(state.mPhase, "") },
+      { "bytes", state.mBytes },
+      { "held_bytes", mBudget.Bytes() },
+      { "connections", mBudget.Count() } });
+  aEnd(*connection);
+}
+
+void
+Gateway::OnHeld(const CallerConnection& aConnection)
+{
+  mBudget.Update(aConnection.Id(), aConnection.State(), mCore.mNow());
+  // Deferred, because the connection may be in the midst of a response.
+  if (mBudget.IsOver() && !std::exchange(mIsEnforcing, true)) {
+    net::post(mCore.mIo, [this] {
+      mIsEnforcing = false;
+      EnforceBounds();
+    });
+  }
+}
+
+void
+Gateway::EnforceBounds()
+{
+  const TimePoint now = mCore.mNow();
+  std::size_t held = mBudget.Bytes() + 1;
+  for (auto overrun = mBudget.FindOverrun(now);
+       overrun && mBudget.Bytes() < held;
+       overrun = mBudget.FindOverrun(now)) {
+    held = mBudget.Bytes();
+    EndForBound(*overrun, "bytes", [](CallerConnection& aConnection) {
+      aConnection.GiveWay();
+    });
   }
 }
 
@@ -74,7 +148,8 @@
 void
 Gateway::OnClosed(CallerConnection& aConnection)
 {
-  const auto found = mConnections.find(&aConnection);
+  mBudget.Close(aConnection.Id());
+  const auto found = mConnections.find(aConnection.Id());
   if (found != mConnections.end()) {
     net::post(mCore.mIo, [connection = found->second] { (void)connection; });
     mConnections.erase(found);
@@ -82,10 +157,11 @@
 }
 
 void
-Gateway::OnMalformed(unsigned aStatus, const std::string& aReason)
+Gateway::OnRefused(unsigned aStatus, const std::string& aReason)
 {
-  mCore.mCounters.Add(aStatus == 400 ? observe::CounterId::kRefusedMalformed
-                                     : observe::CounterId::kRefusedBound);
+  mCore.mCounters.Add(aStatus == kBadRequest    ? CounterId::kRefusedMalformed
+                      : aStatus == kUnavailable ? CounterId::kRefusedMemory
+                                                : CounterId::kRefusedBound);
   mCore.mLogger.Log(observe::EventId::kHttpBoundExceeded,
                     { { "status", aStatus }, { "reason", aReason } });
 }
@@ -103,6 +179,7 @@
     return;
   }
   mSweptAt = aNow;
+  mCore.mCounters.Set(CounterId::kCallerBytesHeld, mBudget.Bytes());
   std::vector<std::shared_ptr<CallerConnection>> connections;
   connections.reserve(mConnections.size());
   for (const auto& [key, connection] : mConnections) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -4,7 +4,9 @@
 #include "gateway/ConnectionAcceptor.h"
 #include "gateway/Exchange.h"
 #include "gateway/GatewayCore.h"
+#include "peridotspool/limits/ConnectionBudget.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -15,7 +17,7 @@
 struct GatewayOptions
 {
   Address mListen;
-  std::size_t mMaxConnections = 3000;
+  limits::ConnectionBounds mBounds;
 };
 
 /**
@@ -50,17 +52,27 @@
                  CallerRequest aRequest) override;
   void OnDisconnected(CallerConnection& aConnection) override;
   void OnClosed(CallerConnection& aConnection) override;
-  void OnMalformed(unsigned aStatus, const std::string& aReason) override;
+  void OnRefused(unsigned aStatus, const std::string& aReason) override;
+  void OnHeld(const CallerConnection& aConnection) override;
+  void EnforceBounds() override;
   CallerLimits Limits() const override;
   TimePoint Now() const override { return mCore.mNow(); }
 
 private:
   void OnConnection(http::Tcp::socket aSocket);
+  /** Returns false iff the connections are at their bound, and all in use. */
+  bool MakeRoomForConnection();
+  /** Logs that a connection is over a bound, and ends what it holds. */
+  void EndForBound(limits::ConnectionId aConnection,
+                   const char* aBound,
+                   const std::function<void(CallerConnection&)>& aEnd);
 
   GatewayCore& mCore;
   GatewayOptions mOptions;
   ConnectionAcceptor mAcceptor;
-  std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
+  limits::ConnectionBudget mBudget;
+  bool mIsEnforcing = false;
+  std::unordered_map<limits::ConnectionId, std::shared_ptr<CallerConnection>>
     mConnections;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> mExchanges;
   TimePoint mSweptAt;
--- a/src/gateway/HeaderRules.cpp
+++ b/src/gateway/HeaderRules.cpp
@@ -120,6 +120,19 @@
   return values;
 }
 
+std::size_t
+HeldBytes(const CallerRequest& aRequest)
+{
+  std::size_t bytes =
+    aRequest.mMethod.capacity() + aRequest.mTarget.capacity() +
+    aRequest.mBody.capacity() +
+    aRequest.mFields.capacity() * sizeof(FieldList::value_type);
+  for (const auto& [name, value] : aRequest.mFields) {
+    bytes += name.capacity() + value.capacity();
+  }
+  return bytes;
+}
+
 bool
 IsHopByHop(std::string_view aName, std::string_view aConnection)
 {
@@ -141,12 +154,12 @@
 }
 
 std::string
-WriteUpstreamRequest(const CallerRequest& aRequest,
-                     const HeaderNames& aNames,
-                     const UpstreamRequestFields& aTerms)
+WriteUpstreamHead(const CallerRequest& aRequest,
+                  const HeaderNames& aNames,
+                  const UpstreamRequestFields& aTerms)
 {
   std::string text;
-  text.reserve(1024 + aRequest.mBody.size());
+  text.reserve(1024);
   text.append(aRequest.mMethod).append(" ").append(aRequest.mTarget);
   text.append(" HTTP/1.1\r\n");
   const std::string_view connection = FieldOf(aRequest.mFields, "connection");
@@ -179,8 +192,7 @@
   if (!bodiless) {
     AppendField(text, "Content-Length", std::to_string(aRequest.mBody.size()));
   }
-  text.append("\r\n").append(aRequest.mBody);
-  return text;
+  return text.append("\r\n");
 }
 
 std::string
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <utility>
 
 namespace peridotspool::gateway {
@@ -28,7 +29,7 @@
 void
 UpstreamConnection::Open(const DialTarget& aTarget,
                          Duration aTimeout,
-                         std::string aRequest,
+                         OutgoingRequest aRequest,
                          UpstreamListener* aListener)
 {
   mListener = aListener;
@@ -62,7 +63,7 @@
 }
 
 void
-UpstreamConnection::Send(std::string aRequest, UpstreamListener* aListener)
+UpstreamConnection::Send(OutgoingRequest aRequest, UpstreamListener* aListener)
 {
   mListener = aListener;
   mRequest = std::move(aRequest);
@@ -83,10 +84,11 @@
   }
   net::async_write(
     mSocket,
-    net::buffer(mRequest),
+    std::array<net::const_buffer, 2>{ net::buffer(mRequest.mHead),
+                                      net::buffer(*mRequest.mBody) },
     [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
       self->mWriting = false;
-      self->mRequest.clear();
+      self->mRequest = {};
       if (aError && !self->mClosed && !self->mReading) {
         self->Fail(aError.message());
       }
@@ -240,6 +242,9 @@
   }
   mDialer.Path().RecordIdle(mId);
   mTunnel.reset();
+  if (!mWriting) {
+    mRequest = {};
+  }
   http::ErrorCode ignored;
   mSocket.close(ignored);
 }
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/HeadScanner.h"
+#include "gateway/OutgoingRequest.h"
 #include "gateway/UpstreamDialer.h"
 #include "http/PieceBody.h"
 #include "peridotspool/base/Address.h"
@@ -73,10 +74,10 @@
   /** Connects and then sends a request. */
   void Open(const DialTarget& aTarget,
             Duration aTimeout,
-            std::string aRequest,
+            OutgoingRequest aRequest,
             UpstreamListener* aListener);
   /** Sends another request on an idle connection. */
-  void Send(std::string aRequest, UpstreamListener* aListener);
+  void Send(OutgoingRequest aRequest, UpstreamListener* aListener);
   /** Closes the connection without calling the listener. */
   void Drop();
   /** Fails the request because the path of this connection is lost. */
@@ -152,7 +153,7 @@
   http::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   HeadScanner mHeadScanner;
-  std::string mRequest;
+  OutgoingRequest mRequest;
   bool mWriting = false;
   bool mReading = false;
   bool mPaused = false;
--- a/src/http/GrowingBody.h
+++ b/src/http/GrowingBody.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/BeastTypes.h"
+#include "peridotspool/base/TextCapacity.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -49,7 +50,7 @@
     {
       aError = {};
       if (mBody.capacity() - mBody.size() > mBody.size() / kMaxSpareDivisor) {
-        Resize(mBody.size());
+        SetCapacity(mBody, mBody.size());
       }
     }
 
@@ -60,19 +61,11 @@
     {
       if (aBytes > mBody.capacity()) {
         const std::uint64_t grown = mBody.capacity() + mBody.capacity() / 2;
-        Resize(std::max<std::uint64_t>(aBytes, std::min(grown, mMaxBytes)));
+        SetCapacity(
+          mBody, std::max<std::uint64_t>(aBytes, std::min(grown, mMaxBytes)));
       }
     }
 
-    // string::reserve at least doubles the capacity.
-    void Resize(std::size_t aCapacity)
-    {
-      std::string grown;
-      grown.reserve(aCapacity);
-      grown.append(mBody);
-      mBody.swap(grown);
-    }
-
     value_type& mBody;
     std::uint64_t mMaxBytes = UINT64_MAX;
   };
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -187,7 +187,11 @@
   }
   mFeed.emplace(*mCore);
   mGateway = std::make_unique<gateway::Gateway>(
-    *mCore, gateway::GatewayOptions{ .mListen = *mSettings.mListen.mCallers });
+    *mCore,
+    gateway::GatewayOptions{
+      .mListen = *mSettings.mListen.mCallers,
+      .mBounds = { .mTotalBytes = mSettings.mBounds.mCallerMemoryBytes,
+                   .mConnections = mSettings.mBounds.mConnections } });
   mTunnelServer = std::make_unique<gateway::TunnelServer>(
     *mCore,
     gateway::TunnelServerOptions{
@@ -196,6 +200,7 @@
   if (mSettings.mListen.mReady) {
     mReadyServer = std::make_unique<http::HttpServer>(
       http::HttpServerOptions{ .mListen = *mSettings.mListen.mReady,
+                               .mMaxBodyBytes = 0,
                                .mMaxConnections = 64 },
       [this](http::ExchangeId aExchange, const http::HttpRequest& aRequest) {
         mReadyServer->Respond(aExchange, OnReadyRequest(aRequest));
--- a/src/settings/ProcessSchema.cpp
+++ b/src/settings/ProcessSchema.cpp
@@ -32,6 +32,7 @@
     { "header", QuantityRule(Kind::kBytes, "1KiB", "1MiB", "16KiB") },
     { "frame", QuantityRule(Kind::kBytes, "64KiB", "128MiB", "4MiB") },
     { "connections", QuantityRule(Kind::kInteger, "1", "1000000", "4096") },
+    { "caller_memory", QuantityRule(Kind::kBytes, "1MiB", "64GiB", "32MiB") },
     { "ring_slots", QuantityRule(Kind::kInteger, "16", "1000000", "4096") },
     { "ledger", QuantityRule(Kind::kBytes, "1MiB", "64GiB", "256MiB") },
     { "upstreams", QuantityRule(Kind::kInteger, "1", "100000", "8192") },
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -31,6 +31,7 @@
            .mHeaderBytes = aFile.Count("bounds.header"),
            .mFrameBytes = aFile.Count("bounds.frame"),
            .mConnections = aFile.Count("bounds.connections"),
+           .mCallerMemoryBytes = aFile.Count("bounds.caller_memory"),
            .mRingSlots = aFile.Count("bounds.ring_slots"),
            .mLedgerBytes = aFile.Count("bounds.ledger"),
            .mUpstreams = aFile.Count("bounds.upstreams"),
