Bound what all clients of an HTTP server hold together

Operators lost a control replica: 40 orders that stop short of their end took it past its machine's memory, and as many idle connections as it takes shut everybody else out of the operators', the directory's and the readiness listener.

Cause: the server bounded each connection and not all of them, and a place was held until its time-out. Trailers were added to a request's fields as well.

Change: http/HttpServer asks limits/ConnectionBudget, as the gateway does. It reads piece by piece, so that what comes is counted while it comes. A request that gives way gets 503 with retry-after, an idle connection is closed for a new one, trailers are dropped.

--- a/include/peridotspool/http/HttpServer.h
+++ b/include/peridotspool/http/HttpServer.h
@@ -22,6 +22,9 @@
   std::size_t mMaxBodyBytes = 1 << 20;
   std::size_t mMaxHeaderBytes = 16 << 10;
   std::size_t mMaxConnections = 4096;
+  /** Bytes that all connections hold together. Those that make no progress give
+   * way first. */
+  std::size_t mMaxHeldBytes = 32U << 20;
   /** Bytes queued towards one slow reader before its connection is dropped. */
   std::size_t mMaxQueuedBytes = 4 << 20;
   /** A connection that sends no whole request for this long is closed. */
--- a/src/http/Conversions.cpp
+++ b/src/http/Conversions.cpp
@@ -88,21 +88,34 @@
 }
 
 HttpRequest
-FromBeast(BeastRequest aRequest)
+FromBeast(const beast_http::request_header<>& aHead)
 {
-  const std::string target(aRequest.target());
+  const std::string target(aHead.target());
   const std::size_t question = target.find('?');
   HttpRequest request;
-  request.mMethod = aRequest.method_string();
+  request.mMethod = aHead.method_string();
   request.mPath = target.substr(0, question);
   if (question != std::string::npos) {
     request.mQuery = ParseQuery(std::string_view(target).substr(question + 1));
   }
-  request.mHeaders = FieldsOf(aRequest);
-  request.mBody = std::move(aRequest.body());
+  request.mHeaders = FieldsOf(aHead);
   return request;
 }
 
+std::size_t
+HeldBytes(const HttpRequest& aRequest)
+{
+  std::size_t bytes = aRequest.mMethod.capacity() + aRequest.mPath.capacity() +
+                      aRequest.mBody.capacity();
+  for (const HeaderFields* fields : { &aRequest.mQuery, &aRequest.mHeaders }) {
+    for (const auto& [name, value] : *fields) {
+      bytes +=
+        sizeof(HeaderFields::value_type) + name.capacity() + value.capacity();
+    }
+  }
+  return bytes;
+}
+
 std::string
 WholeResponse(HttpResponse aResponse, const ResponseFraming& aFraming)
 {
--- a/src/http/Conversions.h
+++ b/src/http/Conversions.h
@@ -9,7 +9,6 @@
 
 namespace peridotspool::http {
 
-using BeastRequest = beast_http::request<beast_http::string_body>;
 using BeastFields = beast_http::fields;
 
 /** How a response is framed on its connection. */
@@ -24,9 +23,14 @@
 HeaderFields
 FieldsOf(const BeastFields& aFields);
 
-/** Returns the request with its target split into path and query. */
+/** Returns the request without its body, with its target split into path and
+ * query. */
 HttpRequest
-FromBeast(BeastRequest aRequest);
+FromBeast(const beast_http::request_header<>& aHead);
+
+/** Returns the bytes of memory that a request takes. */
+std::size_t
+HeldBytes(const HttpRequest& aRequest);
 
 /** Returns the bytes of a whole response. */
 std::string
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -5,7 +5,7 @@
 #include <atomic>
 #include <thread>
 #include <unordered_map>
-#include <unordered_set>
+#include <utility>
 
 namespace peridotspool::http {
 
@@ -17,6 +17,13 @@
 /** Connections over the bound that are told so; more are just closed. */
 constexpr std::size_t kTurnedAwayAtOnce = 64;
 
+TimePoint
+Now()
+{
+  return TimePoint(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 } // namespace
 
 class HttpServer::Impl : public ServerConnectionOwner
@@ -28,6 +35,8 @@
     : mOptions(std::move(aOptions))
     , mOnRequest(std::move(aOnRequest))
     , mOnGone(std::move(aOnGone))
+    , mBudget({ .mTotalBytes = mOptions.mMaxHeldBytes,
+                .mConnections = mOptions.mMaxConnections })
   {
   }
 
@@ -56,6 +65,7 @@
   void Gone(ExchangeId aExchange) override;
   void Closed(const std::shared_ptr<ServerConnection>& aWhich) override;
   void RefusedForBound() override { ++mRefusedForBounds; }
+  void Held(const ServerConnection& aWhich) override;
   bool MayKeepAlive() const override { return mAccepting; }
 
   std::atomic<std::size_t> mOpenExchanges = 0;
@@ -66,6 +76,9 @@
   void Accept();
   void OnAccept(ErrorCode aError, Tcp::socket aSocket);
   void Serve(Tcp::socket aSocket);
+  /** Returns false iff the connections are at their bound, and all in use. */
+  bool MakeRoomForConnection();
+  void EnforceBounds();
   void CloseAcceptor();
   void BeginStop();
   void Join();
@@ -82,7 +95,10 @@
   bool mStopping = false;
   ExchangeId mLastExchange = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<ServerConnection>> mExchanges;
-  std::unordered_set<std::shared_ptr<ServerConnection>> mConnections;
+  limits::ConnectionBudget mBudget;
+  bool mIsEnforcing = false;
+  std::unordered_map<limits::ConnectionId, std::shared_ptr<ServerConnection>>
+    mConnections;
   std::thread mThread;
 };
 
@@ -154,16 +170,17 @@
 void
 HttpServer::Impl::Serve(Tcp::socket aSocket)
 {
-  const bool full = mConnections.size() >= mOptions.mMaxConnections;
+  const bool full = !MakeRoomForConnection();
   if (full) {
     RefusedForBound();
   }
   if (mConnections.size() >= mOptions.mMaxConnections + kTurnedAwayAtOnce) {
     return;
   }
+  const limits::ConnectionId id = mBudget.Open(Now());
   const auto connection =
-    std::make_shared<ServerConnection>(std::move(aSocket), mOptions, *this);
-  mConnections.insert(connection);
+    std::make_shared<ServerConnection>(std::move(aSocket), mOptions, *this, id);
+  mConnections.emplace(id, connection);
   if (full) {
     connection->TurnAway();
   } else {
@@ -171,6 +188,44 @@
   }
 }
 
+bool
+HttpServer::Impl::MakeRoomForConnection()
+{
+  if (mBudget.IsFull()) {
+    if (const auto replaced = mBudget.FindReplaceable(Now())) {
+      RefusedForBound();
+      const auto connection = mConnections.at(*replaced);
+      connection->Close();
+    }
+  }
+  return !mBudget.IsFull();
+}
+
+void
+HttpServer::Impl::Held(const ServerConnection& aWhich)
+{
+  mBudget.Update(aWhich.Id(), aWhich.State(), Now());
+  // Deferred, because the connection may be in the midst of a step.
+  if (mBudget.IsOver() && !std::exchange(mIsEnforcing, true)) {
+    net::post(mIo, [this] { EnforceBounds(); });
+  }
+}
+
+void
+HttpServer::Impl::EnforceBounds()
+{
+  const TimePoint now = Now();
+  std::size_t held = mBudget.Bytes() + 1;
+  for (auto overrun = mBudget.FindOverrun(now);
+       overrun && mBudget.Bytes() < held;
+       overrun = mBudget.FindOverrun(now)) {
+    held = mBudget.Bytes();
+    const auto connection = mConnections.at(*overrun);
+    connection->GiveWay();
+  }
+  mIsEnforcing = false;
+}
+
 ExchangeId
 HttpServer::Impl::Opened(const std::shared_ptr<ServerConnection>& aFrom,
                          HttpRequest aRequest)
@@ -202,7 +257,8 @@
 void
 HttpServer::Impl::Closed(const std::shared_ptr<ServerConnection>& aWhich)
 {
-  mConnections.erase(aWhich);
+  mBudget.Close(aWhich->Id());
+  mConnections.erase(aWhich->Id());
   if (mStopping && mConnections.empty()) {
     mIo.stop();
   }
@@ -229,7 +285,7 @@
   mStopping = true;
   CloseAcceptor();
   const auto connections = mConnections;
-  for (const auto& connection : connections) {
+  for (const auto& [id, connection] : connections) {
     connection->CloseWhenSent();
   }
   if (mConnections.empty()) {
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/ServerConnection.h"
 
+#include "peridotspool/base/TextCapacity.h"
+
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -9,6 +11,9 @@
 
 /** How long a refused caller may go on sending before the connection ends. */
 constexpr std::chrono::seconds kDrainTimeout{ 2 };
+constexpr std::uint32_t kUnavailable = 503;
+/** Bytes that may wait in the kernel. */
+constexpr int kReceiveBufferBytes = 64 << 10;
 /** Room for body bytes that come with the header. */
 constexpr std::size_t kReadAheadBytes = 64 << 10;
 
@@ -16,50 +21,138 @@
 
 ServerConnection::ServerConnection(Tcp::socket aSocket,
                                    const HttpServerOptions& aOptions,
-                                   ServerConnectionOwner& aOwner)
+                                   ServerConnectionOwner& aOwner,
+                                   limits::ConnectionId aId)
   : mOptions(aOptions)
   , mOwner(aOwner)
+  , mId(aId)
   , mStream(std::move(aSocket))
   , mBuffer(aOptions.mMaxHeaderBytes + kReadAheadBytes)
 {
   ErrorCode ignored;
   mStream.socket().set_option(Tcp::no_delay(true), ignored);
+  mStream.socket().set_option(
+    net::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
 }
 
 void
 ServerConnection::Run()
 {
-  ReadHeader();
+  StartRequest();
 }
 
 void
 ServerConnection::TurnAway()
 {
-  RefuseWith(503, "too many connections");
+  RefuseWith(kUnavailable, "too many connections");
+}
+
+limits::ConnectionPhase
+ServerConnection::Phase() const
+{
+  using enum limits::ConnectionPhase;
+  if (mDrainBeforeClose) {
+    return kDraining;
+  }
+  if (mQueuedBytes > 0) {
+    return kSending;
+  }
+  if (mExchange != 0) {
+    return kServing;
+  }
+  return mParser && mParser->got_some() ? kReceiving : kIdle;
+}
+
+limits::ConnectionState
+ServerConnection::State() const
+{
+  const std::size_t body = mParser ? mParser->get().body().capacity() : 0;
+  return { .mPhase = Phase(),
+           .mBytes = mBuffer.capacity() + mRequestBytes + body + mQueuedBytes,
+           .mTransferred = mTransferred,
+           .mIsAhead = mBuffer.size() > 0 };
+}
+
+void
+ServerConnection::GiveWay()
+{
+  if (Phase() != limits::ConnectionPhase::kReceiving) {
+    Close();
+    return;
+  }
+  // The parser stays until the read that uses it has ended.
+  mStream.cancel();
+  FreeText(mParser->get().body());
+  mOwner.RefusedForBound();
+  RefuseWith(kUnavailable, "no memory for the request");
 }
 
 void
-ServerConnection::ReadHeader()
+ServerConnection::StartRequest()
 {
   mParser.emplace();
   mParser->header_limit(static_cast<std::uint32_t>(mOptions.mMaxHeaderBytes));
   mParser->body_limit(mOptions.mMaxBodyBytes);
+  // Until the header is complete, so that it can be taken alone.
+  mParser->eager(false);
   mStream.expires_after(mOptions.mIdleTimeout);
-  beast_http::async_read_header(
-    mStream, mBuffer, *mParser, [self = shared_from_this()](auto aError, auto) {
-      self->OnHeader(aError);
+  ReadSome();
+}
+
+void
+ServerConnection::ReadSome()
+{
+  beast_http::async_read_some(
+    mStream,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](auto aError, std::size_t aBytes) {
+      self->OnSome(aError, aBytes);
     });
 }
 
 void
-ServerConnection::OnHeader(ErrorCode aError)
+ServerConnection::OnSome(ErrorCode aError, std::size_t aBytes)
 {
+  if (mClosed || mDrainBeforeClose) {
+    return;
+  }
+  mTransferred += aBytes;
   if (aError) {
     Refuse(aError);
-  } else if (mParser->get()[beast_http::field::expect] == "100-continue") {
+    return;
+  }
+  const bool isHeader = mParser->is_header_done() && mRequest.mMethod.empty();
+  if (isHeader) {
+    OnHeader();
+  } else if (mParser->is_done()) {
+    OnRequest();
+  } else {
+    mOwner.Held(*this);
+    ReadSome();
+  }
+}
+
+// The fields are taken before the body is parsed, because the parser adds
+// trailers to them, and no trailer may stand for a field of the header.
+void
+ServerConnection::OnHeader()
+{
+  auto& header = mParser->get().base();
+  mRequest = FromBeast(header);
+  mVersion = header.version();
+  mKeepAlive = mParser->get().keep_alive();
+  const bool expects = header[beast_http::field::expect] == "100-continue";
+  header.clear();
+  mRequestBytes = HeldBytes(mRequest);
+  mParser->eager(true);
+  if (mParser->is_done()) {
+    OnRequest();
+  } else if (expects) {
     SendContinue();
   } else {
-    ReadBody();
+    mOwner.Held(*this);
+    ReadSome();
   }
 }
 
@@ -72,35 +165,24 @@
                    [self = shared_from_this()](auto aError, auto) {
                      if (aError) {
                        self->Close();
-                     } else {
-                       self->ReadBody();
+                     } else if (!self->mClosed && !self->mDrainBeforeClose) {
+                       self->ReadSome();
                      }
                    });
 }
 
 void
-ServerConnection::ReadBody()
-{
-  beast_http::async_read(
-    mStream, mBuffer, *mParser, [self = shared_from_this()](auto aError, auto) {
-      self->OnRequest(aError);
-    });
-}
-
-void
-ServerConnection::OnRequest(ErrorCode aError)
+ServerConnection::OnRequest()
 {
-  if (aError) {
-    Refuse(aError);
-    return;
-  }
   mStream.expires_never();
-  BeastRequest request = mParser->release();
-  mVersion = request.version();
-  mKeepAlive = request.keep_alive();
+  mRequest.mBody = std::move(mParser->get().body());
+  mParser.reset();
+  mRequestBytes = HeldBytes(mRequest);
   mResponseEnded = false;
   mStreaming = false;
-  mExchange = mOwner.Opened(shared_from_this(), FromBeast(std::move(request)));
+  mExchange =
+    mOwner.Opened(shared_from_this(), std::exchange(mRequest, HttpRequest{}));
+  mOwner.Held(*this);
   WatchForEnd();
 }
 
@@ -130,10 +212,15 @@
 {
   mCloseWhenSent = true;
   mDrainBeforeClose = true;
+  mRequest = {};
+  mRequestBytes = 0;
   HttpResponse response{ .mStatus = aStatus,
                          .mHeaders = { { "content-type", "application/json" } },
                          .mBody =
                            R"({"reason":")" + aReason + R"(","ran":"no"})" };
+  if (aStatus == kUnavailable) {
+    response.mHeaders["retry-after"] = "1";
+  }
   Queue(WholeResponse(std::move(response), { .mKeepAlive = false }));
 }
 
@@ -233,40 +320,63 @@
   if (!mWriting) {
     WriteNext();
   }
+  mOwner.Held(*this);
 }
 
 void
 ServerConnection::WriteNext()
 {
-  mInFlight.clear();
-  for (const std::string& bytes : mQueue) {
-    mInFlight += bytes;
+  mWritten = 0;
+  if (mQueue.size() == 1) {
+    mInFlight = std::move(mQueue.front());
+  } else {
+    mInFlight.clear();
+    for (const std::string& bytes : mQueue) {
+      mInFlight += bytes;
+    }
   }
   mQueue.clear();
   mWriting = true;
+  WriteSome();
+}
+
+void
+ServerConnection::WriteSome()
+{
   mStream.expires_after(mOptions.mIdleTimeout);
-  net::async_write(mStream,
-                   net::buffer(mInFlight),
-                   [self = shared_from_this()](auto aError, auto) {
-                     self->OnWritten(aError);
-                   });
+  mStream.async_write_some(
+    net::buffer(mInFlight) + mWritten,
+    [self = shared_from_this()](auto aError, std::size_t aBytes) {
+      self->OnWritten(aError, aBytes);
+    });
 }
 
 void
-ServerConnection::OnWritten(ErrorCode aError)
+ServerConnection::OnWritten(ErrorCode aError, std::size_t aBytes)
 {
   mWriting = false;
   if (aError || mClosed) {
     Close();
     return;
   }
-  mQueuedBytes -= mInFlight.size();
+  mTransferred += aBytes;
+  mWritten += aBytes;
+  if (mWritten < mInFlight.size()) {
+    mWriting = true;
+    WriteSome();
+    mOwner.Held(*this);
+    return;
+  }
+  mQueuedBytes -= std::exchange(mInFlight, {}).size();
   if (!mQueue.empty()) {
     WriteNext();
   } else {
     mStream.expires_never();
     OnAllSent();
   }
+  if (!mClosed) {
+    mOwner.Held(*this);
+  }
 }
 
 void
@@ -285,8 +395,12 @@
 ServerConnection::FinishResponse()
 {
   mOwner.Completed(std::exchange(mExchange, 0));
+  mRequestBytes = 0;
+  if (mBuffer.size() == 0) {
+    mBuffer.shrink_to_fit();
+  }
   if (mKeepAlive && !mCloseWhenSent) {
-    ReadHeader();
+    StartRequest();
   } else {
     Close();
   }
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -2,7 +2,9 @@
 
 #include "http/BeastTypes.h"
 #include "http/Conversions.h"
+#include "http/GrowingBody.h"
 #include "peridotspool/http/HttpServer.h"
+#include "peridotspool/limits/ConnectionBudget.h"
 
 #include <deque>
 #include <memory>
@@ -29,6 +31,9 @@
   /** The connection is closed; it calls nothing after this. */
   virtual void Closed(const std::shared_ptr<ServerConnection>& aWhich) = 0;
   virtual void RefusedForBound() = 0;
+  /** What the connection holds, or its phase, has changed. Other connections
+   * may end for it, or this one later. */
+  virtual void Held(const ServerConnection& aWhich) = 0;
   /** Returns true iff connections may stay open after a response. */
   virtual bool MayKeepAlive() const = 0;
 };
@@ -42,7 +47,8 @@
 public:
   ServerConnection(Tcp::socket aSocket,
                    const HttpServerOptions& aOptions,
-                   ServerConnectionOwner& aOwner);
+                   ServerConnectionOwner& aOwner,
+                   limits::ConnectionId aId);
 
   void Run();
   /** Answers 503 and closes, without reading a request. */
@@ -55,34 +61,51 @@
 
   /** Closes once everything queued so far is sent. */
   void CloseWhenSent();
+  /** Refuses the request that is incomplete, or else closes the connection, so
+   * that it holds nothing. */
+  void GiveWay();
+  /** Closes at once; a response in progress does not look complete. */
+  void Close();
+
+  limits::ConnectionId Id() const { return mId; }
+  limits::ConnectionState State() const;
 
 private:
-  void ReadHeader();
-  void OnHeader(ErrorCode aError);
+  limits::ConnectionPhase Phase() const;
+  void StartRequest();
+  void ReadSome();
+  void OnSome(ErrorCode aError, std::size_t aBytes);
+  void OnHeader();
   void SendContinue();
-  void ReadBody();
-  void OnRequest(ErrorCode aError);
+  void OnRequest();
   void Refuse(ErrorCode aError);
   void RefuseWith(std::uint32_t aStatus, const std::string& aReason);
   void WatchForEnd();
   void OnReadable(ErrorCode aError);
   void Queue(std::string aBytes);
   void WriteNext();
-  void OnWritten(ErrorCode aError);
+  void WriteSome();
+  void OnWritten(ErrorCode aError, std::size_t aBytes);
   void OnAllSent();
   void FinishResponse();
   void DrainThenClose();
-  void Close();
   bool IsCurrent(ExchangeId aExchange) const;
   ResponseFraming Framing();
 
-  using Parser = beast_http::request_parser<beast_http::string_body>;
+  using Parser = beast_http::request_parser<GrowingBody>;
 
   const HttpServerOptions mOptions;
   ServerConnectionOwner& mOwner;
+  const limits::ConnectionId mId;
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
+  /** Complete but for its body once the header is there. */
+  HttpRequest mRequest;
+  /** Bytes of the request that is received or served, but for a body that is
+   * still being parsed. */
+  std::size_t mRequestBytes = 0;
+  std::uint64_t mTransferred = 0;
   ExchangeId mExchange = 0;
   unsigned mVersion = 11;
   bool mKeepAlive = true;
@@ -97,6 +120,7 @@
   std::deque<std::string> mQueue;
   std::size_t mQueuedBytes = 0;
   std::string mInFlight;
+  std::size_t mWritten = 0;
 };
 
 } // namespace peridotspool::http
--- a/src/runtime/ControlHost.cpp
+++ b/src/runtime/ControlHost.cpp
@@ -11,6 +11,7 @@
 #include "runtime/HostParts.h"
 #include "runtime/SyncWatch.h"
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <utility>
@@ -25,6 +26,8 @@
 /** Syncs from this on have a line each; shorter ones are summed up. */
 constexpr Duration kLongSync = std::chrono::milliseconds(10);
 constexpr std::size_t kMaxOperatorBody = 8U << 20;
+/** Callers that look for entries send no bodies, and responses are small. */
+constexpr std::size_t kMaxDirectoryBytes = 16U << 20;
 constexpr std::uint32_t kStatusUnavailable = 503;
 
 } // namespace
@@ -139,21 +142,24 @@
                                   .mSharedKey = mOptions.mPeerKey,
                                   .mMaxFrameBytes = bounds.mFrameBytes },
       [this](const std::string& aFrame) { OnFrame(aFrame); });
-    mServer = MakeServer(mOptions.mOperatorsListen);
+    mServer = MakeServer(mOptions.mOperatorsListen, bounds.mCallerMemoryBytes);
     if (mOptions.mDirectoryListen) {
-      mDirectory = MakeServer(*mOptions.mDirectoryListen);
+      mDirectory = MakeServer(
+        *mOptions.mDirectoryListen,
+        std::min<std::size_t>(bounds.mCallerMemoryBytes, kMaxDirectoryBytes));
     }
   }
 
-  std::unique_ptr<http::HttpServer> MakeServer(const Address& aListen)
+  std::unique_ptr<http::HttpServer> MakeServer(const Address& aListen,
+                                               std::size_t aMaxHeldBytes)
   {
     const auto which = std::make_shared<http::HttpServer*>(nullptr);
     auto server = std::make_unique<http::HttpServer>(
       http::HttpServerOptions{ .mListen = aListen,
                                .mMaxBodyBytes = kMaxOperatorBody,
                                .mMaxHeaderBytes = mOptions.mBounds.mHeaderBytes,
-                               .mMaxConnections =
-                                 mOptions.mBounds.mConnections },
+                               .mMaxConnections = mOptions.mBounds.mConnections,
+                               .mMaxHeldBytes = aMaxHeldBytes },
       [this, which](http::ExchangeId aExchange,
                     const http::HttpRequest& aRequest) {
         OnRequest(**which, aExchange, aRequest);
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -132,7 +132,8 @@
       http::HttpServerOptions{ .mListen = mSettings.mHttpListen,
                                .mMaxBodyBytes = bounds.mBodyBytes,
                                .mMaxHeaderBytes = bounds.mHeaderBytes,
-                               .mMaxConnections = bounds.mConnections },
+                               .mMaxConnections = bounds.mConnections,
+                               .mMaxHeldBytes = bounds.mCallerMemoryBytes },
       [this](http::ExchangeId aExchange, const http::HttpRequest& aRequest) {
         OnRequest(aExchange, aRequest);
       },
