Bound unfinished messages of all peers together

Clients of a peer listener took entries and control replicas past their machines' memory: 24 connections that each send 12 MiB of a message, but for its end. On the users' platform peers have no key.

Cause: an incomplete message was bounded for each connection and not for all. Beside it, bytes one at a time kept a handshake open, and a process out of descriptors accepted again without a pause.

Change: the transport counts incomplete messages by limits/ConnectionBudget and closes connections on which they stand still first. Buffers follow the bytes that have come. A handshake has a bound in all, accepting pauses after a failure, and connections are at most 1,024, so that they fit beside callers' and upstreams'.

--- a/include/peridotspool/wire/PeerSession.h
+++ b/include/peridotspool/wire/PeerSession.h
@@ -58,6 +58,8 @@
   const std::string& PeerListen() const;
   /** Bytes of frames that wait to be sent. */
   std::size_t QueuedBytes() const;
+  /** Bytes of memory that an incomplete frame of the peer takes. */
+  std::size_t HeldBytes() const;
 
 private:
   class Impl;
--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -26,7 +26,10 @@
   std::size_t mMaxQueuedBytes = 32U << 20;
   /** The same for all peers together, so that a slow link can't fill memory. */
   std::size_t mMaxQueuedInAll = 48U << 20;
-  std::size_t mMaxConnections = 2048;
+  /** Bytes of incomplete frames of all peers together. Connections on which
+   * they make no progress are closed first. */
+  std::size_t mMaxReceivedInAll = 48U << 20;
+  std::size_t mMaxConnections = 1024;
   /** A frame that got no other answer is answered by a heartbeat this soon. */
   std::chrono::milliseconds mHeartbeat{ 500 };
   /** A connection on which a frame got no byte back for this long is closed,
--- a/src/wire/FrameReader.cpp
+++ b/src/wire/FrameReader.cpp
@@ -1,12 +1,18 @@
 #include "wire/FrameReader.h"
 
+#include "peridotspool/base/TextCapacity.h"
+
 #include <boost/endian/conversion.hpp>
 
+#include <algorithm>
+
 namespace peridotspool::wire {
 
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+/** A buffer that a frame has made larger is freed after the frame. */
+constexpr std::size_t kMaxIdleBytes = 64U << 10;
 constexpr std::size_t kHeaderBytes = kLengthBytes + kFrameTagBytes;
 
 std::uint32_t
@@ -29,7 +35,7 @@
                   std::vector<std::string>& aFrames,
                   LastReason& aReason)
 {
-  mBuffer.append(aBytes);
+  Append(aBytes);
   std::size_t offset = 0;
   while (mBuffer.size() - offset >= kHeaderBytes) {
     const std::uint32_t length = ReadLength(mBuffer.data() + offset);
@@ -46,9 +52,28 @@
     }
   }
   mBuffer.erase(0, offset);
+  if (mBuffer.empty() && mBuffer.capacity() > kMaxIdleBytes) {
+    FreeText(mBuffer);
+  }
   return true;
 }
 
+// The capacity follows the bytes that have come, up to the frame's length.
+void
+FrameReader::Append(std::string_view aBytes)
+{
+  const std::size_t size = mBuffer.size() + aBytes.size();
+  if (size > mBuffer.capacity()) {
+    const std::size_t frame =
+      mBuffer.size() < kLengthBytes
+        ? 0
+        : kHeaderBytes + std::size_t{ ReadLength(mBuffer.data()) };
+    const std::size_t grown = mBuffer.capacity() + mBuffer.capacity() / 2;
+    SetCapacity(mBuffer, std::max(size, std::min(grown, frame)));
+  }
+  mBuffer.append(aBytes);
+}
+
 bool
 FrameReader::TakeFrame(std::size_t& aOffset,
                        std::vector<std::string>& aFrames,
--- a/src/wire/FrameReader.h
+++ b/src/wire/FrameReader.h
@@ -19,12 +19,16 @@
   /** Sets the key; frames are read only once it is known. */
   void SetSessionKey(std::string aKey) { mSessionKey = std::move(aKey); }
 
+  /** Returns the bytes of memory that an incomplete frame takes. */
+  std::size_t HeldBytes() const { return mBuffer.capacity(); }
+
   /** Appends whole frames; false with the reason on a bad one. */
   bool Read(std::string_view aBytes,
             std::vector<std::string>& aFrames,
             LastReason& aReason);
 
 private:
+  void Append(std::string_view aBytes);
   bool TakeFrame(std::size_t& aOffset,
                  std::vector<std::string>& aFrames,
                  LastReason& aReason);
--- a/src/wire/PeerConnection.cpp
+++ b/src/wire/PeerConnection.cpp
@@ -16,6 +16,10 @@
 
 /** An empty frame proves that the sender is alive and carries nothing. */
 const std::string kHeartbeatFrame;
+/** Less is a message in passing, or the room that one has left. */
+constexpr std::size_t kSmallBytes = 64U << 10;
+/** A handshake may pause for one connect time-out, and take so many in all. */
+constexpr int kMaxHandshakes = 3;
 
 Address
 ParseAddress(const std::string& aText)
@@ -34,13 +38,16 @@
 PeerConnection::PeerConnection(asio::ip::tcp::socket aSocket,
                                PeerSessionOptions aSession,
                                Times aTimes,
-                               Handlers aHandlers)
+                               Handlers aHandlers,
+                               limits::ConnectionId aId)
   : mSocket(std::move(aSocket))
   , mTimer(mSocket.get_executor())
   , mSession(std::move(aSession))
   , mTimes(aTimes)
   , mHandlers(std::move(aHandlers))
-  , mLastReceived(Clock::now())
+  , mId(aId)
+  , mBegunAt(Clock::now())
+  , mLastReceived(mBegunAt)
   , mLastUse(mLastReceived)
 {
 }
@@ -85,7 +92,8 @@
 PeerConnection::Begin()
 {
   mConnected = true;
-  mLastReceived = Clock::now();
+  mBegunAt = Clock::now();
+  mLastReceived = mBegunAt;
   error_code ignored;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   ReadSome();
@@ -107,6 +115,17 @@
   }
 }
 
+limits::ConnectionState
+PeerConnection::State() const
+{
+  using enum limits::ConnectionPhase;
+  const std::size_t held = mSession.HeldBytes();
+  const bool isIdle = mSession.Authenticated() && held <= kSmallBytes;
+  return { .mPhase = isIdle ? kIdle : kReceiving,
+           .mBytes = held,
+           .mTransferred = mReceivedBytes };
+}
+
 std::size_t
 PeerConnection::QueuedBytes() const
 {
@@ -160,6 +179,11 @@
     Close(reason.Text());
     return;
   }
+  mReceivedBytes += aSize;
+  mHandlers.mOnHeld(shared_from_this());
+  if (mClosed) {
+    return;
+  }
   Flush();
   ArmTimer();
   ReadSome();
@@ -199,7 +223,8 @@
 PeerConnection::NextDue() const
 {
   if (!mSession.Authenticated()) {
-    return mLastReceived + mTimes.mConnectTimeout;
+    return std::min(mLastReceived + mTimes.mConnectTimeout,
+                    mBegunAt + kMaxHandshakes * mTimes.mConnectTimeout);
   }
   Clock::time_point due = mLastUse + mTimes.mIdle;
   if (mAwaitingSince) {
@@ -236,7 +261,7 @@
   const bool silent =
     mSession.Authenticated()
       ? mAwaitingSince && now - *mAwaitingSince >= mTimes.mSilence
-      : now - mLastReceived >= mTimes.mConnectTimeout;
+      : now >= NextDue();
   // Something between the two ends may have lost track of this connection: it
   // would stay silent for good while a new one works, so it is given up here
   // and the next frame opens a new one.
--- a/src/wire/PeerConnection.h
+++ b/src/wire/PeerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Address.h"
+#include "peridotspool/limits/ConnectionBudget.h"
 #include "peridotspool/wire/PeerSession.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +9,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -40,6 +42,8 @@
                        const ConnectionEnd&)>
       mOnClosed;
     std::function<void(std::size_t, std::size_t)> mOnBytes;
+    /** Bytes have come; the connection may be closed for what it holds. */
+    std::function<void(const std::shared_ptr<PeerConnection>&)> mOnHeld;
   };
   struct Times
   {
@@ -52,7 +56,8 @@
   PeerConnection(boost::asio::ip::tcp::socket aSocket,
                  PeerSessionOptions aSession,
                  Times aTimes,
-                 Handlers aHandlers);
+                 Handlers aHandlers,
+                 limits::ConnectionId aId);
 
   /** Starts on a socket that was accepted. */
   void StartAccepted();
@@ -65,6 +70,8 @@
   const Address& Peer() const { return mPeer; }
   std::size_t QueuedBytes() const;
   bool Closed() const { return mClosed; }
+  limits::ConnectionId Id() const { return mId; }
+  limits::ConnectionState State() const;
 
 private:
   using Clock = std::chrono::steady_clock;
@@ -83,6 +90,8 @@
   PeerSession mSession;
   Times mTimes;
   Handlers mHandlers;
+  const limits::ConnectionId mId;
+  std::uint64_t mReceivedBytes = 0;
   Address mPeer;
   std::array<char, 64 << 10> mReadBuffer;
   std::string mWriting;
@@ -90,6 +99,7 @@
   bool mConnected = false;
   bool mClosed = false;
   bool mAnnouncedAuthenticated = false;
+  Clock::time_point mBegunAt;
   Clock::time_point mLastReceived;
   Clock::time_point mLastUse;
   /** Since when a frame of ours waits for any byte of the peer. */
--- a/src/wire/PeerSession.cpp
+++ b/src/wire/PeerSession.cpp
@@ -111,6 +111,7 @@
 
   bool Authenticated() const { return mAuthenticated; }
   const std::string& PeerListen() const { return mPeerListen; }
+  std::size_t HeldBytes() const { return mReader.HeldBytes(); }
   std::size_t QueuedBytes() const
   {
     return mWaitingBytes + mOutgoing.size() - mOutgoingTaken;
@@ -412,4 +413,10 @@
   return mImpl->QueuedBytes();
 }
 
+std::size_t
+PeerSession::HeldBytes() const
+{
+  return mImpl->HeldBytes();
+}
+
 } // namespace peridotspool::wire
--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -1,5 +1,6 @@
 #include "peridotspool/wire/PeerTransport.h"
 
+#include "peridotspool/limits/ConnectionBudget.h"
 #include "wire/PeerConnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -7,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -32,6 +34,14 @@
 /** How long after a failed connect the next one to that peer is tried. */
 constexpr std::chrono::milliseconds kReconnectPause{ 50 };
 constexpr unsigned kMostDoublings = 8;
+constexpr std::chrono::milliseconds kAcceptBackoff{ 50 };
+
+TimePoint
+Now()
+{
+  return TimePoint(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
 
 struct AtomicCounts
 {
@@ -55,6 +65,8 @@
     : mOptions(std::move(aOptions))
     , mOnFrame(std::move(aOnFrame))
     , mAcceptor(mContext)
+    , mReceiving({ .mTotalBytes = mOptions.mMaxReceivedInAll,
+                   .mConnections = mOptions.mMaxConnections })
   {
   }
 
@@ -183,7 +195,17 @@
         if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
           return;
         }
-        if (!aError && mOpen.size() < mOptions.mMaxConnections) {
+        if (aError) {
+          // Probably out of descriptors; accepting at once would busy-loop.
+          mAcceptTimer.expires_after(kAcceptBackoff);
+          mAcceptTimer.async_wait([this](const error_code& aCancelled) {
+            if (!aCancelled && mAcceptor.is_open()) {
+              Accept();
+            }
+          });
+          return;
+        }
+        if (MakeRoomForConnection()) {
           MakeConnection(
             std::move(aSocket), PeerRole::kServer, mOptions.mConnectTimeout)
             ->StartAccepted();
@@ -192,6 +214,36 @@
       });
   }
 
+  bool MakeRoomForConnection()
+  {
+    if (mReceiving.IsFull()) {
+      if (const auto replaced = mReceiving.FindReplaceable(Now())) {
+        CloseConnection(*replaced, "replaced by a new connection");
+      }
+    }
+    return !mReceiving.IsFull();
+  }
+
+  void CloseConnection(limits::ConnectionId aId, const std::string& aReason)
+  {
+    const auto found =
+      std::find_if(mOpen.begin(), mOpen.end(), [&](const auto& aConnection) {
+        return aConnection->Id() == aId;
+      });
+    if (found != mOpen.end()) {
+      const ConnectionPointer connection = *found;
+      connection->Close(aReason);
+    }
+  }
+
+  void OnHeld(const ConnectionPointer& aConnection)
+  {
+    mReceiving.Update(aConnection->Id(), aConnection->State(), Now());
+    while (const auto overrun = mReceiving.FindOverrun(Now())) {
+      CloseConnection(*overrun, "no memory for its frame");
+    }
+  }
+
   ConnectionPointer MakeConnection(asio::ip::tcp::socket aSocket,
                                    PeerRole aRole,
                                    std::chrono::milliseconds aConnectTimeout)
@@ -206,7 +258,8 @@
                              .mSilence = mOptions.mSilence,
                              .mIdle = mOptions.mIdle,
                              .mConnectTimeout = aConnectTimeout },
-      MakeHandlers());
+      MakeHandlers(),
+      mReceiving.Open(Now()));
     mOpen.insert(connection);
     ++mCounts.mConnectionsOpened;
     return connection;
@@ -236,12 +289,15 @@
           mCounts.mBytesReceived += aReceived;
           mCounts.mBytesSent += aSent;
         },
+      .mOnHeld =
+        [this](const ConnectionPointer& aConnection) { OnHeld(aConnection); },
     };
   }
 
   void OnClosed(const ConnectionPointer& aConnection, const ConnectionEnd& aEnd)
   {
     mOpen.erase(aConnection);
+    mReceiving.Close(aConnection->Id());
     const auto found = mByPeer.find(aConnection->Peer());
     if (found != mByPeer.end() && found->second == aConnection) {
       mByPeer.erase(found);
@@ -330,7 +386,10 @@
   asio::io_context mContext{ 1 };
   asio::ip::tcp::acceptor mAcceptor;
   asio::steady_timer mStopTimer{ mContext };
+  asio::steady_timer mAcceptTimer{ mContext };
   std::set<ConnectionPointer> mOpen;
+  /** What connections hold of incomplete frames. */
+  limits::ConnectionBudget mReceiving;
   std::map<Address, ConnectionPointer> mByPeer;
   std::map<Address, std::chrono::steady_clock::time_point> mNotBefore;
   /** Bytes that wait for all peers, or more. */
