--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -1,7 +1,9 @@
 #include "peridotspool/wire/PeerTransport.h"
 
+#include "peridotspool/base/SteadyClock.h"
 #include "peridotspool/limits/ConnectionBudget.h"
 #include "wire/PeerConnection.h"
+#include "wire/PeerFailures.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,23 +28,11 @@
 
 /** How long Stop waits for queued frames to leave. */
 constexpr std::chrono::milliseconds kStopGrace{ 200 };
-/** A failure counts for this long if nothing is tried since. */
-constexpr std::chrono::milliseconds kFailureMemory{ 3000 };
-/** One handshake can time out on a busy machine; only failures that go on for
- * this long say that a peer can't be reached. */
-constexpr std::chrono::milliseconds kFailureProof{ 2000 };
 /** How long after a failed connect the next one to that peer is tried. */
 constexpr std::chrono::milliseconds kReconnectPause{ 50 };
 constexpr unsigned kMostDoublings = 8;
 constexpr std::chrono::milliseconds kAcceptBackoff{ 50 };
 
-TimePoint
-Now()
-{
-  return TimePoint(std::chrono::duration_cast<Duration>(
-    std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 struct AtomicCounts
 {
   std::atomic<std::uint64_t> mFramesSent{ 0 };
@@ -136,41 +126,20 @@
   std::vector<Address> Unreachable() const
   {
     const std::lock_guard lock(mFailedMutex);
-    std::vector<Address> peers;
-    const auto now = std::chrono::steady_clock::now();
-    for (const auto& [peer, failures] : mFailed) {
-      const bool lasting = now - failures.mFirst >= kFailureProof;
-      if (lasting && now - failures.mLast < kFailureMemory) {
-        peers.push_back(peer);
-      }
-    }
-    return peers;
+    return mFailures.Lasting(SteadyNow());
   }
 
 private:
-  /** Failures to reach a peer with no success between them. */
-  struct Failures
-  {
-    std::chrono::steady_clock::time_point mFirst;
-    std::chrono::steady_clock::time_point mLast;
-  };
-
   void NoteFailure(const Address& aPeer)
   {
     const std::lock_guard lock(mFailedMutex);
-    const auto now = std::chrono::steady_clock::now();
-    std::erase_if(mFailed, [&](const auto& aPair) {
-      return now - aPair.second.mLast >= kFailureMemory;
-    });
-    const auto [place, isNew] =
-      mFailed.try_emplace(aPeer, Failures{ now, now });
-    place->second.mLast = now;
+    mFailures.RecordFailure(aPeer, SteadyNow());
   }
 
   void NoteSuccess(const Address& aPeer)
   {
     const std::lock_guard lock(mFailedMutex);
-    mFailed.erase(aPeer);
+    mFailures.RecordSuccess(aPeer);
   }
 
   bool Listen(const asio::ip::tcp::endpoint& aEndpoint, error_code& aError)
@@ -217,7 +186,7 @@
   bool MakeRoomForConnection()
   {
     if (mReceiving.IsFull()) {
-      if (const auto replaced = mReceiving.FindReplaceable(Now())) {
+      if (const auto replaced = mReceiving.FindReplaceable(SteadyNow())) {
         CloseConnection(*replaced, "replaced by a new connection");
       }
     }
@@ -238,8 +207,8 @@
 
   void OnHeld(const ConnectionPointer& aConnection)
   {
-    mReceiving.Update(aConnection->Id(), aConnection->State(), Now());
-    while (const auto overrun = mReceiving.FindOverrun(Now())) {
+    mReceiving.Update(aConnection->Id(), aConnection->State(), SteadyNow());
+    while (const auto overrun = mReceiving.FindOverrun(SteadyNow())) {
       CloseConnection(*overrun, "no memory for its frame");
     }
   }
@@ -259,7 +228,7 @@
                              .mIdle = mOptions.mIdle,
                              .mConnectTimeout = aConnectTimeout },
       MakeHandlers(),
-      mReceiving.Open(Now()));
+      mReceiving.Open(SteadyNow()));
     mOpen.insert(connection);
     ++mCounts.mConnectionsOpened;
     return connection;
@@ -398,7 +367,7 @@
   std::map<Address, unsigned> mFailedTries;
   AtomicCounts mCounts;
   mutable std::mutex mFailedMutex;
-  std::map<Address, Failures> mFailed;
+  PeerFailures mFailures;
   std::thread mThread;
 };
 
