Refuse requests that don't fit before they are served

Found by reading: a request that is being served doesn't give way, and one that comes whole in one or two reads was never counted before it was served. Heads of 16 KiB with thousands of fields take some 300 KB each, so that 1,400 connections could still take an entry past its memory. Bytes of a connection that isn't read were counted as its last read had left them.

Change: a complete request is counted, and connections give way, before it is served; it may be the one that is refused, with 503 and Retry-After. A connection that isn't read counts with its whole receive buffer. A client of HTTP/1.0 that is cut off keeps its reset. Responses have files of their own.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -1,11 +1,8 @@
 #include "gateway/CallerConnection.h"
 
 #include "gateway/SocketOptions.h"
-#include "peridotspool/base/TextCapacity.h"
 #include "peridotspool/gateway/HeaderRules.h"
 
-#include <spdlog/fmt/fmt.h>
-
 #include <utility>
 
 namespace peridotspool::gateway {
@@ -13,7 +10,6 @@
 namespace {
 
 namespace net = http::net;
-namespace beast_http = http::beast_http;
 
 /** Of a connection that waits for a request, and of one that receives it. */
 constexpr std::size_t kFirstReadBytes = 4U << 10;
@@ -21,7 +17,7 @@
 /** Bytes of further requests that are read while one is being served. */
 constexpr std::size_t kMaxReadAheadBytes = 4U << 10;
 /** Bytes that may wait in the kernel. */
-constexpr int kReceiveBufferBytes = 64U << 10;
+constexpr std::size_t kReceiveBufferBytes = 64U << 10;
 /** A connection serves no further request while so much of its responses has
  * not been read. */
 constexpr std::size_t kMaxUnreadBytes = 64U << 10;
@@ -50,8 +46,8 @@
 {
   SetSocketOptions(mSocket);
   http::ErrorCode ignored;
-  mSocket.set_option(net::socket_base::receive_buffer_size(kReceiveBufferBytes),
-                     ignored);
+  mSocket.set_option(
+    net::socket_base::receive_buffer_size(int{ kReceiveBufferBytes }), ignored);
 }
 
 void
@@ -79,15 +75,18 @@
   if (mServing) {
     return kServing;
   }
-  return IsIdle() ? kIdle : kReceiving;
+  return IsIdle() && mRequestBytes == 0 ? kIdle : kReceiving;
 }
 
 limits::ConnectionState
 CallerConnection::State() const
 {
   const std::size_t body = mParser ? mParser->get().body().capacity() : 0;
+  // What a connection that isn't read holds in the kernel isn't known.
+  const bool isRead = mReading || MayRead();
+  const std::size_t unread = isRead ? mUnreadBytes : kReceiveBufferBytes;
   return { .mPhase = Phase(),
-           .mBytes = mBuffer.capacity() + mUnreadBytes + mRequestBytes + body +
+           .mBytes = mBuffer.capacity() + unread + mRequestBytes + body +
                      mPending.capacity() + mWriting.capacity(),
            .mTransferred = mTransferred,
            .mIsAhead = mBuffer.size() > 0 };
@@ -222,8 +221,8 @@
 void
 CallerConnection::Disconnect()
 {
-  mResetsOnClose = QueuedBytes() > 0 || mServing;
-  if (mResetsOnClose) {
+  if (QueuedBytes() > 0 || mServing) {
+    mResetsOnClose = true;
     SetResetOnClose(mSocket, true);
   }
   if (mServing) {
@@ -232,180 +231,6 @@
   Close();
 }
 
-void
-CallerConnection::SendResponse(std::string aBytes, bool aKeepAlive)
-{
-  if (mPending.empty()) {
-    mPending = std::move(aBytes);
-    Flush();
-    ReportHeld();
-  } else {
-    Write(aBytes);
-  }
-  FinishResponse(aKeepAlive);
-}
-
-// A caller of HTTP/1.0 takes any close in order for the end of the response,
-// also one by the end of this process.
-void
-CallerConnection::BeginStream(std::string_view aHead, BodyFraming aFraming)
-{
-  mStreamFraming = aFraming;
-  if (aFraming == BodyFraming::kConnection) {
-    mResetsOnClose = true;
-    SetResetOnClose(mSocket, true);
-  }
-  Write(aHead);
-}
-
-void
-CallerConnection::SendPart(std::string_view aBytes)
-{
-  if (aBytes.empty()) {
-    return;
-  }
-  if (mStreamFraming == BodyFraming::kConnection) {
-    Write(aBytes);
-    return;
-  }
-  mPending += fmt::format("{:x}\r\n", aBytes.size());
-  mPending.append(aBytes).append("\r\n");
-  Flush();
-  ReportHeld();
-}
-
-void
-CallerConnection::FinishStream(bool aKeepAlive)
-{
-  if (mStreamFraming == BodyFraming::kConnection) {
-    mStreamIsWhole = true;
-  } else {
-    Write("0\r\n\r\n");
-  }
-  FinishResponse(aKeepAlive);
-}
-
-void
-CallerConnection::FinishResponse(bool aKeepAlive)
-{
-  mServing = false;
-  mRequestBytes = 0;
-  mRequestOrIdleSince = mOwner.Now();
-  if (!aKeepAlive) {
-    mClosing = true;
-    if (QueuedBytes() == 0) {
-      EndAfterWrite();
-    }
-    return;
-  }
-  if (mBuffer.size() > 0) {
-    // Deferred, because the owner is still handling the previous request.
-    net::post(mSocket.get_executor(),
-              [self = shared_from_this()] { self->ContinueReading(); });
-  }
-  Read();
-}
-
-void
-CallerConnection::ContinueReading()
-{
-  if (!mClosed && mBuffer.size() > 0) {
-    ParseNext();
-    ReportHeld();
-  }
-  Read();
-}
-
-void
-CallerConnection::EndAfterWrite()
-{
-  if (!mRefused) {
-    Close();
-    return;
-  }
-  http::ErrorCode ignored;
-  mSocket.shutdown(http::Tcp::socket::shutdown_send, ignored);
-  Read();
-}
-
-void
-CallerConnection::Abort()
-{
-  FinishResponse(false);
-}
-
-void
-CallerConnection::Write(std::string_view aBytes)
-{
-  mPending.append(aBytes);
-  Flush();
-  ReportHeld();
-}
-
-void
-CallerConnection::Flush()
-{
-  if (!mWriting.empty() || mPending.empty() || mClosed) {
-    return;
-  }
-  mWriting.swap(mPending);
-  mWriteProgressAt = mOwner.Now();
-  WriteSome();
-}
-
-void
-CallerConnection::WriteSome()
-{
-  mSocket.async_write_some(
-    net::buffer(mWriting) + mWritten,
-    [self = shared_from_this()](http::ErrorCode aError, std::size_t aBytes) {
-      self->OnWritten(aError, aBytes);
-    });
-}
-
-void
-CallerConnection::OnWritten(http::ErrorCode aError, std::size_t aBytes)
-{
-  if (mClosed) {
-    return;
-  }
-  if (aError) {
-    if (mServing) {
-      mOwner.OnDisconnected(*this);
-    }
-    Close();
-    return;
-  }
-  mTransferred += aBytes;
-  mWritten += aBytes;
-  mWriteProgressAt = mOwner.Now();
-  if (mWritten < mWriting.size()) {
-    WriteSome();
-    ReportHeld();
-    return;
-  }
-  ReleaseWritten();
-  Flush();
-  if (QueuedBytes() == 0 && mClosing) {
-    EndAfterWrite();
-  } else {
-    ContinueReading();
-  }
-  ReportHeld();
-}
-
-// The buffer is kept for the next response unless it is large.
-void
-CallerConnection::ReleaseWritten()
-{
-  mWritten = 0;
-  if (mWriting.capacity() > kReadBytes) {
-    FreeText(mWriting);
-  } else {
-    mWriting.clear();
-  }
-}
-
 void
 CallerConnection::Sweep(TimePoint aNow)
 {
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -104,12 +104,16 @@
   void CheckIncomplete();
   bool TakeHead();
   void OnParsed();
+  /** Returns false iff the request has given way. */
+  bool MakeRoomToServe();
   std::string FramingFault() const;
   void RefuseFor(http::ErrorCode aError);
 
   void Refuse(unsigned aStatus,
               const std::string& aReason,
               double aRetryAfter = 0.0);
+
+  // CallerConnectionWrite.cpp
   void Write(std::string_view aBytes);
   void Flush();
   void WriteSome();
@@ -117,6 +121,7 @@
   void ReleaseWritten();
   void FinishResponse(bool aKeepAlive);
   void EndAfterWrite();
+
   void Close();
 
   http::Tcp::socket mSocket;
--- a/src/gateway/CallerConnectionParse.cpp
+++ b/src/gateway/CallerConnectionParse.cpp
@@ -159,10 +159,22 @@
   if (mBuffer.size() == 0) {
     mBuffer.shrink_to_fit();
   }
+  if (!MakeRoomToServe()) {
+    return;
+  }
   mServing = true;
   mOwner.OnRequest(shared_from_this(), std::exchange(mRequest, {}));
 }
 
+// A request that is served can't give way any more, so it has to fit before.
+bool
+CallerConnection::MakeRoomToServe()
+{
+  ReportHeld();
+  mOwner.EnforceBounds();
+  return !mRefused && !mClosed;
+}
+
 void
 CallerConnection::RefuseFor(http::ErrorCode aError)
 {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -103,11 +103,8 @@
 Gateway::EnforceBounds()
 {
   const TimePoint now = mCore.mNow();
-  std::size_t held = mBudget.Bytes() + 1;
-  for (auto overrun = mBudget.FindOverrun(now);
-       overrun && mBudget.Bytes() < held;
-       overrun = mBudget.FindOverrun(now)) {
-    held = mBudget.Bytes();
+  // Each connection gives way once: it is closed or drained after that.
+  while (const auto overrun = mBudget.FindOverrun(now)) {
     EndForBound(*overrun, "bytes", [](CallerConnection& aConnection) {
       aConnection.GiveWay();
     });
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,11 +1,12 @@
 #include "peridotspool/http/HttpServer.h"
 
+#include "peridotspool/base/SteadyClock.h"
+
 #include "http/ServerConnection.h"
 
 #include <atomic>
 #include <thread>
 #include <unordered_map>
-#include <utility>
 
 namespace peridotspool::http {
 
@@ -17,13 +18,6 @@
 /** Connections over the bound that are told so; more are just closed. */
 constexpr std::size_t kTurnedAwayAtOnce = 64;
 
-TimePoint
-Now()
-{
-  return TimePoint(std::chrono::duration_cast<Duration>(
-    std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 } // namespace
 
 class HttpServer::Impl : public ServerConnectionOwner
@@ -66,6 +60,7 @@
   void Closed(const std::shared_ptr<ServerConnection>& aWhich) override;
   void RefusedForBound() override { ++mRefusedForBounds; }
   void Held(const ServerConnection& aWhich) override;
+  void EnforceBounds() override;
   bool MayKeepAlive() const override { return mAccepting; }
 
   std::atomic<std::size_t> mOpenExchanges = 0;
@@ -78,7 +73,6 @@
   void Serve(Tcp::socket aSocket);
   /** Returns false iff the connections are at their bound, and all in use. */
   bool MakeRoomForConnection();
-  void EnforceBounds();
   void CloseAcceptor();
   void BeginStop();
   void Join();
@@ -177,7 +171,7 @@
   if (mConnections.size() >= mOptions.mMaxConnections + kTurnedAwayAtOnce) {
     return;
   }
-  const limits::ConnectionId id = mBudget.Open(Now());
+  const limits::ConnectionId id = mBudget.Open(SteadyNow());
   const auto connection =
     std::make_shared<ServerConnection>(std::move(aSocket), mOptions, *this, id);
   mConnections.emplace(id, connection);
@@ -191,12 +185,12 @@
 bool
 HttpServer::Impl::MakeRoomForConnection()
 {
-  if (mBudget.IsFull()) {
-    if (const auto replaced = mBudget.FindReplaceable(Now())) {
-      RefusedForBound();
-      const auto connection = mConnections.at(*replaced);
-      connection->Close();
-    }
+  const auto replaced =
+    mBudget.IsFull() ? mBudget.FindReplaceable(SteadyNow()) : std::nullopt;
+  if (replaced) {
+    RefusedForBound();
+    const auto connection = mConnections.at(*replaced);
+    connection->Close();
   }
   return !mBudget.IsFull();
 }
@@ -204,26 +198,25 @@
 void
 HttpServer::Impl::Held(const ServerConnection& aWhich)
 {
-  mBudget.Update(aWhich.Id(), aWhich.State(), Now());
+  mBudget.Update(aWhich.Id(), aWhich.State(), SteadyNow());
   // Deferred, because the connection may be in the midst of a step.
   if (mBudget.IsOver() && !std::exchange(mIsEnforcing, true)) {
-    net::post(mIo, [this] { EnforceBounds(); });
+    net::post(mIo, [this] {
+      mIsEnforcing = false;
+      EnforceBounds();
+    });
   }
 }
 
 void
 HttpServer::Impl::EnforceBounds()
 {
-  const TimePoint now = Now();
-  std::size_t held = mBudget.Bytes() + 1;
-  for (auto overrun = mBudget.FindOverrun(now);
-       overrun && mBudget.Bytes() < held;
-       overrun = mBudget.FindOverrun(now)) {
-    held = mBudget.Bytes();
+  const TimePoint now = SteadyNow();
+  // Each connection gives way once: it is closed or drained after that.
+  while (const auto overrun = mBudget.FindOverrun(now)) {
     const auto connection = mConnections.at(*overrun);
     connection->GiveWay();
   }
-  mIsEnforcing = false;
 }
 
 ExchangeId
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -31,9 +31,12 @@
   /** The connection is closed; it calls nothing after this. */
   virtual void Closed(const std::shared_ptr<ServerConnection>& aWhich) = 0;
   virtual void RefusedForBound() = 0;
-  /** What the connection holds, or its phase, has changed. Other connections
-   * may end for it, or this one later. */
+  /** What the connection holds, or its phase, has changed. Connections may end
+   * for it later. */
   virtual void Held(const ServerConnection& aWhich) = 0;
+  /** Ends connections until the others are within the bounds; the one that
+   * calls may be among them. */
+  virtual void EnforceBounds() = 0;
   /** Returns true iff connections may stay open after a response. */
   virtual bool MayKeepAlive() const = 0;
 };
@@ -83,12 +86,15 @@
   void WatchForEnd();
   void OnReadable(ErrorCode aError);
   void Queue(std::string aBytes);
+
+  // ServerConnectionWrite.cpp
   void WriteNext();
   void WriteSome();
   void OnWritten(ErrorCode aError, std::size_t aBytes);
   void OnAllSent();
   void FinishResponse();
   void DrainThenClose();
+
   bool IsCurrent(ExchangeId aExchange) const;
   ResponseFraming Framing();
 
--- a/test/gateway/CallerBoundsTest.cpp
+++ b/test/gateway/CallerBoundsTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -16,10 +17,14 @@
   "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Id: r\r\nX-Deadline: 1000\r\n"
   "Transfer-Encoding: chunked\r\n\r\n";
 
-/** An entry before a sound upstream. */
+/** An entry before a sound upstream, which never answers if mHangs. */
 struct BoundsFixture
 {
-  BoundsFixture() { mGateway.Add("sound", mUpstream.Where()); }
+  explicit BoundsFixture(const limits::ConnectionBounds& aBounds = {})
+    : mGateway(aBounds)
+  {
+    mGateway.Add("sound", mUpstream.Where());
+  }
 
   std::string Call(const std::string& aRequest)
   {
@@ -28,8 +33,10 @@
     return caller.ReadAnswer();
   }
 
-  ScriptedUpstream mUpstream{ [](const std::string&) {
-    return Script{ .mAnswer = WholeAnswer("done") };
+  std::atomic<bool> mHangs{ false };
+  ScriptedUpstream mUpstream{ [this](const std::string&) {
+    return mHangs ? Script{ .mAnswer = "", .mThen = Script::Then::kHang }
+                  : Script{ .mAnswer = WholeAnswer("done") };
   } };
   GatewayFixture mGateway;
 };
@@ -73,4 +80,51 @@
   CHECK(fixture.mUpstream.Requests().empty());
 }
 
+// Guards against requests that are served beyond the bound, because each of
+// them comes whole at once.
+TEST_CASE("ARequestBeyondTheBoundInAllIsRefusedBeforeItRuns")
+{
+  BoundsFixture fixture({ .mTotalBytes = 60000 });
+  fixture.mHangs = true;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(std::make_unique<Caller>(fixture.mGateway.Where()));
+    callers.back()->Send(
+      RequestText("safe", std::to_string(i), std::string(9000, 'b')));
+    CHECK(Eventually([&] {
+      return callers.back()->HasData() ||
+             fixture.mUpstream.Requests().size() == callers.size();
+    }));
+  }
+  const std::size_t served = fixture.mUpstream.Requests().size();
+  CHECK(served > 0);
+  CHECK(served < callers.size());
+  const std::string refusal = callers.back()->ReadAnswer();
+  CHECK(StatusOf(refusal) == "HTTP/1.1 503");
+  CHECK(refusal.find("\r\nRetry-After: ") != std::string::npos);
+  CHECK(refusal.find("\r\nConnection: close") != std::string::npos);
+  fixture.mGateway.OnRelay([&] {
+    CHECK(fixture.mGateway.Core().mCounters.Value(
+            observe::CounterId::kRefusedMemory) == callers.size() - served);
+  });
+}
+
+// Guards against idle connections that shut others out.
+TEST_CASE("AnIdleConnectionGivesWayToANewOne")
+{
+  BoundsFixture fixture({ .mConnections = 2 });
+  Caller first(fixture.mGateway.Where());
+  first.Send(RequestText("safe", "a"));
+  CHECK(StatusOf(first.ReadAnswer()) == "HTTP/1.1 200");
+  Caller second(fixture.mGateway.Where());
+  second.Send(RequestText("safe", "b"));
+  CHECK(StatusOf(second.ReadAnswer()) == "HTTP/1.1 200");
+  Caller third(fixture.mGateway.Where());
+  third.Send(RequestText("safe", "c"));
+  CHECK(StatusOf(third.ReadAnswer()) == "HTTP/1.1 200");
+  CHECK(first.IsClosed());
+  second.Send(RequestText("safe", "d"));
+  CHECK(StatusOf(second.ReadAnswer()) == "HTTP/1.1 200");
+}
+
 } // namespace peridotspool::gateway
--- a/test/gateway/GatewayFixture.cpp
+++ b/test/gateway/GatewayFixture.cpp
@@ -313,7 +313,7 @@
   mSocket.close(ignored);
 }
 
-GatewayFixture::GatewayFixture()
+GatewayFixture::GatewayFixture(const limits::ConnectionBounds& aBounds)
 {
   LastReason reason;
   settings::LogSettings log;
@@ -343,7 +343,8 @@
     .mQuotaWaiters = {},
     .mTable = MakeTable() });
   mGateway = std::make_unique<Gateway>(
-    *mCore, GatewayOptions{ .mListen = { "127.0.0.1", 0 } });
+    *mCore,
+    GatewayOptions{ .mListen = { "127.0.0.1", 0 }, .mBounds = aBounds });
   mTunnelServer = std::make_unique<TunnelServer>(
     *mCore, TunnelServerOptions{ .mListen = { "127.0.0.1", 0 } });
   mCore->mDialer.SetOnPathChanged([this] { mCore->OnUpstreamPathChanged(); });
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -112,7 +112,7 @@
 class GatewayFixture
 {
 public:
-  GatewayFixture();
+  explicit GatewayFixture(const limits::ConnectionBounds& aBounds = {});
   ~GatewayFixture();
 
   /** Registers an upstream of the service. */
