--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -134,10 +134,7 @@
     return;
   }
   if (aError) {
-    if (mServing) {
-      mOwner.OnDisconnected(*this);
-    }
-    Close();
+    OnLost();
     return;
   }
   mTransferred += aBytes;
@@ -225,6 +222,12 @@
     mResetsOnClose = true;
     SetResetOnClose(mSocket, true);
   }
+  OnLost();
+}
+
+void
+CallerConnection::OnLost()
+{
   if (mServing) {
     mOwner.OnDisconnected(*this);
   }
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -122,6 +122,7 @@
   void FinishResponse(bool aKeepAlive);
   void EndAfterWrite();
 
+  void OnLost();
   void Close();
 
   http::Tcp::socket mSocket;
--- a/src/gateway/CallerConnectionWrite.cpp
+++ b/src/gateway/CallerConnectionWrite.cpp
@@ -157,10 +157,7 @@
     return;
   }
   if (aError) {
-    if (mServing) {
-      mOwner.OnDisconnected(*this);
-    }
-    Close();
+    OnLost();
     return;
   }
   mTransferred += aBytes;
--- a/test/hostile/ChunkFramingTest.cpp
+++ b/test/hostile/ChunkFramingTest.cpp
@@ -8,22 +8,6 @@
 
 namespace peridotspool::hostile {
 
-namespace {
-
-/** Runs a crowd of callers against a system; checks that the system holds. */
-void
-CheckCrowd(int aBlock, std::size_t aClients, const ClientScript& aScript)
-{
-  HostileSystem system(aBlock);
-  system.Start();
-  const auto watch = system.WatchEntry();
-  HostileCrowd crowd(system.Host(), soak::kCallerPort, aClients, aScript);
-  crowd.Send();
-  system.CheckHolds(*watch);
-}
-
-} // namespace
-
 // Guards against trailers that are kept until their end comes.
 TEST_CASE("TrailersWithoutEndFillNoMemory")
 {
--- a/test/hostile/HeldBodiesTest.cpp
+++ b/test/hostile/HeldBodiesTest.cpp
@@ -19,18 +19,6 @@
            .mPieces = kMaxBodyBytes / aChunkBytes - 1 };
 }
 
-/** Runs a crowd of callers against a system; checks that the system holds. */
-void
-CheckCrowd(int aBlock, std::size_t aClients, const ClientScript& aScript)
-{
-  HostileSystem system(aBlock);
-  system.Start();
-  const auto watch = system.WatchEntry();
-  HostileCrowd crowd(system.Host(), soak::kCallerPort, aClients, aScript);
-  crowd.Send();
-  system.CheckHolds(*watch);
-}
-
 } // namespace
 
 // Guards against bodies that hold memory without ever becoming requests.
--- a/test/hostile/HostileSystem.cpp
+++ b/test/hostile/HostileSystem.cpp
@@ -151,4 +151,15 @@
   CheckLives();
 }
 
+void
+CheckCrowd(int aBlock, std::size_t aClients, const ClientScript& aScript)
+{
+  HostileSystem system(aBlock);
+  system.Start();
+  const auto watch = system.WatchEntry();
+  HostileCrowd crowd(system.Host(), soak::kCallerPort, aClients, aScript);
+  crowd.Send();
+  system.CheckHolds(*watch);
+}
+
 } // namespace peridotspool::hostile
--- a/test/hostile/HostileSystem.h
+++ b/test/hostile/HostileSystem.h
@@ -60,4 +60,8 @@
   int mRequests = 0;
 };
 
+/** Runs a crowd of callers against a new system; checks that it holds. */
+void
+CheckCrowd(int aBlock, std::size_t aClients, const ClientScript& aScript);
+
 } // namespace peridotspool::hostile
--- a/test/settings/NodeSettingsTest.cpp
+++ b/test/settings/NodeSettingsTest.cpp
@@ -49,6 +49,7 @@
   CHECK(settings->mShared.mQuotaSlack == 190000.0);
   CHECK(settings->mDuties.mLease == std::chrono::seconds(3));
   CHECK_FALSE(settings->mDuties.mCloud);
+  CHECK(settings->mBounds.mCallerMemoryBytes == 32U << 20);
 }
 
 TEST_CASE("SchedulingIsOffUnlessTheSettingsCallForIt")
