--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -200,8 +200,9 @@
         return aConnection->Id() == aId;
       });
     if (found != mOpen.end()) {
-      const ConnectionPointer connection = *found;
-      connection->Close(aReason);
+      // Closing erases it as well.
+      const auto node = mOpen.extract(found);
+      node.value()->Close(aReason);
     }
   }
 
