--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -57,9 +57,7 @@
     return true;
   }
   if (const auto replaced = mBudget.FindReplaceable(mCore.mNow())) {
-    EndForBound(*replaced, "connections", [](CallerConnection& aConnection) {
-      aConnection.Disconnect();
-    });
+    EndForBound(*replaced, "connections", &CallerConnection::Disconnect);
   }
   return !mBudget.IsFull();
 }
@@ -67,7 +65,7 @@
 void
 Gateway::EndForBound(limits::ConnectionId aConnection,
                      const char* aBound,
-                     const std::function<void(CallerConnection&)>& aEnd)
+                     void (CallerConnection::*aEnd)())
 {
   const auto found = mConnections.find(aConnection);
   if (found == mConnections.end()) {
@@ -83,7 +81,7 @@
       { "bytes", state.mBytes },
       { "held_bytes", mBudget.Bytes() },
       { "connections", mBudget.Count() } });
-  aEnd(*connection);
+  (*connection.*aEnd)();
 }
 
 void
@@ -105,9 +103,7 @@
   const TimePoint now = mCore.mNow();
   // Each connection gives way once: it is closed or drained after that.
   while (const auto overrun = mBudget.FindOverrun(now)) {
-    EndForBound(*overrun, "bytes", [](CallerConnection& aConnection) {
-      aConnection.GiveWay();
-    });
+    EndForBound(*overrun, "bytes", &CallerConnection::GiveWay);
   }
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,7 +6,6 @@
 #include "gateway/GatewayCore.h"
 #include "peridotspool/limits/ConnectionBudget.h"
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -65,7 +64,7 @@
   /** Logs that a connection is over a bound, and ends what it holds. */
   void EndForBound(limits::ConnectionId aConnection,
                    const char* aBound,
-                   const std::function<void(CallerConnection&)>& aEnd);
+                   void (CallerConnection::*aEnd)());
 
   GatewayCore& mCore;
   GatewayOptions mOptions;
