review: case 8, a deregistration is acknowledged before any entry is told

Pushes of a registry are spaced after a burst, and the runner's call is answered without waiting for them. Change: the case review/8 with its script. Nothing else changes.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
