Reset the connections of calls to the cloud that are given up

Cause: a call that failed closed its connection in order, so that the kernel went on sending what the cut had held up. Nothing ended the open calls when the lease ended, either: with a cut shorter than the time-out of 2 s they would have been open still.

Change: a client connection resets when it is closed while a call is under way on it, and closes in order otherwise. LeaderTaskManager cancels the open calls on its first step after the lead was lost, and those that it counts as failed. SetResetOnClose moves from gateway/ to http/.

Ruled out: TCP_USER_TIMEOUT, as it ends a connection by time alone, not with the role.

--- a/include/peridotspool/fleet/LeaderTaskManager.h
+++ b/include/peridotspool/fleet/LeaderTaskManager.h
@@ -25,7 +25,7 @@
   Duration mLease = std::chrono::seconds(3);
   /**
    * A usage report without a successful response is retried after this time.
-   * Any call without a response counts as failed after four times as long.
+   * Any call without a response is cancelled after four times as long.
    */
   Duration mRetryInterval = std::chrono::milliseconds(700);
   PoolOptions mPool;
@@ -60,7 +60,14 @@
   std::uint64_t mFence = 0;
 };
 
-using LeaderTaskEffect = std::variant<CommitUsage, SendCloudCall>;
+/** Abandon a call; what the cloud has not received of it is not to reach it. */
+struct CancelCloudCall
+{
+  std::uint64_t mNumber = 0;
+};
+
+using LeaderTaskEffect =
+  std::variant<CommitUsage, SendCloudCall, CancelCloudCall>;
 
 /**
  * Tasks that only the control leader runs: it reports usage by window and
@@ -113,8 +120,11 @@
     TimePoint mAt;
   };
 
-  void UpdateLeadership(const LeaderTaskView& aView, TimePoint aNow);
-  void ExpireCalls(TimePoint aNow);
+  void UpdateLeadership(const LeaderTaskView& aView,
+                        TimePoint aNow,
+                        std::vector<LeaderTaskEffect>& aEffects);
+  void CancelCalls(std::vector<LeaderTaskEffect>& aEffects);
+  void ExpireCalls(TimePoint aNow, std::vector<LeaderTaskEffect>& aEffects);
   void CommitDueUsage(const LeaderTaskView& aView,
                       TimePoint aNow,
                       std::vector<LeaderTaskEffect>& aEffects);
--- a/include/peridotspool/http/HttpClient.h
+++ b/include/peridotspool/http/HttpClient.h
@@ -70,7 +70,9 @@
  * The handler is called on that thread and must not block; the functions may be
  * called from any thread, the handler included. Each call gets its
  * events in order: at most one CallHead, pieces, then exactly one CallDone or
- * CallFailed; after Cancel none. A kept connection that turns out to be closed
+ * CallFailed; after Cancel none. A failed or cancelled call resets its
+ * connection, so that what has not reached the peer by then doesn't reach it
+ * later. A kept connection that turns out to be closed
  * before any byte of a new request was written is replaced by a new one.
  */
 class HttpClient
@@ -89,7 +91,7 @@
              HttpRequest aRequest,
              std::chrono::milliseconds aSilenceTimeout);
   /**
-   * Ends a call by closing its connection. No event of the call starts after
+   * Ends a call by resetting its connection. No event of the call starts after
    * this returns; one that is being handled meanwhile is not waited for.
    */
   void Cancel(ClientCallId aCall);
--- a/src/fleet/LeaderTaskManager.cpp
+++ b/src/fleet/LeaderTaskManager.cpp
@@ -69,23 +69,37 @@
 }
 
 void
-LeaderTaskManager::UpdateLeadership(const LeaderTaskView& aView, TimePoint aNow)
+LeaderTaskManager::UpdateLeadership(const LeaderTaskView& aView,
+                                    TimePoint aNow,
+                                    std::vector<LeaderTaskEffect>& aEffects)
 {
   if (!aView.mLeads) {
     mLeadingSince.reset();
+    CancelCalls(aEffects);
     return;
   }
   if (!mLeadingSince || aView.mTerm != mTerm) {
+    CancelCalls(aEffects);
     mLeadingSince = aNow;
     mTerm = aView.mTerm;
     mPlanners.clear();
     mDelivered.clear();
-    mPendingCalls.clear();
     mLastAttemptAt.clear();
     mProposedWindow.reset();
   }
 }
 
+// A call that is held up on its way would otherwise arrive after those of the
+// next leader.
+void
+LeaderTaskManager::CancelCalls(std::vector<LeaderTaskEffect>& aEffects)
+{
+  for (const auto& [number, call] : mPendingCalls) {
+    aEffects.emplace_back(CancelCloudCall{ number });
+  }
+  mPendingCalls.clear();
+}
+
 // An earlier leader may have acted just before it lost its lease and may lead
 // again right after this one. Each leader waits for more than half of the lease
 // before its first action, so more than a lease passes between the earlier
@@ -101,12 +115,12 @@
 std::vector<LeaderTaskEffect>
 LeaderTaskManager::Tick(const LeaderTaskView& aView, TimePoint aNow)
 {
-  UpdateLeadership(aView, aNow);
   std::vector<LeaderTaskEffect> effects;
+  UpdateLeadership(aView, aNow, effects);
   if (!MayAct(aView, aNow)) {
     return effects;
   }
-  ExpireCalls(aNow);
+  ExpireCalls(aNow, effects);
   CommitDueUsage(aView, aNow, effects);
   if (aNow >= mNoCallBefore) {
     DeliverUsage(aView, aNow, effects);
@@ -116,7 +130,8 @@
 }
 
 void
-LeaderTaskManager::ExpireCalls(TimePoint aNow)
+LeaderTaskManager::ExpireCalls(TimePoint aNow,
+                               std::vector<LeaderTaskEffect>& aEffects)
 {
   std::vector<std::uint64_t> expired;
   for (const auto& [number, call] : mPendingCalls) {
@@ -125,6 +140,7 @@
     }
   }
   for (const std::uint64_t number : expired) {
+    aEffects.emplace_back(CancelCloudCall{ number });
     HandleResult(number, 0, Duration(0), aNow);
   }
 }
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/CallerConnection.h"
 
 #include "gateway/SocketOptions.h"
+#include "http/ResetOnClose.h"
 #include "peridotspool/gateway/HeaderRules.h"
 
 #include <utility>
@@ -220,7 +221,7 @@
 {
   if (QueuedBytes() > 0 || mServing) {
     mResetsOnClose = true;
-    SetResetOnClose(mSocket, true);
+    http::SetResetOnClose(mSocket, true);
   }
   OnLost();
 }
@@ -277,7 +278,7 @@
   http::ErrorCode ignored;
   if (mResetsOnClose && mStreamIsWhole && QueuedBytes() == 0) {
     mResetsOnClose = false;
-    SetResetOnClose(mSocket, false);
+    http::SetResetOnClose(mSocket, false);
   }
   if (!mResetsOnClose) {
     mSocket.shutdown(http::Tcp::socket::shutdown_send, ignored);
--- a/src/gateway/CallerConnectionWrite.cpp
+++ b/src/gateway/CallerConnectionWrite.cpp
@@ -1,7 +1,7 @@
 // Responses to a caller.
 
 #include "gateway/CallerConnection.h"
-#include "gateway/SocketOptions.h"
+#include "http/ResetOnClose.h"
 #include "peridotspool/base/TextCapacity.h"
 
 #include <spdlog/fmt/fmt.h>
@@ -40,7 +40,7 @@
   mStreamFraming = aFraming;
   if (aFraming == BodyFraming::kConnection) {
     mResetsOnClose = true;
-    SetResetOnClose(mSocket, true);
+    http::SetResetOnClose(mSocket, true);
   }
   Write(aHead);
 }
--- a/src/gateway/SocketOptions.cpp
+++ b/src/gateway/SocketOptions.cpp
@@ -84,15 +84,6 @@
   return error;
 }
 
-// The library's own option is taken back when the socket is destroyed.
-void
-SetResetOnClose(http::Tcp::socket& aSocket, bool aResets)
-{
-  const linger option{ .l_onoff = aResets ? 1 : 0, .l_linger = 0 };
-  ::setsockopt(
-    aSocket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-}
-
 bool
 HasEofOrData(http::Tcp::socket& aSocket)
 {
--- a/src/gateway/SocketOptions.h
+++ b/src/gateway/SocketOptions.h
@@ -40,11 +40,6 @@
 http::ErrorCode
 ListenAt(http::Tcp::acceptor& aAcceptor, const http::Tcp::endpoint& aEndpoint);
 
-/** Sets whether the end of the connection, also by the end of this process,
- * resets it instead of closing it in order. */
-void
-SetResetOnClose(http::Tcp::socket& aSocket, bool aResets);
-
 /** Returns true iff the peer has closed the connection or data can be read. */
 bool
 HasEofOrData(http::Tcp::socket& aSocket);
--- a/src/http/ClientCall.cpp
+++ b/src/http/ClientCall.cpp
@@ -1,6 +1,7 @@
 #include "http/ClientCall.h"
 
 #include "http/Conversions.h"
+#include "http/ResetOnClose.h"
 
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -69,9 +70,13 @@
   Write();
 }
 
+// Closed in order, what the peer has not acknowledged yet would be sent again
+// for minutes, and could arrive after the caller has long acted on the failure.
+// Set before, as the stream closes its socket itself when it times out.
 void
 ClientCall::Write()
 {
+  SetResetOnClose(mConnection->mStream.socket(), true);
   mConnection->mStream.expires_after(mSilenceTimeout);
   net::async_write(mConnection->mStream,
                    net::buffer(*mWire),
@@ -177,6 +182,7 @@
     return;
   }
   mEnded = true;
+  SetResetOnClose(mConnection->mStream.socket(), false);
   if (mParser->get().keep_alive() && !mParser->need_eof()) {
     mConnection->mStream.expires_never();
     mOwner.Idle().Keep(std::move(mConnection));
@@ -192,7 +198,7 @@
   if (mEnded) {
     return;
   }
-  Close();
+  Abort();
   Emit(CallFailed{ .mReason = aError.message(),
                    .mMayHaveBeenSent = mMayHaveBeenSent,
                    .mTimedOut = aError == beast::error::timeout },
@@ -202,12 +208,12 @@
 void
 ClientCall::FailAsNotSent(const std::string& aReason)
 {
-  Close();
+  Abort();
   Emit(CallFailed{ .mReason = aReason, .mMayHaveBeenSent = false }, true);
 }
 
 void
-ClientCall::Close()
+ClientCall::Abort()
 {
   mEnded = true;
   if (mConnection) {
--- a/src/http/ClientCall.h
+++ b/src/http/ClientCall.h
@@ -45,8 +45,8 @@
   void Run();
   /** From now on no event of this call starts. */
   void MuteEvents() { mMuted = true; }
-  /** Closes the connection. */
-  void Close();
+  /** Ends the call and resets its connection. */
+  void Abort();
   void FailAsNotSent(const std::string& aReason);
 
 private:
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -107,7 +107,7 @@
 {
   if (const auto call = Leave(aCall)) {
     call->MuteEvents();
-    net::post(mIo, [call] { call->Close(); });
+    net::post(mIo, [call] { call->Abort(); });
   }
 }
 
@@ -160,7 +160,7 @@
     mThread.join();
   }
   for (const auto& [id, call] : std::exchange(mCalls, {})) {
-    call->Close();
+    call->Abort();
   }
   mIdle.CloseAll();
 }
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -407,7 +407,8 @@
       Overloaded{ [&](const fleet::CommitUsage& aOne) {
                    mPropose(control::UsageRequest{ aOne.mWindow });
                  },
-                  [&](const fleet::SendCloudCall& aOne) { Call(aOne); } },
+                  [&](const fleet::SendCloudCall& aOne) { Call(aOne); },
+                  [&](const fleet::CancelCloudCall& aOne) { Cancel(aOne); } },
       effect);
   }
 }
@@ -427,6 +428,15 @@
       aCall.mCall, { .mHolder = mOptions.mHolder, .mFence = aCall.mFence }));
 }
 
+void
+DutyRunner::Cancel(const fleet::CancelCloudCall& aCall)
+{
+  mClient->Cancel(aCall.mNumber);
+  mLogger.Log(observe::EventId::kDutyCancelled,
+              { { "call", aCall.mNumber }, { "what", mCalls[aCall.mNumber] } });
+  mCalls.erase(aCall.mNumber);
+}
+
 void
 DutyRunner::Take(const CloudInput& aInput, TimePoint aNow)
 {
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -113,6 +113,7 @@
     const rollout::RolloutTable& aRollouts,
     TimePoint aNow) const;
   void Call(const fleet::SendCloudCall& aCall);
+  void Cancel(const fleet::CancelCloudCall& aCall);
 
   DutyHostOptions mOptions;
   const ControlDialect& mDialect;
--- a/test/fleet/LeaderTaskManagerTest.cpp
+++ b/test/fleet/LeaderTaskManagerTest.cpp
@@ -38,6 +38,7 @@
   bool mLeads = false;
   std::uint64_t mTerm = 0;
   std::vector<SendCloudCall> mCalls;
+  std::vector<std::uint64_t> mCancelled;
 
   explicit Replica(std::vector<gateway::UsageWindow>& aLog)
     : mLog(aLog)
@@ -52,8 +53,10 @@
     for (const LeaderTaskEffect& effect : mManager.Tick(view, At(aMs))) {
       if (const auto* commit = std::get_if<CommitUsage>(&effect)) {
         mLog.push_back(commit->mWindow);
+      } else if (const auto* call = std::get_if<SendCloudCall>(&effect)) {
+        mCalls.push_back(*call);
       } else {
-        mCalls.push_back(std::get<SendCloudCall>(effect));
+        mCancelled.push_back(std::get<CancelCloudCall>(effect).mNumber);
       }
     }
   }
@@ -156,6 +159,51 @@
   });
 }
 
+// Guards against calls of a former leader that arrive after those of the next
+// one: a call that is held up on its way is left open when its sender stops
+// leading.
+TEST_CASE("CallsUnderWayAreCancelledWhenTheirSenderStopsLeading")
+{
+  std::vector<gateway::UsageWindow> log;
+  Replica leader(log);
+  leader.mLeads = true;
+  leader.mTerm = 1;
+  int ms = 0;
+  for (; leader.mCalls.empty() && ms < 15000; ms += 100) {
+    leader.mManager.RecordReport(Report(1, 1, 10, ms), At(ms));
+    leader.Tick(ms);
+  }
+  REQUIRE(leader.mCalls.size() == 1);
+  const std::uint64_t open = leader.mCalls[0].mNumber;
+  CHECK(leader.mCancelled.empty());
+  SECTION("its lease ends")
+  {
+    leader.mLeads = false;
+  }
+  SECTION("it leads again by another term")
+  {
+    leader.mTerm = 3;
+  }
+  leader.Tick(ms);
+  INFO("expected the open call to be cancelled by the first tick afterwards");
+  CHECK(leader.mCancelled == std::vector<std::uint64_t>{ open });
+}
+
+TEST_CASE("ACallWithoutAnAnswerIsCancelled")
+{
+  std::vector<gateway::UsageWindow> log;
+  Replica leader(log);
+  leader.mLeads = true;
+  leader.mTerm = 1;
+  for (int ms = 0; ms < 16000; ms += 100) {
+    leader.mManager.RecordReport(Report(1, 1, 10, ms), At(ms));
+    leader.Tick(ms);
+  }
+  REQUIRE(leader.mCalls.size() >= 2);
+  REQUIRE_FALSE(leader.mCancelled.empty());
+  CHECK(leader.mCancelled[0] == leader.mCalls[0].mNumber);
+}
+
 TEST_CASE("ACallIsRetriedUntilItSucceeds")
 {
   std::vector<gateway::UsageWindow> log;
--- a/test/http/HttpClientTest.cpp
+++ b/test/http/HttpClientTest.cpp
@@ -126,6 +126,31 @@
   CHECK(outcome.mFailed->mMayHaveBeenSent);
 }
 
+// Guards against a request that reaches its peer after the call has failed: the
+// connection is closed in order, and the kernel goes on sending what a
+// partition has held up.
+TEST_CASE("ACallThatEndsWithoutItsAnswerResetsItsConnection")
+{
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  const bool isCancelled = GENERATE(true, false);
+  client.Start(1,
+               listener.LocalAddress(),
+               Get("/"),
+               std::chrono::milliseconds(isCancelled ? 60000 : 100));
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  if (isCancelled) {
+    client.Cancel(1);
+  } else {
+    REQUIRE(log.WaitFor(1).mFailed);
+  }
+  INFO("expected a reset after " << (isCancelled ? "Cancel" : "the time-out")
+                                 << ", not an end in order");
+  CHECK(peer->WaitForReset());
+}
+
 TEST_CASE("CancelledCallGivesNoLaterEventsAndItsBytesReachNoOther")
 {
   // Symptom: a caller gets a piece of somebody else's answer.
--- a/test/http/RawSocket.cpp
+++ b/test/http/RawSocket.cpp
@@ -96,6 +96,19 @@
   return ReadUntil("");
 }
 
+bool
+RawSocket::WaitForReset()
+{
+  char buffer[65536];
+  while (WaitReadable(mHandle)) {
+    const auto some = ::recv(mHandle, buffer, sizeof buffer, 0);
+    if (some <= 0) {
+      return some < 0 && errno == ECONNRESET;
+    }
+  }
+  return false;
+}
+
 void
 RawSocket::Close()
 {
--- a/test/http/RawSocket.h
+++ b/test/http/RawSocket.h
@@ -24,6 +24,9 @@
   std::string ReadUntil(const std::string& aEnd);
   /** Reads until the peer closes or nothing comes for 10 s. */
   std::string ReadAll();
+  /** Returns true iff the peer reset the connection within 10 s; reads all
+   * that came before. */
+  bool WaitForReset();
   void Close();
 
 private:
