Acknowledge a withdrawal once a majority of voters holds it

Cause: the replica that takes a withdrawal alone holds it, and answers at once. Heartbeats with `draining` have the same gap.

Change: all voters subscribe to all registries (before only where there are duties) and adopt the withdrawals in their pushes, which they pass on to their own subscribers. The directory of all registries moves from the duties to the decider and forgets old rows on all voters, not on the leader alone. What upstreams announce gets a file of its own, ControlUpstreams.cpp.

Ruled out: the replicated log (a sync for each upstream that leaves, while who is ready is soft as well), and waiting for the entries' own confirmations (an entry that starts afterwards has none to give).

--- a/include/peridotspool/control/ControlNode.h
+++ b/include/peridotspool/control/ControlNode.h
@@ -59,6 +59,8 @@
   bool Votes() const;
   /** The peer addresses of the control replicas, as known to this replica. */
   std::vector<Address> ReplicaAddresses() const;
+  /** The peer addresses of the voting replicas, as known to this replica. */
+  std::vector<Address> VoterAddresses() const;
   /** The leader's peer address; empty when the leader is unknown. */
   std::optional<Address> LeaderAddress() const;
   Term CurrentTerm() const;
--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -63,8 +63,9 @@
 /**
  * Stores the upstreams that send heartbeats to this process and pushes changes
  * to subscribers. The state is soft: upstreams repeat their heartbeats, so
- * nothing is persisted. Each registry contains only what was reported to it
- * directly; subscribers merge the registries (UpstreamDirectory).
+ * nothing is persisted. A registry contains what was reported to it directly;
+ * subscribers merge the registries (UpstreamDirectory). Withdrawals are not
+ * repeated, so that registries adopt those of each other.
  *
  * A deterministic state machine: it uses no clock, thread or socket. Not
  * thread-safe.
@@ -84,6 +85,12 @@
   std::vector<RegistrySend> HandleDeregistration(const UpstreamName& aName,
                                                  Incarnation aIncarnation,
                                                  TimePoint aNow);
+  /**
+   * Applies the withdrawals (draining or deregistered) in another registry's
+   * push: what it acknowledged has to remain known when its process ends.
+   */
+  std::vector<RegistrySend> AdoptWithdrawals(const RegistryPush& aPush,
+                                             TimePoint aNow);
   /** Confirms the subscriber's version and renews its subscription. */
   std::vector<RegistrySend> HandlePull(const Address& aFrom,
                                        const RegistryPull& aPull,
@@ -96,6 +103,15 @@
 
   std::size_t Size() const { return mRows.size(); }
   std::uint64_t Version() const { return mVersion; }
+  /** The version of the upstream's last change; 0 if it isn't stored. */
+  std::uint64_t VersionOf(const UpstreamName& aName) const;
+  /**
+   * Returns the newest version that a majority of aReplicas holds, with
+   * everything before it; 0 if there is none.
+   * @param aSelf this registry's address
+   */
+  std::uint64_t MajorityVersion(const std::vector<Address>& aReplicas,
+                                const Address& aSelf) const;
 
 private:
   struct Row
@@ -135,6 +151,10 @@
                                                UpstreamReport aReport,
                                                TimePoint aNow);
   bool IsInLateHeartbeatWindow(const Row& aRow, TimePoint aNow) const;
+  /** Returns true iff the row changed. */
+  bool AdoptWithdrawal(const RegistryRow& aReported, TimePoint aNow);
+  bool AddWithdrawn(const RegistryRow& aReported, TimePoint aNow);
+  void MergeWithdrawal(Row& aRow, const RegistryRow& aReported, TimePoint aNow);
   static RegistryRow MakePushRow(const Row& aRow, TimePoint aNow);
   Duration Spacing() const;
   Duration ResendAfter(const Subscriber& aSubscriber) const;
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -66,6 +66,12 @@
   return mState->Votes();
 }
 
+std::vector<Address>
+ControlNode::VoterAddresses() const
+{
+  return mState->VoterAddresses();
+}
+
 std::vector<Address>
 ControlNode::ReplicaAddresses() const
 {
--- a/src/control/ControlNodeState.cpp
+++ b/src/control/ControlNodeState.cpp
@@ -352,6 +352,15 @@
   return addresses;
 }
 
+std::vector<Address>
+ControlNodeState::VoterAddresses() const
+{
+  // Voters are listed first.
+  std::vector<Address> addresses = ReplicaAddresses();
+  addresses.resize(std::min(addresses.size(), Replicas().VoterCount()));
+  return addresses;
+}
+
 const std::vector<membership::EntryProfile>&
 ControlNodeState::ReadyEntries(TimePoint aNow)
 {
--- a/src/control/ControlNodeState.h
+++ b/src/control/ControlNodeState.h
@@ -36,6 +36,7 @@
   const std::vector<membership::EntryProfile>& ReadyEntries(TimePoint aNow);
   bool Votes() const { return Replicas().IsVoter(Self()); }
   std::vector<Address> ReplicaAddresses() const;
+  std::vector<Address> VoterAddresses() const;
   std::optional<Address> LeaderAddress() const;
   Term CurrentTerm() const;
 
--- a/src/runtime/ControlDecider.cpp
+++ b/src/runtime/ControlDecider.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/describe/enum_to_string.hpp>
 
-#include <numeric>
 #include <utility>
 
 namespace peridotspool::runtime {
@@ -16,7 +15,6 @@
 
 /** Addresses of entry processes kept; old lives are dropped beyond it. */
 constexpr std::size_t kMaxEntryAddresses = 8192;
-constexpr Duration kPullPeriod = std::chrono::milliseconds(300);
 constexpr std::uint32_t kBadRequest = 400;
 constexpr std::uint32_t kNotFound = 404;
 
@@ -58,15 +56,6 @@
   return EventId::kEpochChanged;
 }
 
-std::size_t
-Subscribers(const std::vector<membership::RegistrySend>& aSends)
-{
-  return std::accumulate(
-    aSends.begin(), aSends.end(), std::size_t{ 0 }, [](auto aSum, auto& aSend) {
-      return aSum + aSend.mTo.size();
-    });
-}
-
 } // namespace
 
 ControlDecider::ControlDecider(control::ControlNode aNode, ControlParts aParts)
@@ -79,6 +68,7 @@
     mDuties.emplace(
       *mParts.mDuties,
       mParts.mDialect,
+      mDirectory,
       mParts.mLogger,
       mParts.mTakeCloud,
       [this](control::OperatorRequest aRequest) {
@@ -105,9 +95,10 @@
   mNow = aNow;
   Step(control::TickEvent{});
   SendAll(mRegistry.Tick(aNow));
+  PullRegistries();
+  AnswerWithdrawals();
   mTraffic.Tick(mParts.mLogger, mParts.mCounters, aNow);
   if (mDuties) {
-    PullRegistries();
     mDuties->Tick(mNode, aNow);
   }
   SendRelayBatches();
@@ -196,63 +187,6 @@
   Step(event);
 }
 
-void
-ControlDecider::Take(HttpInput& aInput, AnnounceCall& aCall)
-{
-  if (RefuseAnnouncement(aInput)) {
-    return;
-  }
-  const membership::UpstreamReport report = aCall.mReport;
-  const std::uint64_t before = mRegistry.Version();
-  auto sends = mRegistry.HandleHeartbeat(report, mNow);
-  // Entries are told before the upstream is answered: it counts the time
-  // until it gets no more work from the answer.
-  if (mRegistry.Version() != before) {
-    const bool leaving = report.mStage != membership::UpstreamStage::kReady;
-    mParts.mLogger.Log(leaving ? observe::EventId::kUpstreamLeaving
-                               : observe::EventId::kUpstreamAnnounced,
-                       { { "upstream", report.mName },
-                         { "service", report.mService },
-                         { "address", ToText(report.mAddress) },
-                         { "upstream_version", report.mVersion },
-                         { "sequence", report.mSequence },
-                         { "version", mRegistry.Version() },
-                         { "told", Subscribers(sends) } });
-  }
-  SendAll(std::move(sends));
-  aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteAnnounced());
-}
-
-// Entries ask the replicas that the leader names. One that has no place in the
-// group yet, lost it, or is cut off could tell nobody what an upstream says;
-// the upstream goes on to another replica if it gets no answer here.
-bool
-ControlDecider::RefuseAnnouncement(HttpInput& aInput)
-{
-  if (mNode.IsConnected(mNow)) {
-    return false;
-  }
-  aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteNotNow());
-  return true;
-}
-
-void
-ControlDecider::Take(HttpInput& aInput, DeregisterCall& aCall)
-{
-  if (RefuseAnnouncement(aInput)) {
-    return;
-  }
-  auto sends =
-    mRegistry.HandleDeregistration(aCall.mName, aCall.mIncarnation, mNow);
-  mParts.mLogger.Log(observe::EventId::kUpstreamLeaving,
-                     { { "upstream", aCall.mName },
-                       { "stage", "gone" },
-                       { "version", mRegistry.Version() },
-                       { "told", Subscribers(sends) } });
-  SendAll(std::move(sends));
-  aInput.mServer->Respond(aInput.mExchange, mParts.mDialect.mWriteAnnounced());
-}
-
 void
 ControlDecider::Take(HttpInput& aInput, DirectoryCall& aCall)
 {
@@ -276,40 +210,6 @@
   aInput.mServer->Respond(aInput.mExchange, std::move(aCall.mResponse));
 }
 
-void
-ControlDecider::TakeRegistry(const Address& aFrom,
-                             const membership::RegistryMessage& aMessage)
-{
-  if (const auto* pull = std::get_if<membership::RegistryPull>(&aMessage)) {
-    SendAll(mRegistry.HandlePull(aFrom, *pull, mNow));
-  } else if (mDuties) {
-    const auto& push = std::get<membership::RegistryPush>(aMessage);
-    mDuties->TakePush(aFrom, push, mNow);
-    SendPeer(aFrom, membership::RegistryMessage(mDuties->PullFor(aFrom)));
-  }
-}
-
-// A voter is a subscriber of all registries, its own among them: as the leader
-// it has to know all upstreams.
-void
-ControlDecider::PullRegistries()
-{
-  if (mNow - mPulledAt < kPullPeriod || !mNode.Votes()) {
-    return;
-  }
-  mPulledAt = mNow;
-  const Address self = mParts.mTransport.LocalAddress();
-  for (const Address& replica : mNode.ReplicaAddresses()) {
-    if (replica != self) {
-      SendPeer(replica, membership::RegistryMessage(mDuties->PullFor(replica)));
-    }
-  }
-  for (const auto& send :
-       mRegistry.HandlePull(self, mDuties->PullFor(self), mNow)) {
-    mDuties->TakePush(self, send.mPush, mNow);
-  }
-}
-
 void
 ControlDecider::TakeShared(const Address& aFrom,
                            const gateway::PeerMessage& aMessage)
@@ -328,25 +228,6 @@
   }
 }
 
-void
-ControlDecider::SendAll(std::vector<membership::RegistrySend> aSends)
-{
-  const Address self = mParts.mTransport.LocalAddress();
-  for (membership::RegistrySend& send : aSends) {
-    if (std::erase(send.mTo, self) != 0 && mDuties) {
-      mDuties->TakePush(self, send.mPush, mNow);
-    }
-    const wire::PeerEnvelope envelope{ .mFrom = self,
-                                       .mPayload = membership::RegistryMessage(
-                                         std::move(send.mPush)) };
-    const std::string frame = wire::Encode(envelope);
-    for (const Address& subscriber : send.mTo) {
-      CountSent(mParts.mCounters, envelope.mPayload, frame.size());
-      mParts.mTransport.Send(subscriber, frame);
-    }
-  }
-}
-
 void
 ControlDecider::On(ControlPeerInput& aInput)
 {
--- a/src/runtime/ControlDecider.h
+++ b/src/runtime/ControlDecider.h
@@ -4,7 +4,9 @@
 #include "peridotspool/control/RelayBatcher.h"
 #include "peridotspool/control/ReplyRouter.h"
 #include "peridotspool/http/HttpServer.h"
+#include "peridotspool/membership/UpstreamDirectory.h"
 #include "peridotspool/membership/UpstreamRegistry.h"
+#include "peridotspool/membership/WithdrawalAcks.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/observe/Logger.h"
 #include "peridotspool/runtime/BoundedRing.h"
@@ -55,15 +57,20 @@
   bool RefuseRollout(HttpInput& aInput,
                      const control::OperatorRequest& aRequest);
   void LogOrder(const control::OperatorResponse& aAnswer);
+  void Take(HttpInput& aInput, DirectoryCall& aCall);
+  void Take(HttpInput& aInput, AnsweredCall& aCall);
+  void TakeShared(const Address& aFrom, const gateway::PeerMessage& aMessage);
+
+  // ControlUpstreams.cpp: upstreams' announcements and the registries
   void Take(HttpInput& aInput, AnnounceCall& aCall);
   void Take(HttpInput& aInput, DeregisterCall& aCall);
   bool RefuseAnnouncement(HttpInput& aInput);
-  void Take(HttpInput& aInput, DirectoryCall& aCall);
-  void Take(HttpInput& aInput, AnsweredCall& aCall);
+  void Acknowledge(const HttpInput& aInput);
+  void HoldWithdrawal(HttpInput& aInput, const UpstreamName& aName);
+  void AnswerWithdrawals();
   void TakeRegistry(const Address& aFrom,
                     const membership::RegistryMessage& aMessage);
   void PullRegistries();
-  void TakeShared(const Address& aFrom, const gateway::PeerMessage& aMessage);
   void SendAll(std::vector<membership::RegistrySend> aSends);
 
   // ControlRelay.cpp: entries' messages that relays forward
@@ -89,6 +96,12 @@
   control::ControlNode mNode;
   ControlParts mParts;
   membership::UpstreamRegistry mRegistry;
+  /** What all registries contain, as far as this replica has been told. */
+  membership::UpstreamDirectory mDirectory;
+  membership::WithdrawalAcks mWithdrawals;
+  /** Upstreams' calls that wait until their withdrawal is replicated. */
+  std::unordered_map<std::uint64_t, HttpInput> mWithdrawing;
+  std::uint64_t mLastWithdrawal = 0;
   /** Operators' calls that wait for an answer. */
   std::unordered_map<CallId, HttpInput> mCalls;
   CallId mLastCall;
--- a/src/runtime/ControlRelay.cpp
+++ b/src/runtime/ControlRelay.cpp
@@ -33,13 +33,10 @@
     if (const auto leader = mNode.LeaderAddress()) {
       destinations.push_back(*leader);
     }
+  } else if (aScope == RelayScope::kVoters) {
+    destinations = mNode.VoterAddresses();
   } else {
     destinations = mNode.ReplicaAddresses();
-    if (aScope == RelayScope::kVoters) {
-      // Voters are listed first.
-      destinations.resize(
-        std::min(destinations.size(), mNode.Replicas().VoterCount()));
-    }
   }
   std::erase(destinations, mParts.mTransport.LocalAddress());
   return destinations;
--- a/src/runtime/DutyRunner.cpp
+++ b/src/runtime/DutyRunner.cpp
@@ -54,12 +54,14 @@
 
 DutyRunner::DutyRunner(const DutyHostOptions& aOptions,
                        const ControlDialect& aDialect,
+                       const membership::UpstreamDirectory& aDirectory,
                        observe::Logger& aLogger,
                        TakeCloud aTakeCloud,
                        Propose aPropose,
                        Tell aTell)
   : mOptions(aOptions)
   , mDialect(aDialect)
+  , mDirectory(aDirectory)
   , mLogger(aLogger)
   , mPropose(std::move(aPropose))
   , mTell(std::move(aTell))
@@ -259,14 +261,6 @@
       { "ends", ends } });
 }
 
-void
-DutyRunner::TakePush(const Address& aFrom,
-                     const membership::RegistryPush& aPush,
-                     TimePoint aNow)
-{
-  mDirectory.ApplyPush(aFrom, aPush, aNow);
-}
-
 // A new leader begins with what the log says of the accounts of earlier ones.
 void
 DutyRunner::UseSettings(const control::ControlNode& aNode, TimePoint aNow)
@@ -383,7 +377,6 @@
   if (leads) {
     UseSettings(aNode, aNow);
     mTasks.RecordWallClock(kOwnClock, ReadWallMicros(), aNow);
-    mDirectory.Forget(aNow);
     ForgetSilent(aNow);
     KeepLimits(aNode, aNow);
     KeepQuarantine(aNode, aNow);
--- a/src/runtime/DutyRunner.h
+++ b/src/runtime/DutyRunner.h
@@ -38,8 +38,10 @@
   using Propose = std::function<void(control::OperatorRequest)>;
   using Tell = std::function<void(const Address&, gateway::PeerMessage)>;
 
+  /** @param aDirectory all upstreams; outlives the runner */
   DutyRunner(const DutyHostOptions& aOptions,
              const ControlDialect& aDialect,
+             const membership::UpstreamDirectory& aDirectory,
              observe::Logger& aLogger,
              TakeCloud aTakeCloud,
              Propose aPropose,
@@ -50,13 +52,6 @@
             const gateway::PeerMessage& aMessage,
             const control::ControlNode& aNode,
             TimePoint aNow);
-  void TakePush(const Address& aFrom,
-                const membership::RegistryPush& aPush,
-                TimePoint aNow);
-  membership::RegistryPull PullFor(const Address& aRegistry) const
-  {
-    return mDirectory.PullFor(aRegistry);
-  }
   void Take(const CloudInput& aInput, TimePoint aNow);
   void Tick(const control::ControlNode& aNode, TimePoint aNow);
   /** Returns false iff the newest settings name no such service; of a leader.
@@ -117,6 +112,7 @@
 
   DutyHostOptions mOptions;
   const ControlDialect& mDialect;
+  const membership::UpstreamDirectory& mDirectory;
   observe::Logger& mLogger;
   Propose mPropose;
   Tell mTell;
@@ -126,7 +122,6 @@
   rollout::RolloutController mRollouts;
   /** The last start or end of a rollout that all entries were told of. */
   std::uint64_t mRolloutsTold = 0;
-  membership::UpstreamDirectory mDirectory;
   std::optional<gateway::RouteTable> mTable;
   Revision mRevision;
   /** Whose members the leases are for. */
