Take an answer for cut if its request could not be written

Cause: the system reports a reset to one call on the socket. With a write under way that is the write, whose error was dropped while a read was open; the read then ended like one whose peer has closed, and the end of the connection is the end of such an answer. Tunnel (which told the other entry of a close) and ClientCall (which reads on after its write has failed) had the same fault.

Change: each of them keeps the error of its write. What has come is still read; an end after the error is a reset, and the connection is not used again. While reading is paused the error no longer ends an answer that may be whole.

Ruled out: waiting for the end of the write before an end in order counts; an upstream may answer and close without reading on, and its answer was whole.

--- a/src/gateway/Tunnel.cpp
+++ b/src/gateway/Tunnel.cpp
@@ -180,7 +180,9 @@
     net::buffer(mFromPeer, aBytes),
     [self = shared_from_this()](http::ErrorCode aFault, std::size_t) {
       // The upstream may have answered before it closed; its end is read.
-      if (!aFault) {
+      if (aFault) {
+        self->mWriteFailed = true;
+      } else {
         self->ReadPeer();
       }
     });
@@ -206,9 +208,10 @@
     return;
   }
   if (aError) {
+    // A reset that a write has been told of looks like a close here.
+    const bool isClosed = aError == net::error::eof && !mWriteFailed;
     mEnding = true;
-    SendRecord(aError == net::error::eof ? TunnelRecordType::kClosed
-                                         : TunnelRecordType::kReset);
+    SendRecord(isClosed ? TunnelRecordType::kClosed : TunnelRecordType::kReset);
     return;
   }
   mActiveAt = mOwner.Now();
--- a/src/gateway/Tunnel.h
+++ b/src/gateway/Tunnel.h
@@ -94,6 +94,7 @@
   TimePoint mPeerActiveAt;
   TimePoint mRecordSentAt;
   bool mOpen = false;
+  bool mWriteFailed = false;
   bool mUpstreamPaused = false;
   bool mRetireOnceOpen = false;
   /** The last record is queued. */
--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -89,12 +89,23 @@
     [self = shared_from_this()](http::ErrorCode aError, std::size_t) {
       self->mWriting = false;
       self->mRequest = {};
-      if (aError && !self->mClosed && !self->mReading) {
-        self->Fail(aError.message());
+      if (aError) {
+        self->OnWriteError(aError);
       }
     });
 }
 
+// What has come is read first: it may be a whole response, as an upstream may
+// answer and close before it has read the request.
+void
+UpstreamConnection::OnWriteError(http::ErrorCode aError)
+{
+  mWriteError = aError;
+  if (!mClosed && !mReading && !mPaused) {
+    Fail(aError.message());
+  }
+}
+
 void
 UpstreamConnection::Read()
 {
@@ -170,7 +181,8 @@
 
 // A response without a length ends with its connection. If the connection was
 // reset instead of closed, the response may be truncated and must not be
-// treated as complete.
+// treated as complete. The system reports a reset once, to the write if one is
+// under way, and what is read then ends as if the peer had closed.
 void
 UpstreamConnection::OnReadEnd(http::ErrorCode aError)
 {
@@ -178,7 +190,7 @@
     Close();
     return;
   }
-  const bool clean = aError == net::error::eof;
+  const bool clean = aError == net::error::eof && !mWriteError;
   if (clean && mParser && mParser->is_header_done() && mHeadReported &&
       !mSkipping && mParser->need_eof()) {
     http::ErrorCode error;
@@ -189,14 +201,16 @@
       return;
     }
   }
-  Fail(clean ? "the upstream closed" : aError.message());
+  Fail(mWriteError ? mWriteError.message()
+       : clean     ? "the upstream closed"
+                   : aError.message());
 }
 
 bool
 UpstreamConnection::IsReusable() const
 {
-  return !mClosed && mKeepAlive && !mWriting && mBuffer.size() == 0 &&
-         mListener == nullptr && !mRecords.IsRetired();
+  return !mClosed && mKeepAlive && !mWriting && !mWriteError &&
+         mBuffer.size() == 0 && mListener == nullptr && !mRecords.IsRetired();
 }
 
 bool
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -122,6 +122,7 @@
   /** Returns false iff the connection has been closed. */
   bool ReadRecords(std::size_t aBytes);
   void OnReadEnd(http::ErrorCode aError);
+  void OnWriteError(http::ErrorCode aError);
   void OnRelayLost();
   void Parse();
   bool ParseHead();
@@ -155,6 +156,8 @@
   HeadScanner mHeadScanner;
   OutgoingRequest mRequest;
   bool mWriting = false;
+  /** Why the request could not be written; no error otherwise. */
+  http::ErrorCode mWriteError;
   bool mReading = false;
   bool mPaused = false;
   bool mClosed = false;
--- a/src/http/ClientCall.cpp
+++ b/src/http/ClientCall.cpp
@@ -89,6 +89,7 @@
 ClientCall::OnWritten(ErrorCode aError, std::size_t aWritten)
 {
   mMayHaveBeenSent = aWritten > 0;
+  mWriteError = aError;
   if (mEnded) {
     return;
   }
@@ -175,15 +176,21 @@
   }
 }
 
+// A reset that the write was told of looks like a close when it is read, and
+// ends a response without a length before its end.
 void
 ClientCall::Finish()
 {
   if (mEnded) {
     return;
   }
+  if (mWriteError && mParser->need_eof()) {
+    Fail(mWriteError);
+    return;
+  }
   mEnded = true;
   SetResetOnClose(mConnection->mStream.socket(), false);
-  if (mParser->get().keep_alive() && !mParser->need_eof()) {
+  if (!mWriteError && mParser->get().keep_alive() && !mParser->need_eof()) {
     mConnection->mStream.expires_never();
     mOwner.Idle().Keep(std::move(mConnection));
   } else {
--- a/src/http/ClientCall.h
+++ b/src/http/ClientCall.h
@@ -73,6 +73,8 @@
   std::atomic<bool> mMuted = false;
   bool mReusedConnection = false;
   bool mMayHaveBeenSent = false;
+  /** Why the request could not be written; no error otherwise. */
+  ErrorCode mWriteError;
   bool mEnded = false;
   std::unique_ptr<ClientConnection> mConnection;
   std::optional<Parser> mParser;
--- a/test/gateway/TunnelServerTest.cpp
+++ b/test/gateway/TunnelServerTest.cpp
@@ -1,4 +1,5 @@
 // ctest-labels: gateway unit
+#include "gateway/EarlyUpstream.h"
 #include "gateway/GatewayFixture.h"
 #include "peridotspool/gateway/TunnelAddress.h"
 #include "peridotspool/gateway/TunnelProtocol.h"
@@ -129,6 +130,22 @@
   }
 }
 
+// Guards against a truncated response that looks complete because its upstream
+// reset the connection while the request was still being written.
+TEST_CASE("ATunnelPassesOnAResetDuringAnUpload")
+{
+  EarlyUpstream upstream("HTTP/1.1 200 OK\r\n\r\npart",
+                         EarlyUpstream::Then::kReset);
+  GatewayFixture entry;
+  entry.Add("u", upstream.Where());
+  const auto caller = Ask(entry, RequestFor("u"));
+  caller->ReadTo(kHeadEnd);
+  caller->Send(RequestText("safe", "1", LongUpload()));
+  const TunnelContent content = ReadAll(*caller);
+  CHECK(content.mData == "HTTP/1.1 200 OK\r\n\r\npart");
+  CHECK(content.mEnd == TunnelRecordType::kReset);
+}
+
 // Guards against a tunnel that ends like one whose upstream has closed, as the
 // entry that relays it stops.
 TEST_CASE("ATunnelThatIsClosedByItsEntryHasNoEnd")
--- a/test/http/HttpClientTest.cpp
+++ b/test/http/HttpClientTest.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 namespace peridotspool::http {
 
 using test::CallLog;
@@ -82,6 +84,30 @@
   CHECK(outcome.mFailed->mMayHaveBeenSent);
 }
 
+// Guards against a truncated answer that looks complete: its connection is
+// reset while the request is still being written, the write is told of that,
+// and the answer, which has no length, ends as if the peer had closed.
+TEST_CASE("AnAnswerWithoutALengthThatIsResetDuringTheUploadIsNotWhole")
+{
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  client.Start(1,
+               listener.LocalAddress(),
+               { .mMethod = "POST",
+                 .mPath = "/",
+                 .mHeaders = {},
+                 .mBody = std::string(32 << 20, 'u') });
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  peer->Send("HTTP/1.1 200 OK\r\n\r\npart");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  peer->Reset();
+  const CallOutcome outcome = log.WaitFor(1);
+  INFO("expected a failed call, got the body '" << outcome.mBody << "'");
+  CHECK(outcome.mFailed);
+}
+
 TEST_CASE("PeerClosingMidBodyIsNoWholeAnswer")
 {
   // Symptom: a caller is handed half an answer as if it were whole.
--- a/test/http/RawSocket.cpp
+++ b/test/http/RawSocket.cpp
@@ -118,6 +118,14 @@
   mHandle = -1;
 }
 
+void
+RawSocket::Reset()
+{
+  const linger option{ .l_onoff = 1, .l_linger = 0 };
+  ::setsockopt(mHandle, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+  Close();
+}
+
 RawListener::RawListener()
   : mHandle(::socket(AF_INET, SOCK_STREAM, 0))
 {
--- a/test/http/RawSocket.h
+++ b/test/http/RawSocket.h
@@ -28,6 +28,8 @@
    * that came before. */
   bool WaitForReset();
   void Close();
+  /** Closes the connection by a reset. */
+  void Reset();
 
 private:
   int mHandle;
