Treat a status that HTTP does not have as no answer

Seen by a user on another system: the caller got an answer whose status was 000. Here such a request waited until its deadline (504 for 000 and 099), and 600 and 999 were passed on.

Cause: each status below 200 counted as that of an interim response, and none was checked above. ClientCall took each status for the answer's, 100 and 103 among them; the real answer then waited on the kept connection.

Change: KindOfStatus for both readers. Below 100, 101 and above 599 a response is not HTTP (the existing bound, its counter and its log line). ClientCall reads on after an interim response, 16 at most.

--- a/src/gateway/UpstreamConnectionParse.cpp
+++ b/src/gateway/UpstreamConnectionParse.cpp
@@ -1,6 +1,7 @@
 // Parsing of an upstream's responses within the bounds of their guard.
 
 #include "gateway/UpstreamConnection.h"
+#include "http/StatusKind.h"
 #include "peridotspool/gateway/HeaderRules.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
 constexpr std::uint32_t kHeaderBytes = 64U << 10;
 /** A buffer that a response has made larger is freed after the response. */
 constexpr std::size_t kMaxIdleBufferBytes = 16U << 10;
-constexpr unsigned kFirstFinalStatus = 200;
 
 /** Parses "timeout=N" of a Keep-Alive field. */
 std::optional<Duration>
@@ -134,8 +134,12 @@
 UpstreamConnection::HandleHead(std::size_t aBytes)
 {
   const auto& message = mParser->get();
+  const http::StatusKind kind = http::KindOfStatus(message.result_int());
+  if (kind == http::StatusKind::kInvalid) {
+    return RejectAsNotHttp();
+  }
   mHeadReported = true;
-  if (message.result_int() < kFirstFinalStatus) {
+  if (kind == http::StatusKind::kInterim) {
     mSkipping = true;
     return IsWithin(
       mListener->Guard().CompleteHead(limits::HeadKind::kInterim, aBytes));
--- a/src/http/ClientCall.cpp
+++ b/src/http/ClientCall.cpp
@@ -2,12 +2,19 @@
 
 #include "http/Conversions.h"
 #include "http/ResetOnClose.h"
+#include "http/StatusKind.h"
 
 #include <boost/asio/write.hpp>
 #include <utility>
 
 namespace peridotspool::http {
 
+namespace {
+
+constexpr std::size_t kMaxInterimResponses = 16;
+
+} // namespace
+
 ClientCall::ClientCall(ClientCallOwner& aOwner,
                        ClientCallId aId,
                        Address aPeer,
@@ -134,6 +141,16 @@
     return;
   }
   const auto& head = mParser->get();
+  const StatusKind kind = KindOfStatus(head.result_int());
+  if (kind == StatusKind::kInvalid || mInterim == kMaxInterimResponses) {
+    Fail(beast_http::error::bad_status);
+    return;
+  }
+  if (kind == StatusKind::kInterim) {
+    ++mInterim;
+    ReadHeader();
+    return;
+  }
   Emit(CallHead{ .mStatus = head.result_int(), .mHeaders = FieldsOf(head) },
        false);
   if (mParser->is_done()) {
--- a/src/http/ClientCall.h
+++ b/src/http/ClientCall.h
@@ -76,6 +76,8 @@
   /** Why the request could not be written; no error otherwise. */
   ErrorCode mWriteError;
   bool mEnded = false;
+  /** Interim responses to this request so far. */
+  std::size_t mInterim = 0;
   std::unique_ptr<ClientConnection> mConnection;
   std::optional<Parser> mParser;
 };
--- /dev/null
+++ b/test/gateway/InvalidResponseTest.cpp
@@ -0,0 +1,52 @@
+// ctest-labels: promise-whole-own-answer
+#include "gateway/CutAnswer.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotspool::gateway {
+
+namespace {
+
+/** Returns what a caller gets if the only upstream gives this answer. */
+SeenAnswer
+AnswerTo(const std::string& aRoute, const std::string& aAnswer)
+{
+  ScriptedUpstream upstream(
+    [&](const std::string&) { return Script{ .mAnswer = aAnswer }; });
+  GatewayFixture gateway;
+  gateway.Add("u", upstream.Where());
+  Caller caller(gateway.Where());
+  caller.Send(RequestText(aRoute, "1"));
+  return ParseAnswer(caller.ReadAnswer());
+}
+
+} // namespace
+
+// Guards against a request that waits until its deadline because the answer's
+// status is none of HTTP and is taken for that of an interim response.
+TEST_CASE("AnAnswerWithAnInvalidStatusFailsAtOnce")
+{
+  const std::string status = GENERATE("000", "099", "101", "600", "999");
+  const std::string route = GENERATE("once", "stream");
+  const SeenAnswer seen =
+    AnswerTo(route,
+             "HTTP/1.1 " + status +
+               " X\r\nX-Id: {id}\r\nX-Stamp: proof\r\nContent-Length: "
+               "3\r\n\r\nabc");
+  INFO(route << ": expected 502 for the status " << status
+             << ", got the answer '" << seen.mStatus << "'");
+  CHECK(seen.mStatus == "HTTP/1.1 502");
+}
+
+TEST_CASE("AnInterimResponseIsFollowedByTheAnswer")
+{
+  const SeenAnswer seen =
+    AnswerTo("once",
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+             "x\r\n\r\n" +
+               WholeAnswer("abc"));
+  CHECK(seen.mStatus == "HTTP/1.1 200");
+  CHECK(seen.mBody == "abc");
+}
+
+} // namespace peridotspool::gateway
--- a/test/http/HttpClientTest.cpp
+++ b/test/http/HttpClientTest.cpp
@@ -108,6 +108,55 @@
   CHECK(outcome.mFailed);
 }
 
+// Guards against an interim response that is taken for the answer, which then
+// waits on the kept connection for the next call.
+TEST_CASE("AnInterimResponseIsNotTheAnswer")
+{
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  client.Start(1, listener.LocalAddress(), Get("/"));
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  peer->Send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" +
+             kWholeAnswer);
+  const CallOutcome outcome = log.WaitFor(1);
+  REQUIRE(outcome.mDone);
+  CHECK(outcome.mHead->mStatus == 200);
+  CHECK(outcome.mBody == "abc");
+}
+
+TEST_CASE("InterimResponsesWithoutEndFailTheCall")
+{
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  client.Start(1, listener.LocalAddress(), Get("/"));
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  for (int i = 0; i < 100; ++i) {
+    peer->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  CHECK(log.WaitFor(1).mFailed);
+}
+
+// Guards against an answer whose status is none of HTTP and that is passed on.
+TEST_CASE("AnAnswerWithAnInvalidStatusFails")
+{
+  const std::string status = GENERATE("000", "099", "101", "600", "999");
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  client.Start(1, listener.LocalAddress(), Get("/"));
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  peer->Send("HTTP/1.1 " + status + " X\r\ncontent-length: 0\r\n\r\n");
+  const CallOutcome outcome = log.WaitFor(1);
+  INFO("expected a failed call for the status " << status);
+  CHECK(outcome.mFailed);
+  CHECK_FALSE(outcome.mHead);
+}
+
 TEST_CASE("PeerClosingMidBodyIsNoWholeAnswer")
 {
   // Symptom: a caller is handed half an answer as if it were whole.
