Check each line of an answer's head before it is parsed

Seen by a user on another system: a name in an answer's head held a blank or a control byte, and the caller got the answer with that line or with another body. Here a line that begins with a blank was joined with the field before it; " Content-Length: 3" took the body's length with it.

Change: HeadScanner::HasFieldNames, for both readers of answers: each line of a head begins with a name of token characters and a colon, else the bytes are no answer. ClientCall finds the end of a head with the scanner, which moves from gateway/ to http/, and gives the parser whole heads.

--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/HeadScanner.h"
 #include "gateway/OutgoingRequest.h"
 #include "gateway/UpstreamDialer.h"
+#include "http/HeadScanner.h"
 #include "http/PieceBody.h"
 #include "peridotspool/base/Address.h"
 #include "peridotspool/base/Ids.h"
@@ -153,7 +153,7 @@
   UpstreamListener* mListener = nullptr;
   http::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
-  HeadScanner mHeadScanner;
+  http::HeadScanner mHeadScanner;
   OutgoingRequest mRequest;
   bool mWriting = false;
   /** Why the request could not be written; no error otherwise. */
--- a/src/gateway/UpstreamConnectionParse.cpp
+++ b/src/gateway/UpstreamConnectionParse.cpp
@@ -61,7 +61,7 @@
   mParser->eager(true);
   mParser->header_limit(kHeaderBytes);
   mParser->body_limit(boost::none);
-  mHeadScanner = HeadScanner{};
+  mHeadScanner = http::HeadScanner{};
   mHeadReported = false;
   mSkipping = false;
   mPaused = false;
@@ -112,7 +112,7 @@
 {
   const std::string_view bytes = TextOf(mBuffer);
   const auto end = mHeadScanner.FindEnd(bytes);
-  if (!HeadScanner::CanBeHttp(bytes)) {
+  if (!http::HeadScanner::CanBeHttp(bytes)) {
     return RejectAsNotHttp();
   }
   const std::size_t size = end.value_or(bytes.size());
@@ -120,6 +120,9 @@
       !end) {
     return false;
   }
+  if (!http::HeadScanner::HasFieldNames(bytes.substr(0, size))) {
+    return RejectAsNotHttp();
+  }
   http::ErrorCode error;
   mParser->put(http::net::buffer(mBuffer.data(), size), error);
   const bool isSound = !error || error == beast_http::error::need_more;
--- a/src/http/ClientCall.cpp
+++ b/src/http/ClientCall.cpp
@@ -4,6 +4,7 @@
 #include "http/ResetOnClose.h"
 #include "http/StatusKind.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaxInterimResponses = 16;
+constexpr std::size_t kReadBytes = std::size_t{ 8 } << 10;
 
 } // namespace
 
@@ -125,21 +127,62 @@
   mParser->header_limit(
     static_cast<std::uint32_t>(mOwner.Options().mMaxHeaderBytes));
   mParser->body_limit(mOwner.Options().mMaxBodyBytes);
+  mHeadScanner = HeadScanner{};
   mConnection->mStream.expires_after(mSilenceTimeout);
-  beast_http::async_read_header(
-    mConnection->mStream,
-    mConnection->mBuffer,
-    *mParser,
-    [self = shared_from_this()](auto aError, auto) { self->OnHeader(aError); });
+  ParseHeader();
 }
 
 void
-ClientCall::OnHeader(ErrorCode aError)
+ClientCall::ReadHeaderBytes()
 {
-  if (aError || mEnded) {
-    Fail(aError);
+  auto& buffer = mConnection->mBuffer;
+  mConnection->mStream.async_read_some(
+    buffer.prepare(std::min(kReadBytes, buffer.max_size() - buffer.size())),
+    [self = shared_from_this()](auto aError, auto aBytes) {
+      if (aError || self->mEnded) {
+        self->Fail(aError);
+        return;
+      }
+      self->mConnection->mBuffer.commit(aBytes);
+      self->ParseHeader();
+    });
+}
+
+// The parser gets a head only once it is complete and checked, as it accepts
+// continuation lines.
+void
+ClientCall::ParseHeader()
+{
+  auto& buffer = mConnection->mBuffer;
+  const std::string_view bytes(static_cast<const char*>(buffer.data().data()),
+                               buffer.size());
+  const auto end = mHeadScanner.FindEnd(bytes);
+  const std::size_t size = end.value_or(bytes.size());
+  ErrorCode error;
+  if (size > mOwner.Options().mMaxHeaderBytes) {
+    error = beast_http::error::header_limit;
+  } else if (!HeadScanner::CanBeHttp(bytes)) {
+    error = beast_http::error::bad_version;
+  } else if (end && !HeadScanner::HasFieldNames(bytes.substr(0, size))) {
+    error = beast_http::error::bad_field;
+  } else if (!end) {
+    ReadHeaderBytes();
+    return;
+  } else {
+    mParser->put(net::buffer(buffer.data(), size), error);
+    buffer.consume(size);
+  }
+  if ((error && error != beast_http::error::need_more) ||
+      !mParser->is_header_done()) {
+    Fail(error);
     return;
   }
+  OnHeader();
+}
+
+void
+ClientCall::OnHeader()
+{
   const auto& head = mParser->get();
   const StatusKind kind = KindOfStatus(head.result_int());
   if (kind == StatusKind::kInvalid || mInterim == kMaxInterimResponses) {
--- a/src/http/ClientCall.h
+++ b/src/http/ClientCall.h
@@ -2,6 +2,7 @@
 
 #include "http/BeastTypes.h"
 #include "http/ClientConnection.h"
+#include "http/HeadScanner.h"
 #include "http/IdleConnections.h"
 #include "http/PieceBody.h"
 #include "peridotspool/http/HttpClient.h"
@@ -55,7 +56,9 @@
   void Write();
   void OnWritten(ErrorCode aError, std::size_t aWritten);
   void ReadHeader();
-  void OnHeader(ErrorCode aError);
+  void ReadHeaderBytes();
+  void ParseHeader();
+  void OnHeader();
   void ReadSome();
   void OnSome(ErrorCode aError);
   void Finish();
@@ -79,6 +82,7 @@
   /** Interim responses to this request so far. */
   std::size_t mInterim = 0;
   std::unique_ptr<ClientConnection> mConnection;
+  HeadScanner mHeadScanner;
   std::optional<Parser> mParser;
 };
 
--- a/src/gateway/HeadScanner.h
+++ b/src/http/HeadScanner.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string_view>
 
-namespace peridotspool::gateway {
+namespace peridotspool::http {
 
 /** Finds the end of a response's head while its bytes arrive, before a parser
  * keeps any of them. */
@@ -21,10 +21,16 @@
 
   /** Returns false iff no HTTP/1 response begins with these bytes. */
   static bool CanBeHttp(std::string_view aBytes);
+  /**
+   * Returns true iff each line after the first one begins with a field's name
+   * and a colon. Continuation lines are rejected (RFC 9112, 5.2).
+   * @param aHead up to and with the empty line
+   */
+  static bool HasFieldNames(std::string_view aHead);
 
 private:
   std::size_t mScanned = 0;
   std::size_t mLines = 0;
 };
 
-} // namespace peridotspool::gateway
+} // namespace peridotspool::http
--- a/test/gateway/InvalidResponseTest.cpp
+++ b/test/gateway/InvalidResponseTest.cpp
@@ -38,6 +38,32 @@
   CHECK(seen.mStatus == "HTTP/1.1 502");
 }
 
+// Guards against an answer whose head has a line that is no field: the line is
+// passed on as part of another field, or the body's length is lost with it.
+TEST_CASE("AnAnswerWithALineThatIsNoFieldFails")
+{
+  const std::string line = GENERATE(as<std::string>(),
+                                    " Content-Length: 3",
+                                    "\tContent-Length: 3",
+                                    " X: y",
+                                    "Content Length: 3",
+                                    "Content-Length : 3",
+                                    "X\tY: z",
+                                    "X\x01Y: z",
+                                    "X\x7fY: z",
+                                    ": z",
+                                    "no colon");
+  const bool isFirst = GENERATE(true, false);
+  const std::string fields = "X-Id: {id}\r\nX-Stamp: proof\r\n";
+  const SeenAnswer seen = AnswerTo(
+    "once",
+    "HTTP/1.1 200 Said\r\n" +
+      (isFirst ? line + "\r\n" + fields : fields + line + "\r\n") + "\r\nabc");
+  INFO("expected 502 for a head with the line '" << line << "', got '"
+                                                 << seen.mStatus << "'");
+  CHECK(seen.mStatus == "HTTP/1.1 502");
+}
+
 TEST_CASE("AnInterimResponseIsFollowedByTheAnswer")
 {
   const SeenAnswer seen =
--- a/test/http/HttpClientTest.cpp
+++ b/test/http/HttpClientTest.cpp
@@ -157,6 +157,21 @@
   CHECK_FALSE(outcome.mHead);
 }
 
+// Guards against a head line that is no field and is joined with the field
+// before it, so that the body's length is lost.
+TEST_CASE("AnAnswerWithAContinuationLineFails")
+{
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  client.Start(1, listener.LocalAddress(), Get("/"));
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  peer->Send("HTTP/1.1 200 OK\r\nx: y\r\n content-length: 3\r\n\r\nabc");
+  peer->Close();
+  CHECK(log.WaitFor(1).mFailed);
+}
+
 TEST_CASE("PeerClosingMidBodyIsNoWholeAnswer")
 {
   // Symptom: a caller is handed half an answer as if it were whole.
