Refuse answers in a transfer encoding other than chunked

Seen in a test while the readers of answers were looked through: an answer with "Transfer-Encoding: gzip, chunked" was passed on as whole, compressed and without the field; with "gzip" alone it waited for the end of its connection.

Cause: Beast looks for "chunked" at the end of the list and ignores the rest. Requests are checked (CallerConnection::FramingFault), answers were not.

Change: HasKnownTransferEncoding for both readers of answers; such an answer is no answer.

Measured: AnAnswerWithAnUnknownTransferEncodingFails fails before for all four values (200 with other bytes, or 504), and its twin in HttpClientTest as well; both pass now.

--- a/src/gateway/UpstreamConnectionParse.cpp
+++ b/src/gateway/UpstreamConnectionParse.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/UpstreamConnection.h"
 #include "http/StatusKind.h"
+#include "http/TransferEncoding.h"
 #include "peridotspool/gateway/HeaderRules.h"
 
 #include <algorithm>
@@ -138,7 +139,8 @@
 {
   const auto& message = mParser->get();
   const http::StatusKind kind = http::KindOfStatus(message.result_int());
-  if (kind == http::StatusKind::kInvalid) {
+  if (kind == http::StatusKind::kInvalid ||
+      !http::HasKnownTransferEncoding(message)) {
     return RejectAsNotHttp();
   }
   mHeadReported = true;
--- a/src/http/ClientCall.cpp
+++ b/src/http/ClientCall.cpp
@@ -3,6 +3,7 @@
 #include "http/Conversions.h"
 #include "http/ResetOnClose.h"
 #include "http/StatusKind.h"
+#include "http/TransferEncoding.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -189,6 +190,10 @@
     Fail(beast_http::error::bad_status);
     return;
   }
+  if (!HasKnownTransferEncoding(head)) {
+    Fail(beast_http::error::bad_transfer_encoding);
+    return;
+  }
   if (kind == StatusKind::kInterim) {
     ++mInterim;
     ReadHeader();
--- a/test/gateway/InvalidResponseTest.cpp
+++ b/test/gateway/InvalidResponseTest.cpp
@@ -64,6 +64,23 @@
   CHECK(seen.mStatus == "HTTP/1.1 502");
 }
 
+// Guards against a body that is passed on in an encoding whose field is
+// removed.
+TEST_CASE("AnAnswerWithAnUnknownTransferEncodingFails")
+{
+  const std::string encoding =
+    GENERATE("gzip, chunked", "gzip", "identity", "chunked, chunked");
+  const SeenAnswer seen =
+    AnswerTo("once",
+             "HTTP/1.1 200 Said\r\nX-Id: {id}\r\nX-Stamp: "
+             "proof\r\nTransfer-Encoding: " +
+               encoding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  INFO("expected 502 for the encoding '" << encoding << "', got '"
+                                         << seen.mStatus << "' with the body '"
+                                         << seen.mBody << "'");
+  CHECK(seen.mStatus == "HTTP/1.1 502");
+}
+
 TEST_CASE("AnInterimResponseIsFollowedByTheAnswer")
 {
   const SeenAnswer seen =
--- a/test/http/HttpClientTest.cpp
+++ b/test/http/HttpClientTest.cpp
@@ -172,6 +172,19 @@
   CHECK(log.WaitFor(1).mFailed);
 }
 
+TEST_CASE("AnAnswerWithAnUnknownTransferEncodingIsNoAnswer")
+{
+  RawListener listener;
+  CallLog log;
+  HttpClient client({}, log.Handler());
+  client.Start(1, listener.LocalAddress(), Get("/"));
+  const auto peer = listener.Accept();
+  peer->ReadUntil("\r\n\r\n");
+  peer->Send("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n"
+             "3\r\nabc\r\n0\r\n\r\n");
+  CHECK(log.WaitFor(1).mFailed);
+}
+
 TEST_CASE("PeerClosingMidBodyIsNoWholeAnswer")
 {
   // Symptom: a caller is handed half an answer as if it were whole.
