--- a/test/hostile/HostileSystem.h
+++ b/test/hostile/HostileSystem.h
@@ -36,6 +36,7 @@
   /** Starts all processes; returns once requests are answered. */
   void Start();
 
+  const soak::Places& Where() const { return mSystem.Where(); }
   std::string Host() const { return mSystem.Where().Own(1); }
   std::unique_ptr<ProcessWatch> WatchEntry();
   std::unique_ptr<ProcessWatch> WatchControl();
