Answer what is open when a stopping entry ends

An operator's report: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer.

What comes later than 2.5 s into the grace is refused here, but a request that came before and waits in the entry was sent whenever its wait ended, up to the last moment, and one whose upstream was still at work lost its connection without an answer.

Change: when the entry begins to refuse, it refuses what it has not sent yet (503, Retry-After). When its process ends it answers what is open: 502 for what has been passed on, 503 for the rest. Streams that have begun end incomplete, as before.

Ruled out: ending earlier than at the end of the grace, which has cut answers that were on their way.

ExchangeStartTest shows both steps on the gateway.

--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -46,6 +46,7 @@
                  "RC_PARAMS=seed=20261202")
     if(folder_name STREQUAL "process"
        OR unit STREQUAL "SoakTest"
+       OR test_name STREQUAL "soak/PlannedStopTest"
        OR test_name STREQUAL "soak/UpstreamLimitTest"
        OR test_name STREQUAL "soak/RestingUpstreamTest")
       # Each starts a whole system of ten processes and more; one at a time, so
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -44,6 +44,10 @@
   void Start();
   /** Called when the caller has disconnected. */
   void Cancel();
+  /** The process stops: refuses the request if it hasn't been sent yet. */
+  void RefuseIfUnsent();
+  /** The process ends: answers the request unless its response has begun. */
+  void EndWithProcess();
   /** Sends the request elsewhere if it waits on a connection whose path is lost
    * and may run again.
    * @param aAreOwnSilent connections that no other entry relays carry nothing
@@ -72,6 +76,7 @@
   bool WaitForStartup();
   void ResumeAfterStartup();
   bool Admit();
+  void RefuseAsStopping();
   bool MayOutliveProcess() const;
   void RequestQuota();
   /** Returns how the request may wait for its customer's limit; empty if
--- a/src/gateway/ExchangeEnd.cpp
+++ b/src/gateway/ExchangeEnd.cpp
@@ -116,6 +116,34 @@
   }
 }
 
+// Sent later it might not end before the process does.
+void
+Exchange::RefuseIfUnsent()
+{
+  if (!mEnded && !mBegun && !mConnection && mRuns == 0) {
+    RefuseAsStopping();
+  }
+}
+
+void
+Exchange::EndWithProcess()
+{
+  if (mEnded || mBegun) {
+    return;
+  }
+  if (mConnection) {
+    mConnection->Drop();
+    mConnection.reset();
+    ++mRuns;
+    TellEnded(SendResult::kAnswered);
+  }
+  if (mRuns > 0) {
+    SendLocalResponse(kBadGateway, "stopping");
+  } else {
+    RefuseAsStopping();
+  }
+}
+
 void
 Exchange::Cancel()
 {
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -130,8 +130,7 @@
     return false;
   }
   if (mCore.mRefusing || MayOutliveProcess()) {
-    mCore.mCounters.Add(CounterId::kRefusedDraining);
-    SendLocalResponse(kUnavailable, "stopping", kStoppingRetryAfterSeconds);
+    RefuseAsStopping();
     return false;
   }
   mRoute = mTable->Find(FieldOf(mRequest.mFields, "host"), mRequest.Path());
@@ -156,6 +155,13 @@
   return true;
 }
 
+void
+Exchange::RefuseAsStopping()
+{
+  mCore.mCounters.Add(CounterId::kRefusedDraining);
+  SendLocalResponse(kUnavailable, "stopping", kStoppingRetryAfterSeconds);
+}
+
 bool
 Exchange::MayOutliveProcess() const
 {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -191,13 +191,35 @@
   if (!areOwnSilent && !mCore.mTunnelPeers->HasTunnels()) {
     return;
   }
+  for (const auto& exchange : CurrentExchanges()) {
+    exchange->FailIfStalled(areOwnSilent);
+  }
+}
+
+std::vector<std::shared_ptr<Exchange>>
+Gateway::CurrentExchanges() const
+{
   std::vector<std::shared_ptr<Exchange>> exchanges;
   exchanges.reserve(mExchanges.size());
   for (const auto& [key, exchange] : mExchanges) {
     exchanges.push_back(exchange);
   }
-  for (const auto& exchange : exchanges) {
-    exchange->FailIfStalled(areOwnSilent);
+  return exchanges;
+}
+
+void
+Gateway::RefuseUnsent()
+{
+  for (const auto& exchange : CurrentExchanges()) {
+    exchange->RefuseIfUnsent();
+  }
+}
+
+void
+Gateway::AnswerUnfinished()
+{
+  for (const auto& exchange : CurrentExchanges()) {
+    exchange->EndWithProcess();
   }
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -40,6 +40,10 @@
   Address Listening() const { return mAcceptor.Listening(); }
   /** Closes connections without a request in progress. */
   void CloseIdle();
+  /** Refuses the requests that wait and haven't been sent to an upstream. */
+  void RefuseUnsent();
+  /** Answers the requests in progress; called when the process ends. */
+  void AnswerUnfinished();
 
   /** Returns true iff no request is being served and all responses have been
    * written. */
@@ -59,6 +63,8 @@
 
 private:
   void OnConnection(http::Tcp::socket aSocket);
+  /** Returns the exchanges at present, as calls to them may change the set. */
+  std::vector<std::shared_ptr<Exchange>> CurrentExchanges() const;
   /** Returns false iff the connections are at their bound, and all in use. */
   bool MakeRoomForConnection();
   /** Logs that a connection is over a bound, and ends what it holds. */
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -374,11 +374,13 @@
   if (stage != gateway::ShutdownStage::kAccepting && !mCore->mRefusing) {
     mCore->mRefusing = true;
     Decide(mCore->mQuota.RefuseWaiting(aNow));
+    mGateway->RefuseUnsent();
     mGateway->CloseIdle();
   }
   if (stage != gateway::ShutdownStage::kComplete) {
     return false;
   }
+  mGateway->AnswerUnfinished();
   Step(membership::HandoverCompleteEvent{});
   return true;
 }
--- a/test/gateway/ExchangeStartTest.cpp
+++ b/test/gateway/ExchangeStartTest.cpp
@@ -64,6 +64,42 @@
   CHECK(upstream.Requests().size() == 1);
 }
 
+// Guards against a request that waits in a stopping entry, is sent late and
+// ends with the process.
+TEST_CASE("AStoppingEntryRefusesTheRequestsThatWait")
+{
+  GatewayFixture gateway;
+  gateway.OnRelay([&] {
+    gateway.Core().mTable = nullptr;
+    gateway.Core().mStartupPolicy =
+      StartupPolicy({ .mStartupPeriod = std::chrono::seconds(60),
+                      .mMaxWait = std::chrono::seconds(30) },
+                    gateway.Core().mNow());
+  });
+  Caller caller(gateway.Where());
+  caller.Send(RequestText("once", "r1"));
+  REQUIRE(Eventually([&] { return gateway.Exchanges() == 1; }));
+  gateway.RefuseUnsent();
+  const std::string answer = caller.ReadAnswer();
+  CHECK(StatusOf(answer) == "HTTP/1.1 503");
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("AnEndingEntryAnswersWhatItHasPassedOn")
+{
+  ScriptedUpstream upstream(
+    [](const std::string&) { return Script{ .mThen = Script::Then::kHang }; });
+  GatewayFixture gateway;
+  gateway.Add("u", upstream.Where());
+  Caller caller(gateway.Where());
+  caller.Send(RequestText("once", "r1"));
+  REQUIRE(Eventually([&] { return upstream.Requests().size() == 1; }));
+  gateway.RefuseUnsent();
+  CHECK_FALSE(caller.HasData());
+  gateway.AnswerUnfinished();
+  CHECK(StatusOf(caller.ReadAnswer()) == "HTTP/1.1 502");
+}
+
 TEST_CASE("ARequestThatTimesOutDuringStartupGetsRetryAfter")
 {
   GatewayFixture gateway;
--- a/test/gateway/GatewayFixture.h
+++ b/test/gateway/GatewayFixture.h
@@ -128,6 +128,15 @@
   void TickUpstreamPath();
   /** Closes all tunnels that the entry relays; on the relay thread. */
   void CloseTunnels() { mTunnelServer->Sweep(TimePoint::max()); }
+  /** What a host does as its process stops. */
+  void RefuseUnsent()
+  {
+    OnRelay([this] { mGateway->RefuseUnsent(); });
+  }
+  void AnswerUnfinished()
+  {
+    OnRelay([this] { mGateway->AnswerUnfinished(); });
+  }
   GatewayCore& Core() { return *mCore; }
   bool IsQuiet();
   std::size_t Exchanges();
