Ask other entries before a stream without a name goes on

An operator's report: an entry that was out of step for a few seconds during a release took up streams of the new version at an upstream of another one.

It can happen here to streams that their callers take up without a name: the proof was this entry's own knowledge of a single version, in contact with control. It counts as in contact for 2 s after the last confirmation, in which it hears of no new version; the same after it stood still for less.

Change: VersionPoll, a pure step. KnownVersion takes the place of OnlyVersionOf and tells no upstream from several versions.

Ruled out: a shorter time of contact, which leaves a shorter hole and refuses more; holding a new version back until all entries know it, which leaves its upstreams idle; records of versions beside those of streams, which an entry holds itself when it is cut off.

--- a/include/peridotspool/gateway/PeerMessage.h
+++ b/include/peridotspool/gateway/PeerMessage.h
@@ -10,6 +10,7 @@
 #include "peridotspool/routing/Quarantine.h"
 #include "peridotspool/routing/SlotMessage.h"
 #include "peridotspool/streams/OriginMessage.h"
+#include "peridotspool/streams/VersionMessage.h"
 
 #include <boost/describe/class.hpp>
 #include <compare>
@@ -116,6 +117,8 @@
                                  limits::WithdrawalReport,
                                  routing::SlotRequest,
                                  routing::SlotResponse,
-                                 routing::SlotReturn>;
+                                 routing::SlotReturn,
+                                 streams::VersionQuery,
+                                 streams::VersionResponse>;
 
 } // namespace peridotspool::gateway
--- a/include/peridotspool/gateway/UpstreamSelector.h
+++ b/include/peridotspool/gateway/UpstreamSelector.h
@@ -286,9 +286,9 @@
   /** Returns the version that the upstream reports; empty if the upstream is
    * unknown. */
   std::optional<VersionName> VersionOf(const UpstreamName& aName) const;
-  /** Returns the version of all upstreams of a service, including those that
-   * have left lately; empty if there are several versions, or no upstreams. */
-  std::optional<VersionName> OnlyVersionOf(const ServiceName& aService) const;
+  /** Returns the versions of a service's upstreams, including those that have
+   * left lately. */
+  std::set<VersionName> VersionsOf(const ServiceName& aService) const;
   /** Returns the upstream's current incarnation; empty if it is unknown. */
   std::optional<Incarnation> IncarnationOf(const UpstreamName& aName) const;
   /** Returns the service of an upstream that accepts new work. */
--- a/src/gateway/ExchangeOrigin.cpp
+++ b/src/gateway/ExchangeOrigin.cpp
@@ -80,33 +80,39 @@
 {
   const bool hasField =
     !FieldsOf(mRequest.mFields, mCore.mNames.mResumes).empty();
-  const auto version = mCore.mSelector.OnlyVersionOf(mService);
-  if (hasField || !version || mRoute->mShares.size() != 1) {
+  const streams::OriginAnswer known = mCore.mOrigins.KnownVersion(mService);
+  if (hasField || known.mKnowledge != streams::OriginKnowledge::kKnown ||
+      mRoute->mShares.size() != 1) {
     return {};
   }
   if (!mCore.mContact.Covers(kVersionHistory, mCore.mNow())) {
     return { .mKnowledge = streams::OriginKnowledge::kUndetermined };
   }
-  return { .mKnowledge = streams::OriginKnowledge::kKnown,
-           .mOrigin = { .mService = mService, .mVersion = *version } };
+  return known;
 }
 
+// What this entry knows of versions is out of date if it was cut off or stood
+// still a moment ago, which it can't tell, so that others have to agree.
 void
 Exchange::LookUpOrigin()
 {
-  const std::string_view name = ResumedRequest();
-  if (name.empty()) {
-    OnOriginFound(OriginWithoutName());
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  const auto found = [weak](const streams::OriginAnswer& aAnswer) {
+    if (const auto self = weak.lock()) {
+      self->mOriginTag = 0;
+      self->OnOriginFound(aAnswer);
+    }
+  };
+  if (const std::string_view name = ResumedRequest(); !name.empty()) {
+    mOriginTag = mCore.mOrigins.LookUp(StreamKeyFor(name), found);
     return;
   }
-  const std::weak_ptr<Exchange> weak = weak_from_this();
-  mOriginTag = mCore.mOrigins.LookUp(
-    StreamKeyFor(name), [weak](const streams::OriginAnswer& aAnswer) {
-      if (const auto self = weak.lock()) {
-        self->mOriginTag = 0;
-        self->OnOriginFound(aAnswer);
-      }
-    });
+  const streams::OriginAnswer own = OriginWithoutName();
+  if (own.mKnowledge == streams::OriginKnowledge::kKnown) {
+    mOriginTag = mCore.mOrigins.ConfirmVersion(own.mOrigin, found);
+  } else {
+    OnOriginFound(own);
+  }
 }
 
 void
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -137,9 +137,10 @@
                             .mCounters = mCounters,
                             .mNow = mNow } };
   /** Which version of its service began each stream. */
-  StreamOrigins mOrigins{
-    { .mSendToEntry = mSendToEntry, .mNow = mNow, .mCounters = mCounters }
-  };
+  StreamOrigins mOrigins{ { .mSendToEntry = mSendToEntry,
+                            .mNow = mNow,
+                            .mCounters = mCounters,
+                            .mUpstreams = mSelector } };
   SchedulingOptions mScheduling;
   /** Used where customers share capacity. */
   CapacityTerms mCapacityTerms = {};
--- a/src/gateway/StreamOrigins.cpp
+++ b/src/gateway/StreamOrigins.cpp
@@ -13,6 +13,9 @@
 using observe::CounterId;
 using streams::OriginKnowledge;
 
+/** Keeps the tags of polls apart from those of writes and lookups. */
+constexpr std::uint64_t kPollTags = std::uint64_t{ 1 } << 63U;
+
 } // namespace
 
 void
@@ -22,7 +25,8 @@
 {
   mSelf = aSelf;
   mRegion = aRegion;
-  mClient = streams::OriginClient(aFirstTag);
+  mClient = streams::OriginClient(aFirstTag & ~kPollTags);
+  mPoll = streams::VersionPoll(aFirstTag | kPollTags);
 }
 
 void
@@ -122,12 +126,49 @@
   return call.mTag;
 }
 
+streams::OriginAnswer
+StreamOrigins::KnownVersion(const ServiceName& aService) const
+{
+  const auto versions = mUpstreams.VersionsOf(aService);
+  if (versions.empty()) {
+    return {};
+  }
+  if (versions.size() > 1) {
+    return { .mKnowledge = OriginKnowledge::kAmbiguous };
+  }
+  return { .mKnowledge = OriginKnowledge::kKnown,
+           .mOrigin = { .mService = aService, .mVersion = *versions.begin() } };
+}
+
+std::uint64_t
+StreamOrigins::ConfirmVersion(
+  const streams::StreamOrigin& aOrigin,
+  const std::function<void(const streams::OriginAnswer&)>& aOnFound)
+{
+  const auto others =
+    PossibleHoldersOf(streams::StreamKeyOf({}, aOrigin.mService.Value()));
+  if (others.empty()) {
+    aOnFound({ .mKnowledge = mSelector.HasMembers()
+                               ? OriginKnowledge::kKnown
+                               : OriginKnowledge::kUndetermined,
+               .mOrigin = aOrigin });
+    return 0;
+  }
+  const streams::VersionQuery query = mPoll.Begin(aOrigin, others, mNow());
+  mLookupWaiters[query.mTag] = aOnFound;
+  for (const Address& other : others) {
+    mSendToEntry(other, query);
+  }
+  return query.mTag;
+}
+
 void
 StreamOrigins::Cancel(std::uint64_t aTag)
 {
   mWriteWaiters.erase(aTag);
   mLookupWaiters.erase(aTag);
   mClient.CancelLookup(aTag);
+  mPoll.Cancel(aTag);
 }
 
 void
@@ -142,6 +183,10 @@
       [&](const streams::OriginResponse& aResponse) {
         Handle(aFrom, aResponse);
       },
+      [&](const streams::VersionQuery& aQuery) { Handle(aFrom, aQuery); },
+      [&](const streams::VersionResponse& aResponse) {
+        Handle(aFrom, aResponse);
+      },
       [](const auto& /*aOther*/) {} },
     aMessage);
 }
@@ -190,15 +235,40 @@
   }
 }
 
+void
+StreamOrigins::Handle(const Address& aFrom, const streams::VersionQuery& aQuery)
+{
+  mSendToEntry(
+    aFrom,
+    streams::VersionResponse{ .mTag = aQuery.mTag,
+                              .mAnswer = KnownVersion(aQuery.mService) });
+}
+
+void
+StreamOrigins::Handle(const Address& aFrom,
+                      const streams::VersionResponse& aResponse)
+{
+  if (const auto decided = mPoll.HandleResponse(aFrom, aResponse)) {
+    CallWaiter(decided->mTag, decided->mAnswer);
+  }
+}
+
 void
 StreamOrigins::OnDecided(const streams::OriginLookup& aLookup)
 {
   mStore.Add({ .mKey = aLookup.mKey, .mAnswer = aLookup.mAnswer }, mNow());
-  const auto waiter = mLookupWaiters.find(aLookup.mTag);
+  CallWaiter(aLookup.mTag, aLookup.mAnswer);
+}
+
+void
+StreamOrigins::CallWaiter(std::uint64_t aTag,
+                          const streams::OriginAnswer& aAnswer)
+{
+  const auto waiter = mLookupWaiters.find(aTag);
   if (waiter != mLookupWaiters.end()) {
     const auto call = std::move(waiter->second);
     mLookupWaiters.erase(waiter);
-    call(aLookup.mAnswer);
+    call(aAnswer);
   }
 }
 
@@ -211,6 +281,9 @@
   for (const streams::OriginLookup& lookup : tick.mTimedOut) {
     OnDecided(lookup);
   }
+  for (const streams::VersionDecision& decided : mPoll.Tick(now)) {
+    CallWaiter(decided.mTag, decided.mAnswer);
+  }
   mStore.RemoveExpired(now);
   Send(mRepair.Step(mStore, mSelector, mRegion, mSelf, now));
   mCounters.Set(CounterId::kStreamOriginsHeld, mStore.Size());
--- a/src/gateway/StreamOrigins.h
+++ b/src/gateway/StreamOrigins.h
@@ -3,11 +3,13 @@
 #include "peridotspool/base/Address.h"
 #include "peridotspool/base/Time.h"
 #include "peridotspool/gateway/PeerMessage.h"
+#include "peridotspool/gateway/UpstreamSelector.h"
 #include "peridotspool/observe/Counters.h"
 #include "peridotspool/streams/OriginClient.h"
 #include "peridotspool/streams/OriginRepair.h"
 #include "peridotspool/streams/OriginStore.h"
 #include "peridotspool/streams/ReplicaSelector.h"
+#include "peridotspool/streams/VersionPoll.h"
 
 #include <cstdint>
 #include <functional>
@@ -21,6 +23,7 @@
   std::function<void(const Address&, PeerMessage)>& mSendToEntry;
   std::function<TimePoint()>& mNow;
   observe::Counters& mCounters;
+  const UpstreamSelector& mUpstreams;
 };
 
 /**
@@ -36,6 +39,7 @@
     : mSendToEntry(aOptions.mSendToEntry)
     , mNow(aOptions.mNow)
     , mCounters(aOptions.mCounters)
+    , mUpstreams(aOptions.mUpstreams)
   {
   }
 
@@ -61,7 +65,16 @@
   std::uint64_t LookUp(
     const streams::StreamKey& aKey,
     const std::function<void(const streams::OriginAnswer&)>& aOnFound);
-  /** Cancels the call for a write or a lookup; writes go on. */
+  /** Asks other entries whether a service has had a single version, the one
+   * that this entry knows. As LookUp, with the service and the version if they
+   * agree, unknown if there are others. */
+  std::uint64_t ConfirmVersion(
+    const streams::StreamOrigin& aOrigin,
+    const std::function<void(const streams::OriginAnswer&)>& aOnFound);
+  /** Returns the version of the service that this entry knows, or that there
+   * are several. */
+  streams::OriginAnswer KnownVersion(const ServiceName& aService) const;
+  /** Cancels the call for a write, a lookup or a poll; writes go on. */
   void Cancel(std::uint64_t aTag);
 
   /** Handles a message of another entry if it is about origins. */
@@ -74,6 +87,9 @@
   void Handle(const Address& aFrom, const streams::OriginAck& aAck);
   void Handle(const Address& aFrom, const streams::OriginQuery& aQuery);
   void Handle(const Address& aFrom, const streams::OriginResponse& aResponse);
+  void Handle(const Address& aFrom, const streams::VersionQuery& aQuery);
+  void Handle(const Address& aFrom, const streams::VersionResponse& aResponse);
+  void CallWaiter(std::uint64_t aTag, const streams::OriginAnswer& aAnswer);
   std::vector<Address> HoldersOf(const streams::StreamKey& aKey) const;
   std::vector<Address> PossibleHoldersOf(const streams::StreamKey& aKey) const;
   void AddOthers(std::vector<Address>& aAddresses,
@@ -84,11 +100,13 @@
   std::function<void(const Address&, PeerMessage)>& mSendToEntry;
   std::function<TimePoint()>& mNow;
   observe::Counters& mCounters;
+  const UpstreamSelector& mUpstreams;
   Address mSelf;
   Region mRegion;
   streams::OriginStore mStore;
   streams::ReplicaSelector mSelector;
   streams::OriginClient mClient{ 0 };
+  streams::VersionPoll mPoll{ 0 };
   streams::OriginRepair mRepair;
   std::map<std::uint64_t, std::function<void()>> mWriteWaiters;
   std::map<std::uint64_t, std::function<void(const streams::OriginAnswer&)>>
--- a/src/gateway/UpstreamSelectorQueries.cpp
+++ b/src/gateway/UpstreamSelectorQueries.cpp
@@ -105,20 +105,16 @@
            : std::optional(found->second.mReport.mVersion);
 }
 
-std::optional<VersionName>
-UpstreamSelector::OnlyVersionOf(const ServiceName& aService) const
+std::set<VersionName>
+UpstreamSelector::VersionsOf(const ServiceName& aService) const
 {
-  std::optional<VersionName> only;
+  std::set<VersionName> versions;
   for (const auto& [name, upstream] : mTrackedUpstreams) {
-    if (upstream.mReport.mService != aService) {
-      continue;
-    }
-    if (only && *only != upstream.mReport.mVersion) {
-      return std::nullopt;
+    if (upstream.mReport.mService == aService) {
+      versions.insert(upstream.mReport.mVersion);
     }
-    only = upstream.mReport.mVersion;
   }
-  return only;
+  return versions;
 }
 
 std::optional<Incarnation>
--- a/src/runtime/PeerTally.cpp
+++ b/src/runtime/PeerTally.cpp
@@ -56,6 +56,8 @@
                 [&](const streams::OriginAck&) { return streams; },
                 [&](const streams::OriginQuery&) { return streams; },
                 [&](const streams::OriginResponse&) { return streams; },
+                [&](const streams::VersionQuery&) { return streams; },
+                [&](const streams::VersionResponse&) { return streams; },
                 [&](const auto&) { return load; } },
     aMessage);
 }
--- a/test/gateway/StreamVersionTest.cpp
+++ b/test/gateway/StreamVersionTest.cpp
@@ -239,6 +239,35 @@
   CHECK(ResumedRuns(upstreams) == 0);
 }
 
+// Guards against streams that are joined from two versions by an entry that is
+// out of step for a moment: it has not been told yet of the version that began
+// the stream, and nothing tells it that it hasn't.
+TEST_CASE("AStreamWithoutANameGoesOnNowhereAtAnEntryThatIsOutOfStep")
+{
+  const bool isCutOff = GENERATE(true, false);
+  CAPTURE(isCutOff);
+  VersionedUpstreams upstreams(VersionedUpstreams::Then::kWait);
+  EntryGroup group(kEntries, kLongContact);
+  upstreams.Add(group, "old", "v1");
+  upstreams.Add(group, "new", "v2");
+  GatewayFixture& stale = group.Entry(2);
+  LearnRollouts(stale);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  stale.OnRelay([&] {
+    GatewayCore& core = stale.Core();
+    core.mSelector.Update(UpstreamName("new"), nullptr, core.mNow());
+    if (isCutOff) {
+      core.mSendToEntry = [](const Address&, const PeerMessage&) {};
+    }
+  });
+  Caller caller(stale.Where());
+  caller.Send(ResumeWithoutName("b1"));
+  const std::string answer = caller.ReadAnswer();
+  CHECK(StatusOf(answer) == "HTTP/1.1 503");
+  CHECK(VersionsIn(answer).empty());
+  CHECK(ResumedRuns(upstreams) == 0);
+}
+
 // Guards against streams that an entry resumes at another software version
 // within one response.
 TEST_CASE("AStreamThatItsUpstreamBreaksOffGoesOnAtItsVersion")
--- a/test/streams/OriginSimulation.cpp
+++ b/test/streams/OriginSimulation.cpp
@@ -38,6 +38,7 @@
   std::function<void(const Address&, gateway::PeerMessage)> mSend;
   std::function<TimePoint()> mClock;
   observe::Counters mCounters;
+  gateway::UpstreamSelector mUpstreams{ {} };
   std::unique_ptr<gateway::StreamOrigins> mOrigins;
 };
 
@@ -135,7 +136,8 @@
   entry.mOrigins = std::make_unique<gateway::StreamOrigins>(
     gateway::StreamOriginsOptions{ .mSendToEntry = entry.mSend,
                                    .mNow = entry.mClock,
-                                   .mCounters = entry.mCounters });
+                                   .mCounters = entry.mCounters,
+                                   .mUpstreams = entry.mUpstreams });
   entry.mOrigins->Start(entry.mAddress, Region("r"), mRandom());
 }
 
