--- a/src/gateway/ExchangeOrigin.cpp
+++ b/src/gateway/ExchangeOrigin.cpp
@@ -80,7 +80,7 @@
 {
   const bool hasField =
     !FieldsOf(mRequest.mFields, mCore.mNames.mResumes).empty();
-  const streams::OriginAnswer known = mCore.mOrigins.KnownVersion(mService);
+  streams::OriginAnswer known = mCore.mOrigins.KnownVersion(mService);
   if (hasField || known.mKnowledge != streams::OriginKnowledge::kKnown ||
       mRoute->mShares.size() != 1) {
     return {};
