Bound what an own-interface entry holds of unfinished answers

What callers saw (an operator's report, of another system; tried here with a test first): a faulty upstream sends an answer without end, the entry keeps it, and its end by memory is that of all other callers' requests.

Cause: the entry of the own interface had a bound on one response's body, in its client, and none on the sum of all. A stream that reached the client's bound counted as a lost connection and was resumed, so that its text went on growing up to the deadline. bounds.upstream_response and bounds.upstream_memory were read from the settings and used by the other entry only.

Change: the host tells the deciding code of the bytes that are no event yet (UpstreamHeld); HeldAnswers adds them and the texts up by request, in the budget that the other entry has. Over a bound the largest answer is given up: its request is retried if its callers have no part of it, else it ends. An answer that is complete is not counted, so that it is delivered. This works because nothing that may still grow is left out of the sum.

--- a/include/peridotspool/http/SseParser.h
+++ b/include/peridotspool/http/SseParser.h
@@ -29,6 +29,9 @@
   std::optional<std::vector<SseEvent>> Feed(std::string_view aPiece,
                                             LastReason& aReason);
 
+  /** Returns the bytes of the event that is incomplete. */
+  std::size_t IncompleteBytes() const { return mEventBytes; }
+
 private:
   void TakeLine();
   void TakeField(std::string_view aName, std::string_view aValue);
--- a/include/peridotspool/request/RequestOptions.h
+++ b/include/peridotspool/request/RequestOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/base/Time.h"
+#include "peridotspool/limits/ResponseBounds.h"
 
 #include <cstdint>
 
@@ -23,6 +24,8 @@
   /** How long after the deadline an outcome is still proposed to the ledger
    * again. */
   Duration mFinishGrace = std::chrono::seconds(30);
+  /** What is held of unfinished answers, here and by the host. */
+  limits::ResponseBounds mResponses;
   std::uint64_t mRandomSeed = 1;
 };
 
--- a/include/peridotspool/request/UpstreamEvent.h
+++ b/include/peridotspool/request/UpstreamEvent.h
@@ -3,6 +3,7 @@
 #include "peridotspool/base/Ids.h"
 #include "peridotspool/base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -54,7 +55,17 @@
   bool mTimedOut = false;
 };
 
-using UpstreamOutcome =
-  std::variant<UpstreamPiece, UpstreamDone, UpstreamRefused, UpstreamBroken>;
+/** The host has received a part of the response that is no event yet. */
+struct UpstreamHeld
+{
+  /** All bytes that it holds of the response. */
+  std::size_t mBytes = 0;
+};
+
+using UpstreamOutcome = std::variant<UpstreamPiece,
+                                     UpstreamDone,
+                                     UpstreamRefused,
+                                     UpstreamBroken,
+                                     UpstreamHeld>;
 
 } // namespace peridotspool::request
--- a/src/http/UpstreamAdapter.cpp
+++ b/src/http/UpstreamAdapter.cpp
@@ -215,6 +215,10 @@
     mEnded = !std::holds_alternative<request::UpstreamPiece>(*outcome);
     aOutcomes.push_back(std::move(*outcome));
   }
+  if (!mEnded && mParser.IncompleteBytes() > 0) {
+    aOutcomes.emplace_back(
+      request::UpstreamHeld{ .mBytes = mParser.IncompleteBytes() });
+  }
 }
 
 std::vector<request::UpstreamOutcome>
@@ -228,6 +232,8 @@
                          [&](const CallPiece& aPiece) {
                            if (mStatus == kStatusOk) {
                              mBody += aPiece.mBytes;
+                             outcomes.emplace_back(
+                               request::UpstreamHeld{ .mBytes = mBody.size() });
                            }
                          },
                          [&](const CallDone&) {
--- a/src/request/Execution.h
+++ b/src/request/Execution.h
@@ -53,7 +53,15 @@
   /** Handles the loss of the executor turn to another entry. */
   void OnTurnLost(StepContext& aContext);
 
+  /** Gives up what is held of the answer: its upstream is called no more, and
+   * the request is retried only if its callers have no part of it. */
+  void EndOverBound(StepContext& aContext, Tally aBound);
+
   const Answer& CurrentAnswer() const { return mAnswer; }
+  /** Returns the bytes held of an answer that may still grow. */
+  std::size_t HeldBytes() const;
+  /** Returns the upstream of the last attempt; empty before the first. */
+  UpstreamName Upstream() const;
   const ledger::RequestRecord& Record() const { return mRecord; }
   TimePoint Deadline() const { return mDeadline; }
   /** Returns when OnTick must be called next; never later than the deadline. */
@@ -124,7 +132,9 @@
                           const ledger::OperationAnswer& aAnswer);
 
   void Propose(StepContext& aContext, ledger::Operation aOperation);
-  void StopUpstream(StepContext& aContext, bool aCancelAttempt);
+  /** @param aAttemptEnd how it ends at the upstream; empty if it may go on */
+  void StopUpstream(StepContext& aContext,
+                    std::optional<routing::AttemptEnd> aAttemptEnd = {});
   void WakeAt(TimePoint aTime);
   std::string UpstreamRequestName() const;
   /** Returns true iff an upstream may have started to run the request. */
@@ -145,6 +155,8 @@
   /** False until the request is admitted. */
   bool mAdmitted = false;
   CallId mUpstreamCall;
+  /** Bytes that the host holds of the call's response. */
+  std::size_t mHostBytes = 0;
   CallId mProposal;
   /** True once an attempt failed because the connection to its upstream was
    * lost. */
--- a/src/request/ExecutionEnd.cpp
+++ b/src/request/ExecutionEnd.cpp
@@ -141,22 +141,56 @@
   if (!mStateMachine->Apply(ExecutionEvent::kGiveUp)) {
     return;
   }
-  StopUpstream(aContext, true);
+  StopUpstream(aContext, routing::AttemptEnd::kCancelled);
   mPendingOutcome = std::move(aOutcome);
   ProposeFinish(aContext);
 }
 
+std::size_t
+Execution::HeldBytes() const
+{
+  const ExecutionState state = mStateMachine->State();
+  const bool mayGrow = state == ExecutionState::kQueued ||
+                       state == ExecutionState::kDispatched ||
+                       state == ExecutionState::kStreaming;
+  return mayGrow ? mAnswer.mText.size() + mHostBytes : 0;
+}
+
+UpstreamName
+Execution::Upstream() const
+{
+  return mAttempt ? mAttempt->mUpstream : UpstreamName();
+}
+
+// A resumed stream would go on growing, and another upstream would continue the
+// text, so the text ends the request.
+void
+Execution::EndOverBound(StepContext& aContext, Tally aBound)
+{
+  aContext.Count(aBound);
+  StopUpstream(aContext, routing::AttemptEnd::kFailed);
+  mAfterLoss = true;
+  if (mAnswer.mText.empty()) {
+    mAvoid.push_back(mAttempt->mUpstream);
+    RetryOrGiveUp(aContext, Tally::kRetryResponseBound);
+    return;
+  }
+  mAnswer.mText = {};
+  GiveUp(aContext, MakeLostOutcome("answer-over-bound"));
+}
+
 void
-Execution::StopUpstream(StepContext& aContext, bool aCancelAttempt)
+Execution::StopUpstream(StepContext& aContext,
+                        std::optional<routing::AttemptEnd> aAttemptEnd)
 {
   if (!mUpstreamCall.IsSet()) {
     return;
   }
   aContext.mEffects.emplace_back(DropUpstreamEffect{ mUpstreamCall });
   mUpstreamCall = CallId();
-  if (aCancelAttempt) {
-    aContext.mRouter.Ended(
-      mAttempt->mUpstream, routing::AttemptEnd::kCancelled, aContext.mNow);
+  mHostBytes = 0;
+  if (aAttemptEnd) {
+    aContext.mRouter.Ended(mAttempt->mUpstream, *aAttemptEnd, aContext.mNow);
     aContext.mEffects.emplace_back(CancelUpstreamEffect{ mAttempt->mAddress,
                                                          mAttempt->mKind,
                                                          UpstreamRequestName(),
--- a/src/request/ExecutionLedger.cpp
+++ b/src/request/ExecutionLedger.cpp
@@ -182,7 +182,7 @@
   if (Ended()) {
     return;
   }
-  StopUpstream(aContext, true);
+  StopUpstream(aContext, routing::AttemptEnd::kCancelled);
   mStateMachine->Apply(ExecutionEvent::kGiveUp);
   Conclude(aContext, aOutcome);
 }
@@ -197,7 +197,7 @@
   aContext.Count(Tally::kTurnLost);
   // The next executor now owns the engine's stream, so the connection is closed
   // but the stream is not cancelled.
-  StopUpstream(aContext, false);
+  StopUpstream(aContext);
 }
 
 } // namespace peridotspool::request
--- a/src/request/ExecutionUpstream.cpp
+++ b/src/request/ExecutionUpstream.cpp
@@ -30,8 +30,10 @@
     aContext.Count(Tally::kLatePieceDropped);
     return;
   }
+  mHostBytes = 0;
   std::visit(
     Overloaded{
+      [&](const UpstreamHeld& aHeld) { mHostBytes = aHeld.mBytes; },
       [&](const UpstreamPiece& aPiece) { OnPiece(aContext, aPiece); },
       [&](const UpstreamDone& aDone) { OnDone(aContext, aDone); },
       [&](const UpstreamRefused& aRefused) { OnRefused(aContext, aRefused); },
@@ -62,7 +64,7 @@
   if (aPiece.mIndex > mNextIndex) {
     // A piece is missing, for example because it went to another request. To
     // avoid a gap in the answer, the stream is resumed from the missing piece.
-    StopUpstream(aContext, false);
+    StopUpstream(aContext);
     OnBroken(aContext, UpstreamBroken{ .mReason = "gap in the stream" });
     return;
   }
@@ -81,13 +83,13 @@
 {
   if (!MatchesAttempt(aDone.mRequest, aDone.mAttempt)) {
     aContext.Count(Tally::kCrossedPieceDropped);
-    StopUpstream(aContext, false);
+    StopUpstream(aContext);
     OnBroken(aContext, UpstreamBroken{ .mReason = "crossed answer" });
     return;
   }
   const bool engine = mAttempt->mKind == routing::UpstreamKind::kModelEngine;
   if (engine && aDone.mTokens != mNextIndex) {
-    StopUpstream(aContext, false);
+    StopUpstream(aContext);
     OnBroken(aContext, UpstreamBroken{ .mReason = "answer ended early" });
     return;
   }
--- a/src/request/RequestManagerState.cpp
+++ b/src/request/RequestManagerState.cpp
@@ -15,6 +15,7 @@
   , mRouter(aRouter)
   , mAdmission(aSelf, aOptions)
   , mRandom(aOptions.mRandomSeed ^ aSelf.Value())
+  , mHeldAnswers(aOptions.mResponses)
 {
 }
 
@@ -162,23 +163,6 @@
   ProposeTakeOver(key, aEvent.mRecord.mExecutorTurn, aEvent.mRecord.mExecutor);
 }
 
-void
-RequestManagerState::On(const UpstreamEvent& aEvent)
-{
-  const auto call = mUpstreamCalls.find(aEvent.mCall);
-  if (call == mUpstreamCalls.end()) {
-    mEffects->emplace_back(CountEffect{ Tally::kLatePieceDropped });
-    return;
-  }
-  const RequestKey key = call->second;
-  if (!std::holds_alternative<UpstreamPiece>(aEvent.mOutcome)) {
-    mUpstreamCalls.erase(call);
-  }
-  WithExecution(key, [&](Execution& aExecution, StepContext& aContext) {
-    aExecution.OnUpstream(aContext, aEvent);
-  });
-}
-
 void
 RequestManagerState::On(const RelayEvent& aEvent)
 {
@@ -242,6 +226,7 @@
   mUpstreamCalls.clear();
   mProposals.clear();
   mRequests.clear();
+  mHeldAnswers = HeldAnswers(mOptions.mResponses);
   mWakes.clear();
 }
 
@@ -357,6 +342,7 @@
   } else {
     request.mSubscribers.Publish(aKey, request.mReceivedAnswer, *mEffects);
   }
+  RecordHeld(aKey);
   const bool unused =
     !request.mExecution && !request.mResolving && request.mSubscribers.Empty();
   if (unused) {
--- a/src/request/RequestManagerState.h
+++ b/src/request/RequestManagerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peridotspool/request/RequestManager.h"
+#include "request/HeldAnswers.h"
 #include "request/LocalRequest.h"
 #include "request/PendingProposal.h"
 
@@ -99,6 +100,10 @@
    * and removes it if it is unused. */
   void PublishProgress(const RequestKey& aKey);
   void PublishExecutionProgress(const RequestKey& aKey, LocalRequest& aRequest);
+  void RecordHeld(const RequestKey& aKey);
+  /** Gives up answers until all are within their bounds, after one has grown.
+   */
+  void EnforceBounds(const RequestKey& aGrown);
   void SetWake(const RequestKey& aKey, LocalRequest& aRequest, TimePoint aWake);
   void HandleWake(const RequestKey& aKey);
   void FollowTick(const RequestKey& aKey, LocalRequest& aRequest);
@@ -130,6 +135,7 @@
   bool mDraining = false;
   std::map<MemberId, membership::MemberState> mMembers;
   std::unordered_map<RequestKey, LocalRequest> mRequests;
+  HeldAnswers mHeldAnswers;
   std::unordered_map<CallId, PendingProposal> mProposals;
   std::unordered_map<CallId, RequestKey> mUpstreamCalls;
   std::unordered_map<CallId, RequestKey> mExchanges;
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -8,6 +8,7 @@
 #include "peridotspool/wire/PeerAuth.h"
 #include "runtime/EntryDecider.h"
 #include "runtime/HostParts.h"
+#include "runtime/ResponseBoundsOf.h"
 
 #include <atomic>
 #include <optional>
@@ -40,6 +41,7 @@
   options.mLedger.mMaxBytes = aSettings.mBounds.mLedgerBytes;
   options.mRandomSeed = RandomNumber();
   options.mRequests.mRandomSeed = RandomNumber();
+  options.mRequests.mResponses = ResponseBoundsOf(aSettings.mBounds);
   options.mRouter.mRandomSeed = RandomNumber();
   options.mDirectory.mRandomSeed = RandomNumber();
   return options;
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -4,6 +4,7 @@
 #include "peridotspool/runtime/KeyFiles.h"
 #include "peridotspool/runtime/SystemClock.h"
 #include "runtime/HostParts.h"
+#include "runtime/ResponseBoundsOf.h"
 
 #include <utility>
 
@@ -35,14 +36,6 @@
            .mLearnUpstreamSpeed = aSettings.mUpstreamSpeed };
 }
 
-limits::ResponseBounds
-MakeResponseBounds(const settings::ProcessBounds& aBounds)
-{
-  return { .mResponseBytes = aBounds.mUpstreamResponseBytes,
-           .mEventBytes = aBounds.mUpstreamEventBytes,
-           .mTotalBytes = aBounds.mUpstreamMemoryBytes };
-}
-
 } // namespace
 
 GatewayRelay::GatewayRelay(settings::NodeSettings aSettings,
@@ -171,7 +164,7 @@
     .mPermitAllocator = limits::PermitAllocator(RandomNumber()),
     .mTunnelPeers = std::make_shared<gateway::TunnelPeers>(RandomNumber()),
     .mScheduling = MakeSchedulingOptions(mSettings.mScheduling),
-    .mResponseBounds = MakeResponseBounds(mSettings.mBounds) });
+    .mResponseBounds = ResponseBoundsOf(mSettings.mBounds) });
   mCore->mCoordinator.SetLearnsSpeed(mCore->mScheduling.mLearnUpstreamSpeed);
   MakeServers();
 }
--- a/test/request/ManagerFixture.cpp
+++ b/test/request/ManagerFixture.cpp
@@ -121,7 +121,8 @@
 {
   Entry* entry = Find(aCall.mEntry);
   REQUIRE(entry != nullptr);
-  const bool over = !std::holds_alternative<UpstreamPiece>(aOutcome);
+  const bool over = !std::holds_alternative<UpstreamPiece>(aOutcome) &&
+                    !std::holds_alternative<UpstreamHeld>(aOutcome);
   if (over) {
     mOpenCalls.erase({ aCall.mEntry, aCall.mStart.mCall });
   }
