Show what an own-interface entry holds of unfinished answers

Change: the entry's status has the bytes, and the deciding thread sets the gauge from it.

Measured: request/AnswerBoundsTest checks the bytes while an answer grows, after it is given up and once it is complete.

--- a/include/peridotspool/request/EntryNode.h
+++ b/include/peridotspool/request/EntryNode.h
@@ -23,6 +23,8 @@
   membership::EpochMap mEpoch;
   std::size_t mRunning = 0;
   std::size_t mCallers = 0;
+  /** Bytes held of answers that are unfinished. */
+  std::size_t mHeldBytes = 0;
   std::vector<routing::UpstreamAnnouncement> mUpstreams;
 };
 
--- a/include/peridotspool/request/RequestManager.h
+++ b/include/peridotspool/request/RequestManager.h
@@ -37,6 +37,8 @@
   std::size_t Running() const;
   /** Returns the number of callers that wait for an answer at this entry. */
   std::size_t Callers() const;
+  /** Returns the bytes held of answers that are unfinished. */
+  std::size_t HeldBytes() const;
 
 private:
   std::unique_ptr<RequestManagerState> mState;
--- a/src/request/EntryNodeState.cpp
+++ b/src/request/EntryNodeState.cpp
@@ -385,6 +385,7 @@
     .mEpoch = mSession->Epoch(),
     .mRunning = mRequests ? mRequests->Running() : 0,
     .mCallers = mRequests ? mRequests->Callers() : 0,
+    .mHeldBytes = mRequests ? mRequests->HeldBytes() : 0,
     .mUpstreams = mRouter.Upstreams(aNow),
   };
 }
--- a/src/request/RequestManager.cpp
+++ b/src/request/RequestManager.cpp
@@ -31,4 +31,10 @@
   return mState->Callers();
 }
 
+std::size_t
+RequestManager::HeldBytes() const
+{
+  return mState->HeldBytes();
+}
+
 } // namespace peridotspool::request
--- a/src/request/RequestManagerState.h
+++ b/src/request/RequestManagerState.h
@@ -25,6 +25,7 @@
 
   std::size_t Running() const;
   std::size_t Callers() const;
+  std::size_t HeldBytes() const { return mHeldAnswers.Bytes(); }
 
 private:
   void On(const SubmitEvent& aEvent);
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -373,6 +373,7 @@
   counters.Set(CounterId::kMembersKnown, status.mEpoch.mMembers.size());
   counters.Set(CounterId::kRequestsRunning, status.mRunning);
   counters.Set(CounterId::kCallersWaiting, status.mCallers);
+  counters.Set(CounterId::kResponseBytesHeld, status.mHeldBytes);
   counters.Set(CounterId::kSettingsRevision, status.mInForce.Value());
   counters.Set(CounterId::kEpoch, status.mEpoch.mEpoch.Value());
   SetHostGauges(counters, mParts.mTransport, mParts.mLogger);
--- a/test/request/AnswerBoundsTest.cpp
+++ b/test/request/AnswerBoundsTest.cpp
@@ -27,9 +27,11 @@
   fixture.Feed(endless, UpstreamHeld{ kBound });
   REQUIRE(fixture.Calls().size() == 1);
   CHECK(fixture.mStarted.size() == 1);
+  CHECK(fixture.HeldBytes(0) == kBound);
   fixture.Feed(endless, UpstreamHeld{ kBound + 1 });
   INFO("expected the call to be dropped and one to the other upstream");
   CHECK(fixture.Calls().empty());
+  CHECK(fixture.HeldBytes(0) == 0);
   fixture.Advance(milliseconds(500));
   REQUIRE(fixture.Calls().size() == 1);
   CHECK(fixture.Calls().front().mStart.mAddress != endless.mStart.mAddress);
@@ -97,7 +99,9 @@
   fixture.mHoldLedgerAnswers = true;
   const ManagerFixture::Call call = fixture.Calls().front();
   fixture.Feed(call, PieceFor(call, 0, std::string(kBound, 't')));
+  CHECK(fixture.HeldBytes(0) == kBound);
   fixture.Feed(call, DoneFor(call, 1));
+  CHECK(fixture.HeldBytes(0) == 0);
   fixture.Advance(milliseconds(500));
   fixture.mHoldLedgerAnswers = false;
   fixture.Advance(milliseconds(500));
--- a/test/request/ManagerFixture.cpp
+++ b/test/request/ManagerFixture.cpp
@@ -167,6 +167,12 @@
   return found == mCounts.end() ? 0 : found->second;
 }
 
+std::size_t
+ManagerFixture::HeldBytes(std::size_t aEntry) const
+{
+  return mEntries.at(aEntry).mManager->HeldBytes();
+}
+
 const ledger::RequestRecord*
 ManagerFixture::Record() const
 {
--- a/test/request/ManagerFixture.h
+++ b/test/request/ManagerFixture.h
@@ -53,6 +53,7 @@
   std::vector<Call> Calls() const;
   const Caller& CallerOf(CallId aExchange) const;
   std::uint64_t Counted(Tally aTally) const;
+  std::size_t HeldBytes(std::size_t aEntry) const;
   const ledger::RequestRecord* Record() const;
 
   /** Every StartUpstreamEffect, including those of dropped calls. */
