Log how fresh the settings behind a refusal are, and how long pushes waited

A refusal by the settings in force (no route, unknown key) names the settings' version and how long ago the control leader confirmed that they are the newest. Settings that are taken name how long their push waited for the relay thread.

--- a/include/peridotspool/membership/ControlSession.h
+++ b/include/peridotspool/membership/ControlSession.h
@@ -68,6 +68,15 @@
     return mEpochConfirmedAt;
   }
 
+  /**
+   * When the last heartbeat was sent for which the leader confirmed that the
+   * entry's settings were the newest; empty if there is none.
+   */
+  std::optional<TimePoint> SettingsConfirmedAt() const
+  {
+    return mLastConfirmedAt;
+  }
+
   /** The control replicas last listed by the leader, or the initial list. */
   const std::vector<Address>& Controls() const { return mControls; }
   /** The voting control replicas, or all replicas if that is unknown. */
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -76,6 +76,9 @@
   bool WaitForStartup();
   void ResumeAfterStartup();
   bool Admit();
+  /** Answers a request that the settings in force don't allow. */
+  void RefuseBySettings(unsigned aStatus, const char* aReason);
+  void LogRefusalBySettings(const char* aReason);
   void RefuseAsStopping();
   bool MayOutliveProcess() const;
   void RequestQuota();
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -136,7 +136,7 @@
   mRoute = mTable->Find(FieldOf(mRequest.mFields, "host"), mRequest.Path());
   if (mRoute == nullptr) {
     mCore.mCounters.Add(CounterId::kRefusedUnknownService);
-    SendLocalResponse(kNotFound, "no route");
+    RefuseBySettings(kNotFound, "no route");
     return false;
   }
   if (mTable->HasCustomers()) {
@@ -144,7 +144,7 @@
       BearerToken(FieldOf(mRequest.mFields, "authorization")));
     if (mCustomer == nullptr && !mRoute->mPublic) {
       mCore.mCounters.Add(CounterId::kRefusedWrongKey);
-      SendLocalResponse(kUnauthorized, "unknown key");
+      RefuseBySettings(kUnauthorized, "unknown key");
       return false;
     }
   }
@@ -155,6 +155,25 @@
   return true;
 }
 
+void
+Exchange::RefuseBySettings(unsigned aStatus, const char* aReason)
+{
+  LogRefusalBySettings(aReason);
+  SendLocalResponse(aStatus, aReason);
+}
+
+void
+Exchange::LogRefusalBySettings(const char* aReason)
+{
+  const auto age = mCore.mSettingsConfirmation.Age(mCore.mNow());
+  mCore.mLogger.Log(observe::EventId::kRequestRefused,
+                    { { "request", mId },
+                      { "reason", aReason },
+                      { "settings", mTable->Version() },
+                      { "confirmed", age ? "yes" : "never" },
+                      { "confirmed_ms_ago", age.value_or(Duration(0)) } });
+}
+
 void
 Exchange::RefuseAsStopping()
 {
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -17,6 +17,7 @@
 #include "peridotspool/gateway/RouteTable.h"
 #include "peridotspool/gateway/SchedulingOptions.h"
 #include "peridotspool/gateway/ServiceRetryBudget.h"
+#include "peridotspool/gateway/SettingsConfirmation.h"
 #include "peridotspool/gateway/ShutdownPolicy.h"
 #include "peridotspool/gateway/StartupPolicy.h"
 #include "peridotspool/gateway/TunnelPeers.h"
@@ -98,6 +99,10 @@
   std::vector<std::function<void()>> mStartupWaiters;
   /** Null until the first settings have been received. */
   std::shared_ptr<const RouteTable> mTable;
+  /** Of mTable. */
+  SettingsConfirmation mSettingsConfirmation = {};
+  /** Asks the control leader at once whether the settings are the newest. */
+  std::function<void()> mConfirmSettings = [] {};
   /** The process is stopping; each response closes its connection. */
   bool mStopping = false;
   /** Set once the process is stopping. */
--- a/src/runtime/GatewayRelay.h
+++ b/src/runtime/GatewayRelay.h
@@ -41,7 +41,8 @@
   http::HttpResponse OnReadyRequest(const http::HttpRequest& aRequest);
   void StartSession();
   void OnFrame(const std::string& aFrame);
-  void TakeFrame(const wire::PeerEnvelope& aEnvelope);
+  /** @param aReceivedAt when it was read from its connection */
+  void TakeFrame(const wire::PeerEnvelope& aEnvelope, TimePoint aReceivedAt);
   void TakePush(const Address& aFrom, const membership::RegistryPush& aPush);
   void NoteLeader(const Address& aFrom,
                   const membership::ToEntryMessage& aMessage);
@@ -86,6 +87,8 @@
   std::atomic<bool> mReady{ false };
   unsigned mReports = 0;
   std::atomic<std::size_t> mFrames{ 0 };
+  /** When the frame that is being handled was read from its connection. */
+  TimePoint mFrameReceivedAt;
   TimePoint mPulledAt;
   TimePoint mPulledAllAt;
   TimePoint mReportedAt;
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -93,15 +93,17 @@
     return;
   }
   ++mFrames;
-  net::post(mIo, [this, envelope = std::move(*envelope)] {
+  net::post(mIo, [this, envelope = std::move(*envelope), at = ReadClock()] {
     --mFrames;
-    TakeFrame(envelope);
+    TakeFrame(envelope, at);
   });
 }
 
 void
-GatewayRelay::TakeFrame(const wire::PeerEnvelope& aEnvelope)
+GatewayRelay::TakeFrame(const wire::PeerEnvelope& aEnvelope,
+                        TimePoint aReceivedAt)
 {
+  mFrameReceivedAt = aReceivedAt;
   if (const auto* entry =
         std::get_if<wire::ToEntryEnvelope>(&aEnvelope.mPayload)) {
     NoteLeader(aEnvelope.mFrom, entry->mMessage);
@@ -267,6 +269,7 @@
   for (const auto& effect : mSession->Step(aEvent, ReadClock())) {
     std::visit([this](const auto& aAny) { Carry(aAny); }, effect);
   }
+  mCore->mSettingsConfirmation.Record(mSession->SettingsConfirmedAt());
   mCore->mTenure.SetConfirmedAt(mSession->EpochConfirmedAt());
   mCore->mContact.RecordConfirmation(mSession->EpochConfirmedAt());
 }
@@ -324,7 +327,8 @@
     mLogger->Log(EventId::kSettingsTaken,
                  { { "revision", aEffect.mRevision },
                    { "version", mCore->mTable->Version() },
-                   { "routes", mCore->mTable->Source().mRoutes.size() } });
+                   { "routes", mCore->mTable->Source().mRoutes.size() },
+                   { "waited_ms", ReadClock() - mFrameReceivedAt } });
   }
   mReady = !mCore->mStopping;
   mCore->ResumeStartupWaiters();
