Refuse nothing for good by settings that may have been replaced

Whatever delayed the change, the entry refused by the table that it held, however long ago the leader had last confirmed it.

A refusal (404, 401, and 413 or 431, whose bounds are settings too) is now final only if the leader confirmed within settings_delay, counted from the sending of the heartbeat that it answered: every change that was acknowledged longer ago is in these settings then. So the bound holds for refusals whatever is lost or late. Requests that old settings allow are served on.

--- a/include/peridotspool/membership/ControlSession.h
+++ b/include/peridotspool/membership/ControlSession.h
@@ -109,6 +109,7 @@
   void Handle(const LeaveEvent& aEvent);
   void Handle(const HandoverCompleteEvent& aEvent);
   void Handle(const SuspectsEvent& aEvent);
+  void Handle(const ConfirmSettingsEvent& aEvent);
   void Handle(const SessionTickEvent& aEvent);
 
   void HandleMessage(const HeartbeatResponse& aResponse);
@@ -125,7 +126,9 @@
   {
     kVoters,
     kAll,
-    /** To all, and not through a relay, whose failure would delay it. */
+    /** To the voters, and not through a relay, whose failure would delay it. */
+    kVotersDirectly,
+    /** To all, and not through a relay. */
     kAllDirectly,
   };
   void SendHeartbeat(HeartbeatScope aScope);
--- a/include/peridotspool/membership/ControlSessionEvent.h
+++ b/include/peridotspool/membership/ControlSessionEvent.h
@@ -33,6 +33,10 @@
   std::vector<MemberId> mSuspects;
 };
 
+/** A request depends on whether the settings are still the newest. */
+struct ConfirmSettingsEvent
+{};
+
 /** Advances the time; sent about every 50 ms. */
 struct SessionTickEvent
 {};
@@ -42,6 +46,7 @@
                                          LeaveEvent,
                                          HandoverCompleteEvent,
                                          SuspectsEvent,
+                                         ConfirmSettingsEvent,
                                          SessionTickEvent>;
 
 } // namespace peridotspool::membership
--- a/include/peridotspool/settings/NodeSettings.h
+++ b/include/peridotspool/settings/NodeSettings.h
@@ -98,6 +98,9 @@
   std::string mDataFolder;
   /** From the order to stop to the end. */
   Duration mStopGrace = std::chrono::seconds(8);
+  /** An acknowledged change of the settings is in force everywhere after this
+   * time; older settings refuse no request for good. */
+  Duration mSettingsDelay = std::chrono::seconds(2);
   SharedBounds mShared;
   SchedulingSettings mScheduling;
   DutySettings mDuties;
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -35,6 +35,8 @@
    * calls may be among them. */
   virtual void EnforceBounds() = 0;
   virtual CallerLimits Limits() const = 0;
+  /** Returns true iff the limits were lately known to be the newest. */
+  virtual bool AreSettingsFresh() const = 0;
   virtual TimePoint Now() const = 0;
 };
 
@@ -108,6 +110,7 @@
   bool MakeRoomToServe();
   std::string FramingFault() const;
   void RefuseFor(http::ErrorCode aError);
+  void RefuseForBound(unsigned aStatus, const std::string& aReason);
 
   void Refuse(unsigned aStatus,
               const std::string& aReason,
--- a/src/gateway/CallerConnectionParse.cpp
+++ b/src/gateway/CallerConnectionParse.cpp
@@ -67,7 +67,7 @@
     return false;
   }
   if (!mFraming.RecordParsed(aBytes, aBodyBytes)) {
-    Refuse(431, "the framing of the body is over its bound");
+    RefuseForBound(431, "the framing of the body is over its bound");
     return false;
   }
   return true;
@@ -79,7 +79,7 @@
 CallerConnection::CheckIncomplete()
 {
   if (mParser->is_header_done() && !mFraming.MayHold(mBuffer.size())) {
-    Refuse(431, "a chunk header or the trailers are over their bound");
+    RefuseForBound(431, "a chunk header or the trailers are over their bound");
   }
 }
 
@@ -179,12 +179,25 @@
 CallerConnection::RefuseFor(http::ErrorCode aError)
 {
   if (aError == beast_http::error::body_limit) {
-    Refuse(413, "the body is over its bound");
+    RefuseForBound(413, "the body is over its bound");
   } else if (aError == beast_http::error::header_limit) {
-    Refuse(431, "the header is over its bound");
+    RefuseForBound(431, "the header is over its bound");
   } else {
     Refuse(400, aError.message());
   }
 }
 
+// The bounds are settings, and newer ones may allow the request.
+void
+CallerConnection::RefuseForBound(unsigned aStatus, const std::string& aReason)
+{
+  constexpr unsigned kUnavailable = 503;
+  constexpr double kRetryAfterSeconds = 0.5;
+  if (mOwner.AreSettingsFresh()) {
+    Refuse(aStatus, aReason);
+  } else {
+    Refuse(kUnavailable, "settings not confirmed", kRetryAfterSeconds);
+  }
+}
+
 } // namespace peridotspool::gateway
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -74,10 +74,14 @@
   };
 
   bool WaitForStartup();
+  /** Lets the request wait until something changes, for aWait at most. */
+  void ResumeWithin(Duration aWait);
   void ResumeAfterStartup();
   bool Admit();
   /** Answers a request that the settings in force don't allow. */
-  void RefuseBySettings(unsigned aStatus, const char* aReason);
+  void RefuseBySettings(unsigned aStatus,
+                        const char* aReason,
+                        observe::CounterId aCounter);
   void LogRefusalBySettings(const char* aReason);
   void RefuseAsStopping();
   bool MayOutliveProcess() const;
--- a/src/gateway/ExchangeStart.cpp
+++ b/src/gateway/ExchangeStart.cpp
@@ -19,6 +19,7 @@
 /** Another entry can serve the request immediately. */
 constexpr double kStoppingRetryAfterSeconds = 0.05;
 constexpr double kNoSettingsRetryAfterSeconds = 1.0;
+constexpr double kNotConfirmedRetryAfterSeconds = 0.5;
 
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
@@ -39,6 +40,13 @@
   if (!wait) {
     return false;
   }
+  ResumeWithin(*wait);
+  return true;
+}
+
+void
+Exchange::ResumeWithin(Duration aWait)
+{
   const std::weak_ptr<Exchange> weak = weak_from_this();
   const auto resume = [weak] {
     if (const auto self = weak.lock(); self && self->mWaitingForStartup) {
@@ -47,13 +55,12 @@
   };
   mWaitingForStartup = true;
   mCore.mStartupWaiters.emplace_back(resume);
-  mWaitTimer.expires_after(*wait);
+  mWaitTimer.expires_after(aWait);
   mWaitTimer.async_wait([resume](http::ErrorCode aError) {
     if (!aError) {
       resume();
     }
   });
-  return true;
 }
 
 void
@@ -135,16 +142,15 @@
   }
   mRoute = mTable->Find(FieldOf(mRequest.mFields, "host"), mRequest.Path());
   if (mRoute == nullptr) {
-    mCore.mCounters.Add(CounterId::kRefusedUnknownService);
-    RefuseBySettings(kNotFound, "no route");
+    RefuseBySettings(kNotFound, "no route", CounterId::kRefusedUnknownService);
     return false;
   }
   if (mTable->HasCustomers()) {
     mCustomer = mTable->CustomerOf(
       BearerToken(FieldOf(mRequest.mFields, "authorization")));
     if (mCustomer == nullptr && !mRoute->mPublic) {
-      mCore.mCounters.Add(CounterId::kRefusedWrongKey);
-      RefuseBySettings(kUnauthorized, "unknown key");
+      RefuseBySettings(
+        kUnauthorized, "unknown key", CounterId::kRefusedWrongKey);
       return false;
     }
   }
@@ -155,11 +161,34 @@
   return true;
 }
 
+// The caller takes the refusal for final, so settings that may have been
+// replaced must not decide it. Newer ones may be on their way, and a
+// confirmation takes one exchange with the leader.
 void
-Exchange::RefuseBySettings(unsigned aStatus, const char* aReason)
+Exchange::RefuseBySettings(unsigned aStatus,
+                           const char* aReason,
+                           CounterId aCounter)
 {
-  LogRefusalBySettings(aReason);
-  SendLocalResponse(aStatus, aReason);
+  const TimePoint now = mCore.mNow();
+  const SettingsConfirmation& confirmation = mCore.mSettingsConfirmation;
+  switch (confirmation.Judge(mArrivedAt, now)) {
+    case RefusalVerdict::kRefuse:
+      mCore.mCounters.Add(aCounter);
+      LogRefusalBySettings(aReason);
+      SendLocalResponse(aStatus, aReason);
+      return;
+    case RefusalVerdict::kConfirm:
+      mTable.reset();
+      mRoute = nullptr;
+      mCore.mConfirmSettings();
+      ResumeWithin(confirmation.RemainingWait(mArrivedAt, now));
+      return;
+    case RefusalVerdict::kUnavailable:
+      mCore.mCounters.Add(CounterId::kRefusedNotConfirmed);
+      LogRefusalBySettings("settings not confirmed");
+      SendLocalResponse(
+        kUnavailable, "settings not confirmed", kNotConfirmedRetryAfterSeconds);
+  }
 }
 
 void
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -165,6 +165,12 @@
   return mCore.mTable ? mCore.mTable->Limits() : CallerLimits{};
 }
 
+bool
+Gateway::AreSettingsFresh() const
+{
+  return mCore.mSettingsConfirmation.IsFresh(mCore.mNow());
+}
+
 void
 Gateway::Sweep(TimePoint aNow)
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -59,6 +59,7 @@
   void OnHeld(const CallerConnection& aConnection) override;
   void EnforceBounds() override;
   CallerLimits Limits() const override;
+  bool AreSettingsFresh() const override;
   TimePoint Now() const override { return mCore.mNow(); }
 
 private:
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -24,6 +24,8 @@
  * the configured replicas.
  */
 constexpr Duration kLeaderTimeout = std::chrono::seconds(2);
+/** Requests ask for a confirmation at any rate. */
+constexpr Duration kConfirmSpacing = std::chrono::milliseconds(100);
 
 bool
 Contains(const EpochMap& aMap, MemberId aMember)
@@ -122,6 +124,16 @@
   mSuspects = aEvent.mSuspects;
 }
 
+// Heartbeats are sent all the time, so that a confirmation is late only if they
+// or their responses are lost or delayed, for instance at the relay.
+void
+ControlSession::Handle(const ConfirmSettingsEvent&)
+{
+  if (!mLastSent || mNow - *mLastSent >= kConfirmSpacing) {
+    SendHeartbeat(HeartbeatScope::kVotersDirectly);
+  }
+}
+
 void
 ControlSession::Handle(const SessionTickEvent&)
 {
--- a/src/membership/ControlSessionSend.cpp
+++ b/src/membership/ControlSessionSend.cpp
@@ -46,9 +46,12 @@
   if (!mMember.IsSet() || due) {
     heartbeat.mProfile = mOptions.mProfile;
   }
-  const bool toAll = aScope != HeartbeatScope::kVoters || SeeksLeader();
+  const bool directly = aScope == HeartbeatScope::kVotersDirectly ||
+                        aScope == HeartbeatScope::kAllDirectly;
+  const bool toAll = aScope == HeartbeatScope::kAll ||
+                     aScope == HeartbeatScope::kAllDirectly || SeeksLeader();
   mRelay = SeeksLeader() ? std::nullopt : mRelaySelector.Choose(mNow);
-  if (mRelay && aScope != HeartbeatScope::kAllDirectly) {
+  if (mRelay && !directly) {
     SendToRelay(toAll ? RelayScope::kAll : RelayScope::kVoters, heartbeat);
   } else {
     Send(toAll ? Reachable() : Voters(), heartbeat);
--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -165,6 +165,11 @@
     .mTunnelPeers = std::make_shared<gateway::TunnelPeers>(RandomNumber()),
     .mScheduling = MakeSchedulingOptions(mSettings.mScheduling),
     .mResponseBounds = ResponseBoundsOf(mSettings.mBounds) });
+  mCore->mSettingsConfirmation =
+    gateway::SettingsConfirmation({ .mMaxAge = mSettings.mSettingsDelay });
+  mCore->mConfirmSettings = [this] {
+    Step(membership::ConfirmSettingsEvent{});
+  };
   mCore->mCoordinator.SetLearnsSpeed(mCore->mScheduling.mLearnUpstreamSpeed);
   MakeServers();
 }
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -24,8 +24,6 @@
 /** Entries that share a budget beyond those that are known: ones that are
  * added, and ones that a cut hides. */
 constexpr std::size_t kUnknownEntries = 3;
-/** Requests go on by the last settings for as long as nothing newer comes. */
-constexpr Duration kConfirmationGrace = std::chrono::hours(24);
 
 /** Handles what entries tell each other about the limits and rests that
  * upstreams state. */
@@ -80,8 +78,7 @@
                   .mDomain = mSettings.mDomain,
                   .mPeerAddress = mSettings.mListen.mPeer,
                   .mCallerAddress = *mSettings.mListen.mCallers },
-    .mControls = mSettings.mSeeds,
-    .mConfirmationGrace = kConfirmationGrace });
+    .mControls = mSettings.mSeeds });
 }
 
 void
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -104,6 +104,7 @@
     { "data_folder", { .mKind = Kind::kText } },
     { "tolerated_losses", QuantityRule(Kind::kInteger, "0", "3", "1") },
     { "stop_grace", QuantityRule(Kind::kDuration, "1s", "1h", "8s") },
+    { "settings_delay", QuantityRule(Kind::kDuration, "500ms", "1h", "2s") },
   };
   schema.mBranches = {
     { "listen", ListenRule() }, { "seeds", SeedsRule() },
@@ -242,6 +243,7 @@
     .mToleratedLosses = reader.Count("tolerated_losses"),
     .mDataFolder = reader.Text("data_folder"),
     .mStopGrace = reader.Value<Duration>("stop_grace"),
+    .mSettingsDelay = reader.Value<Duration>("settings_delay"),
     .mShared = ReadShared(reader),
     .mScheduling = ReadScheduling(reader),
     .mDuties = ReadDuties(reader),
--- a/test/membership/ControlSessionTest.cpp
+++ b/test/membership/ControlSessionTest.cpp
@@ -251,4 +251,31 @@
   CHECK(session.EpochConfirmedAt() == second);
 }
 
+// Guards against refusals that wait for the next heartbeat, or for a relay.
+TEST_CASE("AConfirmationIsAskedForAtOnceAndOfTheVoters")
+{
+  ControlSession session(Options());
+  REQUIRE(SendHeartbeat(session, kStart) != 0);
+  const auto sent = [&](std::chrono::milliseconds aAfter) {
+    return session.Step(ConfirmSettingsEvent{}, kStart + aAfter);
+  };
+  CHECK(sent(std::chrono::milliseconds(99)).empty());
+  const auto effects = sent(std::chrono::milliseconds(100));
+  REQUIRE(effects.size() == 2);
+  CHECK(std::holds_alternative<ToControlEffect>(effects.front()));
+  CHECK(sent(std::chrono::milliseconds(150)).empty());
+}
+
+TEST_CASE("SettingsAreConfirmedAsOfTheHeartbeatThatWasAnswered")
+{
+  ControlSession session(Options());
+  Push(session, Whole(1));
+  const TimePoint sentAt = kStart + std::chrono::seconds(1);
+  const std::uint64_t sequence = SendHeartbeat(session, sentAt);
+  CHECK_FALSE(session.SettingsConfirmedAt());
+  session.Step(FromControlEvent{ LeaderResponse(sequence, 1) },
+               sentAt + std::chrono::seconds(3));
+  CHECK(session.SettingsConfirmedAt() == std::optional(sentAt));
+}
+
 } // namespace peridotspool::membership
