Send settings before announcements that wait for the same connection

A suspected cause of late settings, read off the code and not shown by a run: frames to one process left in the order in which they were queued, and beyond 48 MiB in all each further one was dropped. A replica that announces many upstreams to 300 entries fills these queues, and the settings behind them wait, or are dropped.

What registries push is bulk now: it lets other frames to the same process go first, as long as they have not been handed to the session (64 KiB), and is dropped first (1 MiB for one process, 16 MiB in all, the frames included that wait for the transport's thread, which nothing bounded). A registry sends again what is not confirmed.

wire/OutboundQueueTest: the order and the bounds.

--- a/include/peridotspool/wire/PeerTransport.h
+++ b/include/peridotspool/wire/PeerTransport.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/base/Address.h"
 #include "peridotspool/base/LastReason.h"
+#include "peridotspool/wire/FramePriority.h"
 
 #include <chrono>
 #include <cstddef>
@@ -26,6 +27,8 @@
   std::size_t mMaxQueuedBytes = 32U << 20;
   /** The same for all peers together, so that a slow link can't fill memory. */
   std::size_t mMaxQueuedInAll = 48U << 20;
+  /** Beyond this many bytes for all peers together, bulk frames are dropped. */
+  std::size_t mMaxQueuedWithBulk = 16U << 20;
   /** Bytes of incomplete frames of all peers together. Connections on which
    * they make no progress are closed first. */
   std::size_t mMaxReceivedInAll = 48U << 20;
@@ -84,7 +87,9 @@
   /** The address in use; valid after Start. */
   Address LocalAddress() const;
   /** Sends a frame to the process that listens there, or drops it. */
-  void Send(const Address& aPeer, std::string aFrame);
+  void Send(const Address& aPeer,
+            std::string aFrame,
+            FramePriority aPriority = FramePriority::kNormal);
   /** Sends what is queued, closes everything and joins the thread. */
   void Stop();
 
--- a/src/runtime/ControlUpstreams.cpp
+++ b/src/runtime/ControlUpstreams.cpp
@@ -179,7 +179,7 @@
     const std::string frame = wire::Encode(envelope);
     for (const Address& subscriber : send.mTo) {
       CountSent(mParts.mCounters, envelope.mPayload, frame.size());
-      mParts.mTransport.Send(subscriber, frame);
+      mParts.mTransport.Send(subscriber, frame, wire::FramePriority::kBulk);
     }
   }
 }
--- a/src/wire/PeerConnection.cpp
+++ b/src/wire/PeerConnection.cpp
@@ -18,6 +18,10 @@
 const std::string kHeartbeatFrame;
 /** Less is a message in passing, or the room that one has left. */
 constexpr std::size_t kSmallBytes = 64U << 10;
+/** Bytes that are handed to the session before others have been sent. */
+constexpr std::size_t kMaxInSession = 64U << 10;
+/** Bulk bytes that may wait for one peer. */
+constexpr std::size_t kMaxBulkBytes = 1U << 20;
 /** A handshake may pause for one connect time-out, and take so many in all. */
 constexpr int kMaxHandshakes = 3;
 
@@ -46,6 +50,7 @@
   , mTimes(aTimes)
   , mHandlers(std::move(aHandlers))
   , mId(aId)
+  , mOutbound(kMaxBulkBytes)
   , mBegunAt(Clock::now())
   , mLastReceived(mBegunAt)
   , mLastUse(mLastReceived)
@@ -101,11 +106,13 @@
   ArmTimer();
 }
 
-void
-PeerConnection::Send(std::string aFrame)
+bool
+PeerConnection::Send(std::string aFrame, FramePriority aPriority)
 {
   mLastUse = Clock::now();
-  mSession.Queue(std::move(aFrame));
+  if (!mOutbound.Push(std::move(aFrame), aPriority)) {
+    return false;
+  }
   if (mConnected) {
     Flush();
     if (!mAwaitingSince) {
@@ -113,6 +120,7 @@
       ArmTimer();
     }
   }
+  return true;
 }
 
 limits::ConnectionState
@@ -129,7 +137,7 @@
 std::size_t
 PeerConnection::QueuedBytes() const
 {
-  return mSession.QueuedBytes() + mWriting.size();
+  return mOutbound.Bytes() + mSession.QueuedBytes() + mWriting.size();
 }
 
 void
@@ -189,12 +197,26 @@
   ReadSome();
 }
 
+// What the session has taken can't be overtaken any more.
+void
+PeerConnection::FeedSession()
+{
+  while (mSession.QueuedBytes() < kMaxInSession) {
+    auto frame = mOutbound.Pop();
+    if (!frame) {
+      return;
+    }
+    mSession.Queue(std::move(*frame));
+  }
+}
+
 void
 PeerConnection::Flush()
 {
   if (mWriteUnderWay || mClosed) {
     return;
   }
+  FeedSession();
   mWriting = mSession.TakeOutput();
   if (mWriting.empty()) {
     return;
--- a/src/wire/PeerConnection.h
+++ b/src/wire/PeerConnection.h
@@ -2,7 +2,9 @@
 
 #include "peridotspool/base/Address.h"
 #include "peridotspool/limits/ConnectionBudget.h"
+#include "peridotspool/wire/FramePriority.h"
 #include "peridotspool/wire/PeerSession.h"
+#include "wire/OutboundQueue.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,7 +65,8 @@
   void StartAccepted();
   /** Connects to the peer, from an address if one is given, then starts. */
   void StartConnecting(const Address& aPeer, const std::string& aFrom);
-  void Send(std::string aFrame);
+  /** Returns false iff the frame was dropped. */
+  bool Send(std::string aFrame, FramePriority aPriority);
   void Close(const std::string& aReason, bool aSilent = false);
 
   /** Where the peer listens: known at once when connecting, later otherwise. */
@@ -82,6 +85,7 @@
   void ReadSome();
   void OnRead(std::size_t aSize);
   void Flush();
+  void FeedSession();
   void ArmTimer();
   void OnTimer();
 
@@ -94,6 +98,7 @@
   std::uint64_t mReceivedBytes = 0;
   Address mPeer;
   std::array<char, 64 << 10> mReadBuffer;
+  OutboundQueue mOutbound;
   std::string mWriting;
   bool mWriteUnderWay = false;
   bool mConnected = false;
--- a/src/wire/PeerTransport.cpp
+++ b/src/wire/PeerTransport.cpp
@@ -87,11 +87,21 @@
 
   const Address& LocalAddress() const { return mOptions.mListen; }
 
-  void Send(const Address& aPeer, std::string aFrame)
+  void Send(const Address& aPeer, std::string aFrame, FramePriority aPriority)
   {
-    asio::post(mContext, [this, aPeer, frame = std::move(aFrame)]() mutable {
-      SendHere(aPeer, std::move(frame));
-    });
+    const std::size_t size = aFrame.size();
+    const bool isBulk = aPriority == FramePriority::kBulk;
+    if (isBulk && mPosted + size > mOptions.mMaxQueuedWithBulk) {
+      ++mCounts.mFramesDropped;
+      return;
+    }
+    mPosted += size;
+    asio::post(
+      mContext,
+      [this, aPeer, aPriority, size, frame = std::move(aFrame)]() mutable {
+        mPosted -= size;
+        SendHere(aPeer, std::move(frame), aPriority);
+      });
   }
 
   void Stop()
@@ -289,7 +299,9 @@
     }
   }
 
-  void SendHere(const Address& aPeer, std::string aFrame)
+  void SendHere(const Address& aPeer,
+                std::string aFrame,
+                FramePriority aPriority)
   {
     if (aFrame.size() > mOptions.mMaxFrameBytes) {
       ++mCounts.mFramesOversized;
@@ -297,27 +309,31 @@
       return;
     }
     ConnectionPointer connection = ConnectionTo(aPeer);
+    const std::size_t size = aFrame.size();
     if (!connection || connection->QueuedBytes() > mOptions.mMaxQueuedBytes ||
-        !HasRoom(aFrame.size())) {
+        !HasRoom(size, aPriority) ||
+        !connection->Send(std::move(aFrame), aPriority)) {
       ++mCounts.mFramesDropped;
       return;
     }
-    mQueuedAtMost += aFrame.size();
+    mQueuedAtMost += size;
     ++mCounts.mFramesSent;
-    connection->Send(std::move(aFrame));
   }
 
   // Counted up with each frame, and anew only when that comes to the bound.
-  bool HasRoom(std::size_t aBytes)
+  bool HasRoom(std::size_t aBytes, FramePriority aPriority)
   {
-    if (mQueuedAtMost + aBytes <= mOptions.mMaxQueuedInAll) {
+    const std::size_t most = aPriority == FramePriority::kBulk
+                               ? mOptions.mMaxQueuedWithBulk
+                               : mOptions.mMaxQueuedInAll;
+    if (mQueuedAtMost + aBytes <= most) {
       return true;
     }
     mQueuedAtMost = 0;
     for (const ConnectionPointer& connection : mOpen) {
       mQueuedAtMost += connection->QueuedBytes();
     }
-    return mQueuedAtMost + aBytes <= mOptions.mMaxQueuedInAll;
+    return mQueuedAtMost + aBytes <= most;
   }
 
   ConnectionPointer ConnectionTo(const Address& aPeer)
@@ -364,6 +380,8 @@
   std::map<Address, std::chrono::steady_clock::time_point> mNotBefore;
   /** Bytes that wait for all peers, or more. */
   std::size_t mQueuedAtMost = 0;
+  /** Bytes of frames that wait for the transport's thread. */
+  std::atomic<std::size_t> mPosted{ 0 };
   /** Tries to connect since the last that succeeded. */
   std::map<Address, unsigned> mFailedTries;
   AtomicCounts mCounts;
@@ -393,9 +411,11 @@
 }
 
 void
-PeerTransport::Send(const Address& aPeer, std::string aFrame)
+PeerTransport::Send(const Address& aPeer,
+                    std::string aFrame,
+                    FramePriority aPriority)
 {
-  mImpl->Send(aPeer, std::move(aFrame));
+  mImpl->Send(aPeer, std::move(aFrame), aPriority);
 }
 
 void
