Let new settings overtake the other work of an entry

Beyond 4,096 frames settings were dropped with the others.

Frames of the session with control wait in a queue of their own now, which is emptied after each event of the relay thread.

runtime/FrameInboxTest: the order and the bounds.

--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -16,6 +16,8 @@
 using observe::EventId;
 
 constexpr std::chrono::milliseconds kTick{ 50 };
+/** Frames that wait for the relay thread; more are dropped. */
+constexpr std::size_t kMaxFrames = 4096;
 /** A replica that has told nothing yet is asked soon, others now and then. */
 constexpr Duration kFirstPullPeriod = std::chrono::milliseconds(150);
 constexpr Duration kPullPeriod = std::chrono::milliseconds(900);
@@ -43,6 +45,7 @@
   : mSettings(std::move(aSettings))
   , mDialect(std::move(aDialect))
   , mTimer(mIo)
+  , mInbox(kMaxFrames)
 {
 }
 
@@ -78,7 +81,7 @@
                  { "peer", ToText(mSettings.mListen.mPeer) },
                  { "seeds", mSettings.mSeeds.size() } });
   Tick();
-  mRelay = std::thread([this] { mIo.run(); });
+  mRelay = std::thread([this] { RunWork(); });
   return true;
 }
 
--- a/src/runtime/GatewayRelay.h
+++ b/src/runtime/GatewayRelay.h
@@ -7,6 +7,7 @@
 #include "peridotspool/runtime/GatewayHost.h"
 #include "peridotspool/wire/PeerEnvelope.h"
 #include "peridotspool/wire/PeerTransport.h"
+#include "runtime/FrameInbox.h"
 #include "runtime/PeerTally.h"
 #include "runtime/UpstreamFeed.h"
 
@@ -41,8 +42,9 @@
   http::HttpResponse OnReadyRequest(const http::HttpRequest& aRequest);
   void StartSession();
   void OnFrame(const std::string& aFrame);
-  /** @param aReceivedAt when it was read from its connection */
-  void TakeFrame(const wire::PeerEnvelope& aEnvelope, TimePoint aReceivedAt);
+  /** Runs the relay thread's work until the process has left. */
+  void RunWork();
+  void TakeFrame(const ReceivedFrame& aFrame);
   void TakePush(const Address& aFrom, const membership::RegistryPush& aPush);
   void NoteLeader(const Address& aFrom,
                   const membership::ToEntryMessage& aMessage);
@@ -86,7 +88,7 @@
   std::optional<UpstreamFeed> mFeed;
   std::atomic<bool> mReady{ false };
   unsigned mReports = 0;
-  std::atomic<std::size_t> mFrames{ 0 };
+  FrameInbox mInbox;
   /** When the frame that is being handled was read from its connection. */
   TimePoint mFrameReceivedAt;
   TimePoint mPulledAt;
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -19,8 +19,6 @@
 namespace net = http::net;
 using observe::EventId;
 
-/** Frames that wait for the relay thread; more are dropped. */
-constexpr std::size_t kMostFrames = 4096;
 /** Entries that share a budget beyond those that are known: ones that are
  * added, and ones that a cut hides. */
 constexpr std::size_t kUnknownEntries = 3;
@@ -86,33 +84,46 @@
 {
   LastReason reason;
   auto envelope = wire::Decode<wire::PeerEnvelope>(aFrame, reason);
-  if (!envelope || mFrames.load() >= kMostFrames) {
+  if (!envelope || !mInbox.Push({ .mEnvelope = std::move(*envelope),
+                                  .mReceivedAt = ReadClock() })) {
     return;
   }
-  ++mFrames;
-  net::post(mIo, [this, envelope = std::move(*envelope), at = ReadClock()] {
-    --mFrames;
-    TakeFrame(envelope, at);
+  net::post(mIo, [this] {
+    if (const auto frame = mInbox.Pop()) {
+      TakeFrame(*frame);
+    }
   });
 }
 
+// Requests, announcements and what entries tell each other may be more than
+// this thread can do for a while. New settings must not wait for them.
+void
+GatewayRelay::RunWork()
+{
+  while (mIo.run_one() > 0) {
+    while (const auto frame = mInbox.PopSession()) {
+      TakeFrame(*frame);
+    }
+  }
+}
+
 void
-GatewayRelay::TakeFrame(const wire::PeerEnvelope& aEnvelope,
-                        TimePoint aReceivedAt)
+GatewayRelay::TakeFrame(const ReceivedFrame& aFrame)
 {
-  mFrameReceivedAt = aReceivedAt;
+  const wire::PeerEnvelope& envelope = aFrame.mEnvelope;
+  mFrameReceivedAt = aFrame.mReceivedAt;
   if (const auto* entry =
-        std::get_if<wire::ToEntryEnvelope>(&aEnvelope.mPayload)) {
-    NoteLeader(aEnvelope.mFrom, entry->mMessage);
+        std::get_if<wire::ToEntryEnvelope>(&envelope.mPayload)) {
+    NoteLeader(envelope.mFrom, entry->mMessage);
     Step(membership::FromControlEvent{ entry->mMessage });
   } else if (const auto* registry =
-               std::get_if<membership::RegistryMessage>(&aEnvelope.mPayload)) {
+               std::get_if<membership::RegistryMessage>(&envelope.mPayload)) {
     if (const auto* push = std::get_if<membership::RegistryPush>(registry)) {
-      TakePush(aEnvelope.mFrom, *push);
+      TakePush(envelope.mFrom, *push);
     }
   } else if (const auto* shared =
-               std::get_if<gateway::PeerMessage>(&aEnvelope.mPayload)) {
-    TakeShared(aEnvelope.mFrom, *shared);
+               std::get_if<gateway::PeerMessage>(&envelope.mPayload)) {
+    TakeShared(envelope.mFrom, *shared);
   }
 }
 
