Leave a relay that delays everything

A suspected cause of late settings: an entry left its relay when no response of a leader had come for 700 ms. Responses that came seconds late counted as well, so a relay that is slow (short of processor time, behind a full link) was kept, and each heartbeat and push of its entries was as late.

The relay fails now also if the newest message that was answered was sent 1.2 s ago or more, and only a response in time ends the failure.

membership/RelaySelectorTest, ARelayThatDelaysEverythingIsLeft, failed before.

--- a/include/peridotspool/membership/RelaySelector.h
+++ b/include/peridotspool/membership/RelaySelector.h
@@ -26,14 +26,19 @@
    * Shorter than an entry's lease.
    */
   static constexpr Duration kTimeout = std::chrono::milliseconds(700);
+  /**
+   * If the newest message that the leader answered was sent longer ago than
+   * this, the relay counts as failed although responses come.
+   */
+  static constexpr Duration kMaxDelay = std::chrono::milliseconds(1200);
 
   /** @param aSeed differs between entries and spreads them over the relays */
   explicit RelaySelector(std::uint64_t aSeed);
 
   /** Sets the relays that the leader offers; empty if there are none. */
   void SetRelays(const std::vector<Address>& aRelays);
-  /** Records a leader's response. */
-  void RecordResponse(TimePoint aNow);
+  /** Records a leader's response to a message that was sent at aSentAt. */
+  void RecordResponse(TimePoint aSentAt, TimePoint aNow);
   /** Returns the relay to send through; empty if to send directly. */
   std::optional<Address> Choose(TimePoint aNow);
 
@@ -44,6 +49,8 @@
   bool mFailed = false;
   std::vector<Address> mRelays;
   std::optional<TimePoint> mLastResponseAt;
+  /** When the newest message was sent that has been answered. */
+  TimePoint mAnsweredSentAt;
 };
 
 } // namespace peridotspool::membership
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -185,7 +185,7 @@
     return;
   }
   mLastLeaderResponseAt = mNow;
-  mRelaySelector.RecordResponse(mNow);
+  mRelaySelector.RecordResponse(sent->mSentAt, mNow);
   if (!aResponse.mControls.empty()) {
     mControls = aResponse.mControls;
     mVoters = aResponse.mVoters;
--- a/src/membership/RelaySelector.cpp
+++ b/src/membership/RelaySelector.cpp
@@ -1,5 +1,7 @@
 #include "peridotspool/membership/RelaySelector.h"
 
+#include <algorithm>
+
 namespace peridotspool::membership {
 
 RelaySelector::RelaySelector(std::uint64_t aSeed)
@@ -13,11 +15,16 @@
   mRelays = aRelays;
 }
 
+// A response that comes too late ends no failure: the relay would be chosen
+// again at once.
 void
-RelaySelector::RecordResponse(TimePoint aNow)
+RelaySelector::RecordResponse(TimePoint aSentAt, TimePoint aNow)
 {
   mLastResponseAt = aNow;
-  mFailed = false;
+  mAnsweredSentAt = std::max(mAnsweredSentAt, aSentAt);
+  if (aNow - mAnsweredSentAt < kMaxDelay) {
+    mFailed = false;
+  }
 }
 
 // Once a relay has failed, the next one is used only after a direct message was
@@ -28,7 +35,9 @@
   if (mRelays.empty() || !mLastResponseAt) {
     return std::nullopt;
   }
-  if (!mFailed && aNow - *mLastResponseAt >= kTimeout) {
+  const bool isSilent = aNow - *mLastResponseAt >= kTimeout;
+  const bool isLate = aNow - mAnsweredSentAt >= kMaxDelay;
+  if (!mFailed && (isSilent || isLate)) {
     mFailed = true;
     ++mFailures;
   }
