Ignore messages of control for an earlier session

A gateway took each message that came to its address for one of its present session. A relay delivers what it holds for a process that has restarted or begun a new session meanwhile, and sequence numbers start again: such a response could confirm settings that it says nothing of, or name a membership that is over. The other interface's entries checked the nonce already.

membership/ControlSessionTest, AMessageForAnEarlierSessionIsIgnored, failed before: the settings counted as confirmed and the process as a member.

--- a/include/peridotspool/membership/ControlSessionEvent.h
+++ b/include/peridotspool/membership/ControlSessionEvent.h
@@ -2,6 +2,7 @@
 
 #include "peridotspool/membership/EntryMessage.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -11,6 +12,8 @@
 struct FromControlEvent
 {
   ToEntryMessage mMessage;
+  /** The process that it is for, where that isn't known to be this one. */
+  std::optional<EntryNonce> mTo = std::nullopt;
 };
 
 /** The entry has applied this revision of the settings. */
--- a/src/membership/ControlSession.cpp
+++ b/src/membership/ControlSession.cpp
@@ -86,6 +86,12 @@
 void
 ControlSession::Handle(const FromControlEvent& aEvent)
 {
+  // A message for an earlier session of this process may come late. Sequence
+  // numbers start again with each session, so it could be taken for the
+  // response to another heartbeat.
+  if (aEvent.mTo.value_or(mOptions.mNonce) != mOptions.mNonce) {
+    return;
+  }
   std::visit([this](const auto& aMessage) { HandleMessage(aMessage); },
              aEvent.mMessage);
 }
--- a/src/runtime/GatewayRelaySession.cpp
+++ b/src/runtime/GatewayRelaySession.cpp
@@ -115,7 +115,8 @@
   if (const auto* entry =
         std::get_if<wire::ToEntryEnvelope>(&envelope.mPayload)) {
     NoteLeader(envelope.mFrom, entry->mMessage);
-    Step(membership::FromControlEvent{ entry->mMessage });
+    Step(membership::FromControlEvent{ .mMessage = entry->mMessage,
+                                       .mTo = entry->mTo });
   } else if (const auto* registry =
                std::get_if<membership::RegistryMessage>(&envelope.mPayload)) {
     if (const auto* push = std::get_if<membership::RegistryPush>(registry)) {
--- a/test/membership/ControlSessionTest.cpp
+++ b/test/membership/ControlSessionTest.cpp
@@ -278,4 +278,23 @@
   CHECK(session.SettingsConfirmedAt() == std::optional(sentAt));
 }
 
+// Guards against a late response to an earlier session of the process, whose
+// sequence numbers are the same, that confirms what it says nothing of.
+TEST_CASE("AMessageForAnEarlierSessionIsIgnored")
+{
+  ControlSession session(Options());
+  Push(session, Whole(1));
+  const TimePoint sentAt = kStart + std::chrono::seconds(1);
+  const std::uint64_t sequence = SendHeartbeat(session, sentAt);
+  session.Step(FromControlEvent{ .mMessage = LeaderResponse(sequence, 1),
+                                 .mTo = EntryNonce(4) },
+               sentAt);
+  CHECK_FALSE(session.SettingsConfirmedAt());
+  CHECK_FALSE(session.Member().IsSet());
+  session.Step(FromControlEvent{ .mMessage = LeaderResponse(sequence, 1),
+                                 .mTo = EntryNonce(5) },
+               sentAt);
+  CHECK(session.SettingsConfirmedAt() == std::optional(sentAt));
+}
+
 } // namespace peridotspool::membership
