Tell entries of a withdrawal once, as long as its replica lives

Each voter that adopted a withdrawal told all entries again, each of which confirmed it with a pull; and a withdrawal waited for the spacing of 300 subscribers on its way to the voters, was refused after 0.7 s, and was told by the next replica as well.

A voter keeps what it adopts and tells subscribers of it once nothing has come from the registry that received it for 0.9 s, or when the upstream withdraws at this one too, which then has it confirmed by a majority itself. A subscriber that starts gets it with all rows. So that voters hear that a registry lives, each of their regular pulls gets a push; pushes to replicas aren't spaced.

membership/WithdrawalReplicationTest, failed before: up to 92 adopted rows pushed to four entries for five withdrawals (0 now). Its models of the replica that is killed at the acknowledgement, or 0.1 s later, still hold.

--- a/include/peridotspool/membership/RegistryMessage.h
+++ b/include/peridotspool/membership/RegistryMessage.h
@@ -54,12 +54,19 @@
   std::uint64_t mVersion = 0;
   /** RegistryPush::mSentAt of the last push received. */
   std::int64_t mLastSentAt = 0;
+  /**
+   * The subscriber is a control replica that asks now and then, rather than to
+   * confirm a push: it gets a push in any case, and so hears that the registry
+   * lives. Pushes to it aren't spaced.
+   */
+  bool mFromReplica = false;
 
   auto operator<=>(const RegistryPull&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(RegistryPull,
-                      (),
-                      (mRegistryIncarnation, mVersion, mLastSentAt))
+BOOST_DESCRIBE_STRUCT(
+  RegistryPull,
+  (),
+  (mRegistryIncarnation, mVersion, mLastSentAt, mFromReplica))
 
 /**
  * The rows that changed after version mFrom, up to version mTo. If mFrom is 0,
--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -47,6 +47,11 @@
   Duration mLateHeartbeatWindow = kLateHeartbeatWindow;
   /** Interval between checks for silent upstreams and expired subscribers. */
   Duration mSweepPeriod = std::chrono::milliseconds(100);
+  /**
+   * The withdrawals adopted from a registry are pushed to subscribers once
+   * nothing has been received from it for this time.
+   */
+  Duration mRegistryTimeout = std::chrono::milliseconds(900);
   /** A subscriber that does not pull for longer than this is removed. */
   Duration mSubscriberTimeout = std::chrono::milliseconds(2500);
   std::size_t mMaxRows = 16384;
@@ -65,7 +70,9 @@
  * to subscribers. The state is soft: upstreams repeat their heartbeats, so
  * nothing is persisted. A registry contains what was reported to it directly;
  * subscribers merge the registries (UpstreamDirectory). Withdrawals are not
- * repeated, so that registries adopt those of each other.
+ * repeated, so that registries adopt those of each other; subscribers that are
+ * there already are told of them by the registry that received them, as long as
+ * it lives.
  *
  * A deterministic state machine: it uses no clock, thread or socket. Not
  * thread-safe.
@@ -89,8 +96,7 @@
    * Applies the withdrawals (draining or deregistered) in another registry's
    * push: what it acknowledged has to remain known when its process ends.
    */
-  std::vector<RegistrySend> AdoptWithdrawals(const RegistryPush& aPush,
-                                             TimePoint aNow);
+  void AdoptWithdrawals(const RegistryPush& aPush, TimePoint aNow);
   /** Confirms the subscriber's version and renews its subscription. */
   std::vector<RegistrySend> HandlePull(const Address& aFrom,
                                        const RegistryPull& aPull,
@@ -127,6 +133,9 @@
     std::uint64_t mVersion = 0;
     /** The complete row was published before its last change. */
     bool mPreviouslyPushed = false;
+    /** The registry that received its withdrawal, while that one is to tell
+     * subscribers; unset if this one is. */
+    RegistryIncarnation mAdoptedFrom;
   };
   struct Subscriber
   {
@@ -144,6 +153,7 @@
     /** Moving average of the time until a push is confirmed. */
     std::optional<Duration> mConfirmTime;
     TimePoint mLastPullAt;
+    bool mIsReplica = false;
   };
 
   void MarkChanged(Row& aRow);
@@ -151,12 +161,16 @@
                                                UpstreamReport aReport,
                                                TimePoint aNow);
   bool IsInLateHeartbeatWindow(const Row& aRow, TimePoint aNow) const;
-  /** Returns true iff the row changed. */
-  bool AdoptWithdrawal(const RegistryRow& aReported, TimePoint aNow);
-  bool AddWithdrawn(const RegistryRow& aReported, TimePoint aNow);
+  /** Returns the row if it has changed, else null. */
+  Row* AdoptWithdrawal(const RegistryRow& aReported, TimePoint aNow);
+  Row* AddWithdrawn(const RegistryRow& aReported, TimePoint aNow);
+  /** Publishes the withdrawals of registries that are silent. */
+  void PublishAdopted(TimePoint aNow);
+  void PublishAdopted(Row& aRow);
   void MergeWithdrawal(Row& aRow, const RegistryRow& aReported, TimePoint aNow);
   static RegistryRow MakePushRow(const Row& aRow, TimePoint aNow);
   Duration Spacing() const;
+  Duration SpacingOf(const Subscriber& aSubscriber) const;
   Duration ResendAfter(const Subscriber& aSubscriber) const;
   bool IsLost(const Subscriber& aSubscriber, TimePoint aNow) const;
   static void TimeConfirmation(Subscriber& aSubscriber,
@@ -175,6 +189,8 @@
   /** Upstream names by the version of the row's last change. */
   std::map<std::uint64_t, UpstreamName> mByVersion;
   std::map<Address, Subscriber> mSubscribers;
+  /** Registries whose withdrawals were adopted, and when each last pushed. */
+  std::map<RegistryIncarnation, TimePoint> mHeardAt;
   std::uint64_t mVersion = 1;
   TimePoint mLastSweepAt;
 };
--- a/src/membership/UpstreamRegistry.cpp
+++ b/src/membership/UpstreamRegistry.cpp
@@ -102,15 +102,19 @@
     return {};
   }
   row.mLastContactAt = aNow;
+  // The upstream withdraws here as well, so this registry has to tell it.
+  const bool isRepeated =
+    row.mAdoptedFrom.IsSet() && aReport.mStage != UpstreamStage::kReady;
   if (aReport.mStage < known.mStage) {
     aReport.mStage = known.mStage;
   }
-  const bool needsPush = NeedsPush(row.mRow, aReport);
+  const bool needsPush = isRepeated || NeedsPush(row.mRow, aReport);
   row.mRow.mReport = std::move(aReport);
   row.mRow.mSilent = false;
   if (!needsPush) {
     return {};
   }
+  row.mAdoptedFrom = RegistryIncarnation();
   MarkChanged(row);
   return PushAll(aNow);
 }
@@ -131,6 +135,7 @@
   aRow.mRow = { .mReport = std::move(aReport), .mSilent = false };
   aRow.mLastContactAt = aNow;
   aRow.mIncarnationSeenAt = aNow;
+  aRow.mAdoptedFrom = RegistryIncarnation();
   MarkChanged(aRow);
   aRow.mPreviouslyPushed = false;
   return PushAll(aNow);
@@ -164,6 +169,7 @@
   }
   const bool isRepeated =
     !isNewer && report.mStage == UpstreamStage::kGone &&
+    !row.mAdoptedFrom.IsSet() &&
     (aIncarnation.IsSet() || IsInLateHeartbeatWindow(row, aNow));
   if (isRepeated) {
     return {};
@@ -172,6 +178,7 @@
     row.mDeregisteredAt = aNow;
   }
   report.mStage = UpstreamStage::kGone;
+  row.mAdoptedFrom = RegistryIncarnation();
   MarkChanged(row);
   return PushAll(aNow);
 }
@@ -188,6 +195,7 @@
   }
   Subscriber& subscriber = mSubscribers[aFrom];
   subscriber.mLastPullAt = aNow;
+  subscriber.mIsReplica = subscriber.mIsReplica || aPull.mFromReplica;
   const std::uint64_t has =
     aPull.mRegistryIncarnation == mOptions.mRegistryIncarnation ? aPull.mVersion
                                                                 : 0;
@@ -202,11 +210,19 @@
   }
   subscriber.mConfirmed = has;
   subscriber.mPushed = std::max(subscriber.mPushed, has);
-  if (!IsDue(subscriber, aNow)) {
+  if (IsDue(subscriber, aNow)) {
+    const std::uint64_t from = StartPush(subscriber, aNow);
+    return { { .mTo = { aFrom }, .mPush = MakePush(from, aNow) } };
+  }
+  if (!aPull.mFromReplica) {
     return {};
   }
-  const std::uint64_t from = StartPush(subscriber, aNow);
-  return { { .mTo = { aFrom }, .mPush = MakePush(from, aNow) } };
+  return { { .mTo = { aFrom },
+             .mPush = { .mRegistryIncarnation = mOptions.mRegistryIncarnation,
+                        .mFrom = has,
+                        .mTo = has,
+                        .mRows = {},
+                        .mSentAt = aNow.time_since_epoch().count() } } };
 }
 
 void
@@ -253,6 +269,7 @@
   if (aNow - mLastSweepAt >= mOptions.mSweepPeriod) {
     mLastSweepAt = aNow;
     MarkSilentRows(aNow);
+    PublishAdopted(aNow);
     std::erase_if(mSubscribers, [&](const auto& aPair) {
       return aNow - aPair.second.mLastPullAt > mOptions.mSubscriberTimeout;
     });
@@ -289,6 +306,14 @@
                     static_cast<Duration::rep>(mSubscribers.size()));
 }
 
+// An upstream that withdraws waits until a majority of the replicas has
+// confirmed it.
+Duration
+UpstreamRegistry::SpacingOf(const Subscriber& aSubscriber) const
+{
+  return aSubscriber.mIsReplica ? mOptions.mSpacing : Spacing();
+}
+
 // If 100 upstreams leave within 0.1 s, one push per upstream to each of 100
 // entries occupies a slow link for seconds, and the last entries are notified
 // too late. A small spacing combines the changes into fewer pushes.
@@ -296,7 +321,7 @@
 UpstreamRegistry::IsDue(const Subscriber& aSubscriber, TimePoint aNow) const
 {
   const bool mayPush = aSubscriber.mBurstCount < mOptions.mMaxBurst ||
-                       aNow - aSubscriber.mPushedAt >= Spacing();
+                       aNow - aSubscriber.mPushedAt >= SpacingOf(aSubscriber);
   return (mayPush && aSubscriber.mPushed < mVersion) ||
          IsLost(aSubscriber, aNow);
 }
@@ -335,7 +360,7 @@
     aSubscriber.mUnconfirmedSince = aNow;
   }
   const Duration resetAfter =
-    std::max(mOptions.mBurstResetAfter, 4 * Spacing());
+    std::max(mOptions.mBurstResetAfter, 4 * SpacingOf(aSubscriber));
   const bool isBurst = aNow - aSubscriber.mPushedAt < resetAfter;
   aSubscriber.mBurstCount = isBurst ? aSubscriber.mBurstCount + 1 : 0;
   aSubscriber.mPushed = mVersion;
--- a/src/membership/UpstreamRegistryWithdrawal.cpp
+++ b/src/membership/UpstreamRegistryWithdrawal.cpp
@@ -8,26 +8,34 @@
 
 namespace peridotspool::membership {
 
-std::vector<RegistrySend>
+// The registry that received a withdrawal tells all subscribers. If each that
+// adopts it told them as well, hundreds of subscribers would get it several
+// times, and the pushes would wait for each other.
+void
 UpstreamRegistry::AdoptWithdrawals(const RegistryPush& aPush, TimePoint aNow)
 {
-  bool changed = false;
-  for (const RegistryRow& row : aPush.mRows) {
-    changed = AdoptWithdrawal(row, aNow) || changed;
+  const auto heard = mHeardAt.find(aPush.mRegistryIncarnation);
+  if (heard != mHeardAt.end()) {
+    heard->second = aNow;
+  }
+  for (const RegistryRow& reported : aPush.mRows) {
+    if (Row* row = AdoptWithdrawal(reported, aNow)) {
+      row->mAdoptedFrom = aPush.mRegistryIncarnation;
+      mHeardAt[aPush.mRegistryIncarnation] = aNow;
+    }
   }
-  return changed ? PushAll(aNow) : std::vector<RegistrySend>{};
 }
 
-bool
+UpstreamRegistry::Row*
 UpstreamRegistry::AdoptWithdrawal(const RegistryRow& aReported, TimePoint aNow)
 {
   const bool isWithdrawn = aReported.mReport.mStage != UpstreamStage::kReady;
   if (!isWithdrawn && !aReported.mDeregistrationAgeMs) {
-    return false;
+    return nullptr;
   }
   const auto found = mRows.find(aReported.mReport.mName);
   if (found == mRows.end()) {
-    return isWithdrawn && AddWithdrawn(aReported, aNow);
+    return isWithdrawn ? AddWithdrawn(aReported, aNow) : nullptr;
   }
   Row& row = found->second;
   const UpstreamReport before = row.mRow.mReport;
@@ -35,24 +43,23 @@
   const UpstreamReport& after = row.mRow.mReport;
   if (after.mIncarnation == before.mIncarnation &&
       after.mStage == before.mStage) {
-    return false;
+    return nullptr;
   }
   if (after.mStage == UpstreamStage::kGone) {
     row.mLastContactAt = aNow;
   }
-  MarkChanged(row);
   if (after.mIncarnation != before.mIncarnation) {
     row.mPreviouslyPushed = false;
   }
-  return true;
+  return &row;
 }
 
 // The upstream sends no heartbeats here, which its row must not suggest.
-bool
+UpstreamRegistry::Row*
 UpstreamRegistry::AddWithdrawn(const RegistryRow& aReported, TimePoint aNow)
 {
   if (mRows.size() >= mOptions.mMaxRows) {
-    return false;
+    return nullptr;
   }
   Row& row = mRows[aReported.mReport.mName];
   row.mRow = { .mReport = aReported.mReport, .mSilent = true };
@@ -63,8 +70,33 @@
     row.mDeregisteredAt =
       aNow - std::chrono::milliseconds(*aReported.mDeregistrationAgeMs);
   }
-  MarkChanged(row);
-  return true;
+  return &row;
+}
+
+void
+UpstreamRegistry::PublishAdopted(TimePoint aNow)
+{
+  for (auto heard = mHeardAt.begin(); heard != mHeardAt.end();) {
+    if (aNow - heard->second < mOptions.mRegistryTimeout) {
+      ++heard;
+      continue;
+    }
+    for (auto& [name, row] : mRows) {
+      if (row.mAdoptedFrom == heard->first) {
+        PublishAdopted(row);
+      }
+    }
+    heard = mHeardAt.erase(heard);
+  }
+}
+
+void
+UpstreamRegistry::PublishAdopted(Row& aRow)
+{
+  aRow.mAdoptedFrom = RegistryIncarnation();
+  const bool wasPushed = aRow.mVersion != 0 && aRow.mPreviouslyPushed;
+  MarkChanged(aRow);
+  aRow.mPreviouslyPushed = wasPushed;
 }
 
 void
--- a/src/runtime/ControlUpstreams.cpp
+++ b/src/runtime/ControlUpstreams.cpp
@@ -137,7 +137,7 @@
   } else {
     const auto& push = std::get<membership::RegistryPush>(aMessage);
     mDirectory.ApplyPush(aFrom, push, mNow);
-    SendAll(mRegistry.AdoptWithdrawals(push, mNow));
+    mRegistry.AdoptWithdrawals(push, mNow);
     SendPeer(aFrom, membership::RegistryMessage(mDirectory.PullFor(aFrom)));
   }
 }
@@ -155,8 +155,9 @@
   const Address self = mParts.mTransport.LocalAddress();
   for (const Address& replica : mNode.ReplicaAddresses()) {
     if (replica != self) {
-      SendPeer(replica,
-               membership::RegistryMessage(mDirectory.PullFor(replica)));
+      membership::RegistryPull pull = mDirectory.PullFor(replica);
+      pull.mFromReplica = true;
+      SendPeer(replica, membership::RegistryMessage(pull));
     }
   }
   for (const auto& send :
--- a/test/membership/WithdrawalReplicationTest.cpp
+++ b/test/membership/WithdrawalReplicationTest.cpp
@@ -75,7 +75,7 @@
   }
 
   /** The upstreams of aCount leave at once, all at the same replica. */
-  void Withdraw(int aCount, UpstreamStage aStage)
+  void Withdraw(int aCount, UpstreamStage aStage, int aPauseMs = 0)
   {
     mTaker = RandomBelow(kReplicas);
     mLeaving = aCount;
@@ -83,6 +83,7 @@
       // A heartbeat to another replica is the last thing that one hears.
       Beat(i, RandomBelow(kReplicas), UpstreamStage::kReady);
     }
+    RunFor(aPauseMs);
     for (int i = 0; i < aCount; ++i) {
       Process& taker = At(mTaker);
       Send(taker,
@@ -121,6 +122,10 @@
     }
   }
 
+  /** Rows of leaving upstreams that voters have pushed to entries, without
+   * those of the replica that took the withdrawals. */
+  int AdoptedRowsPushed() const { return mAdoptedRowsPushed; }
+
   /** How many of the upstreams that left any running entry would still use. */
   int StillUsed() const
   {
@@ -189,11 +194,26 @@
   {
     for (const RegistrySend& send : aSends) {
       for (const Address& to : send.mTo) {
+        CountAdopted(aFrom, to, send.mPush);
         Post(aFrom.mAddress, to, send.mPush);
       }
     }
   }
 
+  void CountAdopted(const Process& aFrom,
+                    const Address& aTo,
+                    const RegistryPush& aPush)
+  {
+    if (mLeaving == 0 || aFrom.mAddress == AddressOf(mTaker) ||
+        aTo.mPort < AddressOf(kReplicas).mPort) {
+      return;
+    }
+    mAdoptedRowsPushed += static_cast<int>(std::count_if(
+      aPush.mRows.begin(), aPush.mRows.end(), [](const RegistryRow& aRow) {
+        return aRow.mReport.mStage != UpstreamStage::kReady;
+      }));
+  }
+
   void Post(const Address& aFrom, const Address& aTo, RegistryMessage aBody)
   {
     mMessages.push_back({ .mAtMs = mNowMs + 1 + RandomBelow(3),
@@ -229,7 +249,7 @@
     const auto& push = std::get<RegistryPush>(aMessage.mBody);
     aTo.mDirectory.ApplyPush(aMessage.mFrom, push, Now());
     if (aTo.mRegistry) {
-      Send(aTo, aTo.mRegistry->AdoptWithdrawals(push, Now()));
+      aTo.mRegistry->AdoptWithdrawals(push, Now());
     }
     Post(aTo.mAddress, aMessage.mFrom, aTo.mDirectory.PullFor(aMessage.mFrom));
   }
@@ -265,9 +285,9 @@
       for (int to = 0; subscribes && mNowMs % 300 == 0 && to < kReplicas;
            ++to) {
         if (to != i) {
-          Post(process.mAddress,
-               AddressOf(to),
-               process.mDirectory.PullFor(AddressOf(to)));
+          RegistryPull pull = process.mDirectory.PullFor(AddressOf(to));
+          pull.mFromReplica = i < kVoters;
+          Post(process.mAddress, AddressOf(to), pull);
         }
       }
     }
@@ -288,6 +308,7 @@
   int mTaker = 0;
   int mLeaving = 0;
   int mAcknowledged = 0;
+  int mAdoptedRowsPushed = 0;
 };
 
 } // namespace
@@ -328,4 +349,48 @@
   }
 }
 
+// Guards against each withdrawal being told to all entries by each voter: with
+// hundreds of entries these pushes take more of the links than all others.
+TEST_CASE("VotersTellEntriesNothingThatALivingReplicaTellsThem")
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    Model model(seed);
+    model.Withdraw(5, UpstreamStage::kGone, 500);
+    model.RunFor(3000);
+    INFO("seed " << seed << ", expected no push of adopted rows to an entry");
+    CHECK(model.AdoptedRowsPushed() == 0);
+    REQUIRE(model.StillUsed() == 0);
+  }
+}
+
+// Guards against an acknowledgement that rests on what voters hold of another
+// replica's registry only.
+TEST_CASE("AWithdrawalThatIsRepeatedElsewhereIsReplicatedFromThere")
+{
+  UpstreamRegistry first({ .mRegistryIncarnation = RegistryIncarnation(1) });
+  UpstreamRegistry second({ .mRegistryIncarnation = RegistryIncarnation(2) });
+  const Address self{ "127.0.0.1", 1 };
+  const Address other{ "127.0.0.1", 2 };
+  const Address third{ "127.0.0.1", 3 };
+  const TimePoint now{ std::chrono::seconds(1000) };
+  const UpstreamReport leaving{ .mName = NameOf(1),
+                                .mService = ServiceName("s"),
+                                .mStage = UpstreamStage::kDraining,
+                                .mSequence = 7 };
+  first.HandlePull(self, RegistryPull{}, now);
+  for (const RegistrySend& send : first.HandleHeartbeat(leaving, now)) {
+    second.AdoptWithdrawals(send.mPush, now);
+  }
+  second.HandlePull(third, RegistryPull{}, now);
+  const RegistryPull confirmed{ .mRegistryIncarnation = RegistryIncarnation(2),
+                                .mVersion = second.Version() };
+  second.HandlePull(third, confirmed, now);
+  const auto sends = second.HandleHeartbeat(leaving, now);
+  REQUIRE(sends.size() == 1);
+  CHECK(sends.front().mPush.mRows.size() == 1);
+  const std::uint64_t version = second.VersionOf(NameOf(1));
+  REQUIRE(version != 0);
+  CHECK(second.MajorityVersion({ self, other, third }, self) < version);
+}
+
 } // namespace peridotspool::membership
