Give the first rows time to come before they are sent again

A subscriber that had confirmed nothing pulled each 150 ms, and each of these pulls made the registry send all rows again, before the first could have come: six times in 0.9 s. With 300 entries that start at once this is what fills the links of replicas.

Only a pull below what was confirmed is taken for a restart now, and after the first resend the next one waits twice as long.

membership/UpstreamRegistryTest, RowsOnTheirWayToAStartingSubscriberAreNotSentForEachPull, failed before: 6 pushes, 3 now.

--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -21,7 +21,7 @@
   /**
    * Pushes that are not confirmed within this time are sent again. Increases
    * with the spacing and with the time that the subscriber's confirmations
-   * take, up to mMaxResendAfter.
+   * take, and is twice as long after the first resend, up to mMaxResendAfter.
    */
   Duration mResendAfter = std::chrono::milliseconds(250);
   Duration mMaxResendAfter = std::chrono::milliseconds(2000);
@@ -152,6 +152,8 @@
     TimePoint mReceivedSentAt;
     /** Moving average of the time until a push is confirmed. */
     std::optional<Duration> mConfirmTime;
+    /** What was not confirmed in time has been sent again. */
+    bool mHasResent = false;
     TimePoint mLastPullAt;
     bool mIsReplica = false;
   };
--- a/src/membership/UpstreamRegistry.cpp
+++ b/src/membership/UpstreamRegistry.cpp
@@ -201,9 +201,11 @@
                                                                 : 0;
   if (has > subscriber.mConfirmed) {
     subscriber.mUnconfirmedSince = aNow;
-  } else if (has < subscriber.mConfirmed || has == 0) {
+    subscriber.mHasResent = false;
+  } else if (has < subscriber.mConfirmed) {
     // The subscriber restarted and has an older version than it confirmed.
     subscriber.mPushed = has;
+    subscriber.mHasResent = false;
   }
   if (has != 0) {
     TimeConfirmation(subscriber, TimePoint(Duration(aPull.mLastSentAt)), aNow);
@@ -286,7 +288,8 @@
   const Duration confirmTime = aSubscriber.mConfirmTime.value_or(Duration(0));
   const Duration wanted =
     std::max({ mOptions.mResendAfter, Spacing(), 2 * confirmTime });
-  return std::min(wanted, mOptions.mMaxResendAfter);
+  const int times = aSubscriber.mHasResent ? 2 : 1;
+  return std::min(wanted * times, mOptions.mMaxResendAfter);
 }
 
 bool
@@ -359,6 +362,7 @@
   if (!isUnconfirmed || lost) {
     aSubscriber.mUnconfirmedSince = aNow;
   }
+  aSubscriber.mHasResent = aSubscriber.mHasResent || lost;
   const Duration resetAfter =
     std::max(mOptions.mBurstResetAfter, 4 * SpacingOf(aSubscriber));
   const bool isBurst = aNow - aSubscriber.mPushedAt < resetAfter;
--- a/test/membership/UpstreamRegistryTest.cpp
+++ b/test/membership/UpstreamRegistryTest.cpp
@@ -420,4 +420,37 @@
   CHECK(many <= 300 * 14);
 }
 
+// Guards against a registry that sends all rows again for each pull of a
+// subscriber that starts, before the first ones can have arrived: with hundreds
+// of subscribers the repetitions fill its link, and arrive the later.
+TEST_CASE("RowsOnTheirWayToAStartingSubscriberAreNotSentForEachPull")
+{
+  RegistryLink one(1);
+  one.mRegistry.HandleHeartbeat(Report(1), At(0));
+  UpstreamDirectory directory;
+  int pushes = 0;
+  for (int ms = 0; ms < 900; ms += 10) {
+    if (ms % 150 == 0) {
+      pushes += static_cast<int>(
+        one.mRegistry.HandlePull(kEntry, directory.PullFor(one.mAt), At(ms))
+          .size());
+    }
+    pushes += static_cast<int>(one.mRegistry.Tick(At(ms)).size());
+  }
+  INFO("expected the first push, and repetitions after 250 ms and 500 ms more");
+  CHECK(pushes == 3);
+}
+
+TEST_CASE("ARestartedSubscriberGetsAllRowsAtOnce")
+{
+  RegistryLink one(1);
+  UpstreamDirectory before;
+  one.mRegistry.HandleHeartbeat(Report(1), At(0));
+  one.Pull(before, At(0));
+  one.Pull(before, At(10));
+  UpstreamDirectory after;
+  one.Pull(after, At(20));
+  CHECK(StageOf(after) == UpstreamStage::kReady);
+}
+
 } // namespace peridotspool::membership
