Refuse nothing for good by settings that are not confirmed, own interface too

The same cause as at gateways: the thread that reads requests answered 401 and 404 by the settings that it held, before anything asked whether a majority had confirmed them lately.

--- a/include/peridotspool/http/CallerApi.h
+++ b/include/peridotspool/http/CallerApi.h
@@ -114,6 +114,9 @@
 {
   /** Null before the first settings are in force. */
   const settings::SettingsTree* mSettings = nullptr;
+  /** The settings were lately confirmed to be the newest. Others refuse no
+   * request for good. */
+  bool mSettingsFresh = true;
   const KeyHashes* mKeys = nullptr;
   /** For a request that names no key of its own. */
   std::string mFreshKey;
--- a/include/peridotspool/request/EntryNode.h
+++ b/include/peridotspool/request/EntryNode.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace peridotspool::request {
@@ -49,6 +50,9 @@
   /** Returns the response to `GET /v1/entries`. */
   membership::DirectoryResponse Directory(const Region& aRegion);
   EntryNodeStatus Status(TimePoint aNow) const;
+  /** Returns when the settings in force were last known to be the newest; empty
+   * if never. */
+  std::optional<TimePoint> SettingsConfirmedAt() const;
   /** Returns the name of a member, for responses that name the entry that ran a
    * request. */
   EntryName NameOf(MemberId aMember) const;
--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -175,6 +175,14 @@
     return ExplainCommand{ key };
   }
 
+  // A replacement of the settings that has been acknowledged may allow the
+  // request.
+  RefusedCommand RefuseBySettings(RefusedCommand aRefusal) const
+  {
+    return mContext.mSettingsFresh ? std::move(aRefusal)
+                                   : MakeUnavailable("settings-not-confirmed");
+  }
+
   CallerCommand ReadCustomerRequest() const
   {
     if (mContext.mSettings == nullptr) {
@@ -185,7 +193,7 @@
       key ? mContext.mSettings->CustomerOfKeyHash(settings::KeyHash(*key))
           : std::nullopt;
     if (!customer) {
-      return MakeUnauthorized("customer-key");
+      return RefuseBySettings(MakeUnauthorized("customer-key"));
     }
     const bool submit = mRequest.mMethod == "POST" && mPath.size() == 4 &&
                         mPath[1] == "services" && mPath[3] == "requests";
@@ -242,7 +250,7 @@
   {
     const auto* rules = mContext.mSettings->Effective(aCustomer, aService);
     if (rules == nullptr) {
-      return MakeNotFound();
+      return RefuseBySettings(MakeNotFound());
     }
     const std::string name =
       HeaderOf(mRequest, "idempotency-key").value_or(mContext.mFreshKey);
--- a/src/request/EntryNode.cpp
+++ b/src/request/EntryNode.cpp
@@ -31,6 +31,12 @@
   return mState->Status(aNow);
 }
 
+std::optional<TimePoint>
+EntryNode::SettingsConfirmedAt() const
+{
+  return mState->SettingsConfirmedAt();
+}
+
 EntryName
 EntryNode::NameOf(MemberId aMember) const
 {
--- a/src/request/EntryNodeState.h
+++ b/src/request/EntryNodeState.h
@@ -21,6 +21,10 @@
 
   membership::DirectoryResponse Directory(const Region& aRegion);
   EntryNodeStatus Status(TimePoint aNow) const;
+  std::optional<TimePoint> SettingsConfirmedAt() const
+  {
+    return mSession ? mSession->SettingsConfirmedAt() : std::nullopt;
+  }
   EntryName NameOf(MemberId aMember) const;
 
 private:
--- a/src/runtime/EntryDecider.cpp
+++ b/src/runtime/EntryDecider.cpp
@@ -56,6 +56,7 @@
   for (const auto& effect : mNode.Step(aEvent, mNow)) {
     std::visit([this](const auto& aAny) { Carry(aAny); }, effect);
   }
+  mParts.mSettings.SetConfirmedAt(mNode.SettingsConfirmedAt());
 }
 
 void
--- a/src/runtime/EntryHost.cpp
+++ b/src/runtime/EntryHost.cpp
@@ -165,7 +165,10 @@
   void OnRequest(http::ExchangeId aExchange, const http::HttpRequest& aRequest)
   {
     const auto tree = mTree.Load();
+    const bool fresh = mTree.IsConfirmedWithin(
+      membership::ControlSessionOptions{}.mConfirmationGrace, ReadClock());
     const http::CallerApiContext context{ .mSettings = tree.get(),
+                                          .mSettingsFresh = fresh,
                                           .mKeys = &mKeys,
                                           .mFreshKey = FreshKey() };
     http::CallerCommand command = http::ReadCallerRequest(aRequest, context);
