Show that heads which end midway are no answers

A report of other operators: an upstream that closed in the middle of its answer's head gave callers a 200 with an empty or short body, framed as whole. It can't happen here: a head reaches the parser only once its end has come, and a connection that ends before fails. Shown for each reader, each byte of head and body, length, chunks and neither, closed and reset: gateway/BrokenOffAnswerTest had the direct path; new are the path through an entry that lives (gateway/BrokenRelayTest) and resets at the other interface's readers (http/BrokenOffUpstreamTest).

--- a/test/gateway/BrokenRelayTest.cpp
+++ b/test/gateway/BrokenRelayTest.cpp
@@ -11,6 +11,8 @@
 #include <atomic>
 #include <chrono>
 #include <map>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -102,12 +104,16 @@
     caller.Send(request);
     return ParseAnswer(caller.ReadAnswer());
   }
-  /** Closes tunnels that carry no request and forgets failures. */
+  /** Closes tunnels that carry no request. */
   void Reset()
   {
     mEntry.OnRelay(
       [&] { mEntry.Core().mPool.RemoveIf([](const auto&) { return true; }); });
   }
+  void ClearEjections()
+  {
+    mEntry.OnRelay([&] { mEntry.Core().mSelector.ClearEjections(); });
+  }
   std::uint64_t Counted(CounterId aId)
   {
     std::uint64_t value = 0;
@@ -190,8 +196,65 @@
   CHECK(entry.Counted(CounterId::kUpstreamEjected) == 0);
 }
 
+/** Cuts the first answer to each request at each byte; the entry that relays
+ * it lives. */
+void
+CheckEachByteOfUpstream(const AnswerKind& aKind)
+{
+  std::atomic<std::size_t> cut{ 0 };
+  std::mutex mutex;
+  std::set<std::string> begun;
+  RelayedEntry entry([&](const std::string& aRequest) {
+    const std::string bytes = AnswerBytes(aKind, aRequest);
+    const std::lock_guard lock(mutex);
+    if (begun.insert(aRequest.substr(aRequest.rfind("\r\n") + 2)).second) {
+      return Script{ .mAnswer = bytes.substr(0, cut), .mThen = aKind.mThen };
+    }
+    return Script{ .mAnswer = bytes,
+                   .mThen = aKind.mFraming == BodyFraming::kConnection
+                              ? Then::kClose
+                              : Then::kKeep };
+  });
+  const std::size_t size = AnswerBytes(aKind).size();
+  for (cut = 0; cut <= size; ++cut) {
+    entry.Reset();
+    entry.ClearEjections();
+    const SeenAnswer seen = entry.Ask(aKind.mRoute, std::to_string(cut));
+    INFO(ToText(aKind) << " after " << cut << " bytes through another entry: "
+                       << "the caller got '" << seen.mStatus << "' "
+                       << (seen.mComplete ? "complete" : "incomplete")
+                       << " with the body '" << seen.mBody << "'");
+    const bool isSuccess = seen.mComplete && seen.mStatus == "HTTP/1.1 200";
+    if (ProvesComplete(aKind, cut)) {
+      CHECK(isSuccess);
+      CHECK(seen.mBody == BodyOf(aKind, cut));
+    } else if (isSuccess) {
+      CHECK(aKind.IsRetryable());
+      CHECK(seen.mBody == WholeBody(aKind));
+    } else {
+      // A resumed response with nothing left to send has no provable end.
+      CHECK((!aKind.IsRetryable() || seen.mBody == WholeBody(aKind)));
+    }
+  }
+}
+
 } // namespace
 
+// Guards against an answer whose upstream ended its connection within the head
+// or the body, and that another entry passes on as complete.
+TEST_CASE("AnAnswerBrokenOffBehindAnotherEntryIsNeverTakenForComplete")
+{
+  const std::string route = GENERATE("once", "prompt", "safe", "stream");
+  for (const BodyFraming framing : { BodyFraming::kConnection,
+                                     BodyFraming::kLength,
+                                     BodyFraming::kChunked }) {
+    for (const Then then : { Then::kClose, Then::kReset }) {
+      CheckEachByteOfUpstream(
+        { .mRoute = route, .mFraming = framing, .mThen = then });
+    }
+  }
+}
+
 // Guards against an answer that ends with its connection and is taken for
 // complete because the entry that relayed it was killed.
 TEST_CASE("AnAnswerThroughAnEntryKilledAtAnyByteIsNeverTakenForComplete")
--- a/test/http/BrokenOffUpstreamTest.cpp
+++ b/test/http/BrokenOffUpstreamTest.cpp
@@ -66,9 +66,9 @@
          "\n\n";
 }
 
-/** Returns the outcomes of a call whose answer is closed after these bytes. */
+/** Returns the outcomes of a call whose connection ends after these bytes. */
 std::vector<request::UpstreamOutcome>
-OutcomesOf(UpstreamKind aKind, const std::string& aBytes)
+OutcomesOf(UpstreamKind aKind, const std::string& aBytes, bool aIsReset)
 {
   RawListener listener;
   CallLog log;
@@ -86,14 +86,37 @@
   const auto peer = listener.Accept();
   peer->ReadUntil("\r\n\r\n");
   peer->Send(aBytes);
-  peer->Close();
+  if (aIsReset) {
+    peer->Reset();
+  } else {
+    peer->Close();
+  }
   REQUIRE(log.WaitFor(1).Ended());
   client.Stop();
   return outcomes;
 }
 
+/** @param aProof bytes that prove the answer whole if they are read */
+void
+CheckOutcomes(const std::vector<request::UpstreamOutcome>& aOutcomes,
+              std::size_t aBytes,
+              std::size_t aProof,
+              bool aIsReset)
+{
+  REQUIRE_FALSE(aOutcomes.empty());
+  const auto& last = aOutcomes.back();
+  const auto* broken = std::get_if<request::UpstreamBroken>(&last);
+  // A reset may discard bytes that have come.
+  if (aBytes >= aProof && !aIsReset) {
+    CHECK(std::holds_alternative<request::UpstreamDone>(last));
+  } else if (aBytes < aProof || broken != nullptr) {
+    REQUIRE(broken != nullptr);
+    CHECK(broken->mMayHaveRun);
+  }
+}
+
 void
-CheckEachByte(UpstreamKind aKind)
+CheckEachByte(UpstreamKind aKind, bool aIsReset)
 {
   const std::string body = BodyOf(aKind);
   for (const Framing framing :
@@ -101,22 +124,19 @@
     const std::string answer = AnswerOf(body, framing);
     const std::size_t bodyEnd = answer.find(body) + body.size();
     // The last event proves a stream's end, whatever marks the body's end.
-    const bool needsFrame =
-      aKind == UpstreamKind::kPlainService && framing == Framing::kChunked;
-    const std::size_t proof = needsFrame ? answer.size() : bodyEnd;
+    const bool isService = aKind == UpstreamKind::kPlainService;
+    const bool needsFrame = isService && framing == Framing::kChunked;
+    const bool needsClose = isService && framing == Framing::kConnection;
+    const std::size_t proof = needsFrame               ? answer.size()
+                              : needsClose && aIsReset ? answer.size() + 1
+                                                       : bodyEnd;
     for (std::size_t bytes = 0; bytes <= answer.size(); ++bytes) {
-      const auto outcomes = OutcomesOf(aKind, answer.substr(0, bytes));
-      INFO("closed after " << bytes << " of " << answer.size()
-                           << " bytes, framing " << int(framing));
-      REQUIRE_FALSE(outcomes.empty());
-      const auto& last = outcomes.back();
-      if (bytes >= proof) {
-        CHECK(std::holds_alternative<request::UpstreamDone>(last));
-      } else {
-        const auto* broken = std::get_if<request::UpstreamBroken>(&last);
-        REQUIRE(broken != nullptr);
-        CHECK(broken->mMayHaveRun);
-      }
+      const auto outcomes =
+        OutcomesOf(aKind, answer.substr(0, bytes), aIsReset);
+      INFO((aIsReset ? "reset" : "closed")
+           << " after " << bytes << " of " << answer.size()
+           << " bytes, framing " << int(framing));
+      CheckOutcomes(outcomes, bytes, proof, aIsReset);
     }
   }
 }
@@ -126,13 +146,25 @@
 // Guards against an engine's broken-off stream that is kept as its answer.
 TEST_CASE("AnEnginesStreamClosedAtAnyByteBeforeItsLastEventIsBroken")
 {
-  CheckEachByte(UpstreamKind::kModelEngine);
+  CheckEachByte(UpstreamKind::kModelEngine, false);
+}
+
+// Guards against a reset that is taken for the end of a stream.
+TEST_CASE("AnEnginesStreamResetAtAnyByteBeforeItsLastEventIsBroken")
+{
+  CheckEachByte(UpstreamKind::kModelEngine, true);
 }
 
 // Guards against a service's broken-off result that is kept as its answer.
 TEST_CASE("AServicesAnswerClosedAtAnyByteBeforeItsEndIsBroken")
 {
-  CheckEachByte(UpstreamKind::kPlainService);
+  CheckEachByte(UpstreamKind::kPlainService, false);
+}
+
+// Guards against a reset that is taken for the end of a result.
+TEST_CASE("AServicesAnswerResetAtAnyByteBeforeItsEndIsBroken")
+{
+  CheckEachByte(UpstreamKind::kPlainService, true);
 }
 
 } // namespace peridotspool::http
