Space pushes to other replicas a little

Pushes to the voters were spaced by 10 ms only, so that each might take 100 a second of each other replica, and confirm them. They wait up to 40 ms now, and a withdrawal with them. How much of the rest this explains isn't measured yet.

--- a/include/peridotspool/membership/RegistryMessage.h
+++ b/include/peridotspool/membership/RegistryMessage.h
@@ -57,7 +57,7 @@
   /**
    * The subscriber is a control replica that asks now and then, rather than to
    * confirm a push: it gets a push in any case, and so hears that the registry
-   * lives. Pushes to it aren't spaced.
+   * lives. Pushes to it wait less for each other.
    */
   bool mFromReplica = false;
 
--- a/include/peridotspool/membership/UpstreamRegistry.h
+++ b/include/peridotspool/membership/UpstreamRegistry.h
@@ -34,6 +34,8 @@
   Duration mBurstResetAfter = std::chrono::milliseconds(100);
   /** Minimum time between pushes to one subscriber after a burst. */
   Duration mSpacing = std::chrono::milliseconds(10);
+  /** Bounds the spacing of pushes to another replica. */
+  Duration mReplicaSpacing = std::chrono::milliseconds(40);
   /**
    * The spacing is at least this times the number of subscribers, which bounds
    * the pushes per second to all of them.
--- a/src/membership/UpstreamRegistry.cpp
+++ b/src/membership/UpstreamRegistry.cpp
@@ -310,11 +310,12 @@
 }
 
 // An upstream that withdraws waits until a majority of the replicas has
-// confirmed it.
+// confirmed it, however many entries there are.
 Duration
 UpstreamRegistry::SpacingOf(const Subscriber& aSubscriber) const
 {
-  return aSubscriber.mIsReplica ? mOptions.mSpacing : Spacing();
+  return aSubscriber.mIsReplica ? std::min(mOptions.mReplicaSpacing, Spacing())
+                                : Spacing();
 }
 
 // If 100 upstreams leave within 0.1 s, one push per upstream to each of 100
