--- a/test/gateway/SettingsConfirmationTest.cpp
+++ b/test/gateway/SettingsConfirmationTest.cpp
@@ -151,4 +151,23 @@
   CHECK(StatusOf(known.ReadAnswer()) == "HTTP/1.1 401");
 }
 
+// Guards against final refusals by bounds that an acknowledged change raised.
+TEST_CASE("OutdatedBoundsRefuseNothingForGood")
+{
+  GatewayFixture gateway;
+  const std::string large(20000, 'x');
+  MakeStale(gateway);
+  Caller stale(gateway.Where());
+  stale.Send(RequestText("safe", "r1", large));
+  const std::string answer = stale.ReadAnswer();
+  CHECK(StatusOf(answer) == "HTTP/1.1 503");
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  gateway.OnRelay([&] {
+    gateway.Core().mSettingsConfirmation.Record(gateway.Core().mNow());
+  });
+  Caller fresh(gateway.Where());
+  fresh.Send(RequestText("safe", "r2", large));
+  CHECK(StatusOf(fresh.ReadAnswer()) == "HTTP/1.1 413");
+}
+
 } // namespace peridotspool::gateway
