--- a/src/runtime/GatewayRelay.cpp
+++ b/src/runtime/GatewayRelay.cpp
@@ -163,16 +163,14 @@
       gateway::StartupPolicy({ .mStartupPeriod = kStartsFor }, ReadClock()),
     .mStartupWaiters = {},
     .mTable = nullptr,
+    .mSettingsConfirmation =
+      gateway::SettingsConfirmation({ .mMaxAge = mSettings.mSettingsDelay }),
+    .mConfirmSettings = [this] { Step(membership::ConfirmSettingsEvent{}); },
     .mPermitClient = limits::PermitClient(RandomNumber()),
     .mPermitAllocator = limits::PermitAllocator(RandomNumber()),
     .mTunnelPeers = std::make_shared<gateway::TunnelPeers>(RandomNumber()),
     .mScheduling = MakeSchedulingOptions(mSettings.mScheduling),
     .mResponseBounds = ResponseBoundsOf(mSettings.mBounds) });
-  mCore->mSettingsConfirmation =
-    gateway::SettingsConfirmation({ .mMaxAge = mSettings.mSettingsDelay });
-  mCore->mConfirmSettings = [this] {
-    Step(membership::ConfirmSettingsEvent{});
-  };
   mCore->mCoordinator.SetLearnsSpeed(mCore->mScheduling.mLearnUpstreamSpeed);
   MakeServers();
 }
